--- /dev/null
+++ b/src/coordination/component.cpp
@@ -0,0 +1,1 @@
+#include "coordination/component.hpp"
--- /dev/null
+++ b/src/protocol/peer_codec.cpp
@@ -0,0 +1,1 @@
+#include "protocol/peer_codec.hpp"
--- /dev/null
+++ b/src/transport/bounded_ring.cpp
@@ -0,0 +1,1 @@
+#include "transport/bounded_ring.hpp"
