--- a/src/coordination/request_flow.hpp
+++ b/src/coordination/request_flow.hpp
@@ -47,7 +47,13 @@
     [[nodiscard]] static std::unique_ptr<request_flow>
     create(instance_identity identity, parts collaborators, flow_limits limits);
 
-    /// Requests without a final answer.
+    /// Refuses new requests with `draining` from now on; open ones go on.
+    virtual void stop_accepting() = 0;
+
+    /// Gives every open request a final answer now, because the process has to exit.
+    virtual void refuse_all(time_point now, actions& out) = 0;
+
+    /// Requests without a final answer, and attempts that outlive their callers.
     [[nodiscard]] virtual std::size_t open_requests() const = 0;
 
     /// What happened to a recent request, as JSON; empty if it is not known.
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -32,7 +32,7 @@
 
     // 500: requests
     {501, info, "request_refused"},
-    {502, debug, "request_finished"},
+    {503, info, "caller_gone"},
 
     // 600: idempotency and poison requests
     {601, warning, "idempotency_outcome_unknown"},
@@ -46,6 +46,7 @@
     {801, info, "process_started"},
     {802, info, "drain_started"},
     {803, info, "process_stopped"},
+    {804, warning, "drain_limit_reached"},
 };
 
 } // namespace
