--- a/src/coordination/flow/flow_engine.hpp
+++ b/src/coordination/flow/flow_engine.hpp
@@ -83,7 +83,7 @@
     void give_up_attempt(time_point now, open_request& entry, refusal reason,
                          actions& out);
     void close(time_point now, open_request& entry, token_count used,
-               std::string outcome);
+               std::string const& outcome);
     void caller_left(time_point now, request_id const& id, actions& out);
     void expire_deadlines(time_point now, actions& out);
     void recheck_permissions(time_point now, actions& out);
