--- /dev/null
+++ b/tests/transport/http_call_test.cpp
@@ -0,0 +1,131 @@
+#include "transport/http_call.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <thread>
+
+namespace carawayturn
+{
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/// Accepts one connection, reads a request's header and sends fixed bytes; keeps the
+/// connection open until the end of the test if it has no bytes to send.
+class http_call_test : public testing::Test
+{
+protected:
+    http_call_test()
+        : acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        call_.to = {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+    ~http_call_test() override
+    {
+        if (server_.joinable())
+            server_.join();
+    }
+
+    result<http_answer> call_with_answer(std::string const& answer)
+    {
+        server_ = std::thread([this, answer] { serve(answer); });
+        auto outcome = call_http(call_);
+        server_.join();
+        return outcome;
+    }
+
+    void serve(std::string const& answer)
+    {
+        connection_.emplace(acceptor_.accept());
+        boost::system::error_code ignored;
+        boost::asio::read_until(*connection_, boost::asio::dynamic_buffer(request_),
+                                "\r\n\r\n", ignored);
+        if (answer.empty())
+            return;
+        boost::asio::write(*connection_, boost::asio::buffer(answer), ignored);
+        connection_.reset();
+    }
+
+    static void expect_error(result<http_answer> const& outcome, error_code code,
+                             std::string const& step)
+    {
+        ASSERT_FALSE(succeeded(outcome));
+        EXPECT_EQ(std::get<error>(outcome).code, code);
+        EXPECT_EQ(std::get<error>(outcome).step, step);
+    }
+
+    boost::asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::optional<tcp::socket> connection_;
+    std::thread server_;
+    std::string request_;
+    http_call call_;
+};
+
+TEST_F(http_call_test, call_answered_returns_status_headers_and_body)
+{
+    call_.method = "POST";
+    call_.target = "/v1/read";
+    call_.headers = {{"Authorization", "Bearer x"}};
+    call_.body = "{}";
+    auto const outcome = call_with_answer(
+        "HTTP/1.1 409 Conflict\r\nRetry-After: 3\r\nContent-Length: 2\r\n\r\n[]");
+    ASSERT_TRUE(succeeded(outcome)) << to_string(std::get<error>(outcome));
+    auto const& answer = std::get<0>(outcome);
+    EXPECT_EQ(answer.status, 409U);
+    EXPECT_EQ(answer.header("retry-after"), "3");
+    EXPECT_EQ(answer.body, "[]");
+    EXPECT_TRUE(request_.starts_with("POST /v1/read HTTP/1.1\r\n"));
+    EXPECT_NE(request_.find("Authorization: Bearer x\r\n"), std::string::npos);
+    EXPECT_NE(request_.find("Content-Length: 2\r\n"), std::string::npos);
+}
+
+TEST_F(http_call_test, call_silent_server_times_out)
+{
+    call_.timeout = std::chrono::milliseconds(50);
+    expect_error(call_with_answer(""), error_code::timeout, "http.receive");
+}
+
+TEST_F(http_call_test, call_closed_port_is_unavailable)
+{
+    acceptor_.close();
+    expect_error(call_http(call_), error_code::unavailable, "http.connect");
+}
+
+TEST_F(http_call_test, call_truncated_answer_has_unknown_outcome)
+{
+    expect_error(call_with_answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"),
+                 error_code::unknown_outcome, "http.receive");
+}
+
+TEST_F(http_call_test, call_answer_above_limit_is_refused)
+{
+    call_.max_answer_bytes = 2;
+    expect_error(call_with_answer("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"),
+                 error_code::limit_exceeded, "http.receive");
+}
+
+// A key or path from a command line must not add headers or requests.
+TEST_F(http_call_test, call_line_break_in_header_or_target_is_refused)
+{
+    call_.headers = {{"Authorization", "Bearer x\r\nX-Priority: 0"}};
+    expect_error(call_http(call_), error_code::invalid_input, "http.send");
+    call_.headers.clear();
+    call_.target = "/v1 HTTP/1.1\r\n\r\nGET /";
+    expect_error(call_http(call_), error_code::invalid_input, "http.send");
+}
+
+TEST_F(http_call_test, call_host_name_is_refused)
+{
+    call_.to.address = "localhost";
+    expect_error(call_http(call_), error_code::invalid_input, "http.connect");
+}
+
+} // namespace
+} // namespace carawayturn
