--- a/src/coordination/serving_authority.hpp
+++ b/src/coordination/serving_authority.hpp
@@ -50,9 +50,18 @@
     [[nodiscard]] static std::unique_ptr<serving_authority>
     create(instance_identity identity, lease_timing timing);
 
-    /// Tells the configuration in force, for gossip and the number of slots.
+    /// Tells the configuration in force, for gossip and the number of slots. Lower
+    /// versions than before are ignored.
     virtual void set_config(config_view view) = 0;
 
+    /// A peer confirmed that `newest` was the newest version at the time `asked` or
+    /// later. The table's answers are taken from events instead.
+    virtual void confirm_config(time_point asked, config_version newest);
+
+    /// When the question was sent whose answer last confirmed the version in force; empty
+    /// if it was never confirmed.
+    [[nodiscard]] virtual std::optional<time_point> config_confirmed() const;
+
     /// Whether callers may be served now, by rule (a) or (b).
     [[nodiscard]] virtual bool may_serve(time_point now) const = 0;
 
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -18,10 +18,20 @@
     // 100: slots and membership
     {101, info, "slot_claimed"},
     {102, warning, "slot_lost"},
+    {103, info, "slot_released"},
+    {104, error, "instance_superseded"},
+    {105, warning, "slot_row_unreadable"},
+    {111, warning, "backend_crash_detected"},
+    {112, info, "backend_leaving"},
+    {113, info, "backend_removed"},
+    {114, warning, "instance_list_empty"},
 
     // 200: configuration
     {201, info, "config_in_force"},
     {202, info, "config_committed"},
+    {203, error, "config_row_unreadable"},
+    {204, warning, "config_commit_outcome_unknown"},
+    {205, info, "config_change_refused"},
 
     // 300: budgets
     {301, info, "budget_owner_changed"},
--- a/src/state/peer_message.hpp
+++ b/src/state/peer_message.hpp
@@ -29,6 +29,8 @@
     /// Time since the last successful answer of the table service.
     duration store_contact_age{0};
     config_version config = 0;
+    /// Fencing number of the slot held; the higher of two claims of a slot is valid.
+    fencing_number fence = 0;
 };
 
 /// Periodic gossip: the sender's entry first, then a few others.
