--- a/src/coordination/detail/authority_state.cpp
+++ b/src/coordination/detail/authority_state.cpp
@@ -176,7 +176,7 @@
     // A confirmation from before the lease's present validity does not count: changes may
     // have been accepted without this instance in the gap.
     if (lease_.valid(now))
-        return confirmed_ && *confirmed_ >= lease_.valid_since() &&
+        return confirmed_ && *confirmed_ > lease_.valid_since() &&
                now - *confirmed_ < periods_.cautious;
     return rule_b_until_ && now < *rule_b_until_ && !has_store_contact(now);
 }
