--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -25,6 +25,9 @@
 
     // 300: budgets
     {301, info, "budget_owner_changed"},
+    {302, warning, "budget_request_above_burst"},
+    {303, info, "budget_owner_silent"},
+    {304, info, "budget_shares_released"},
 
     // 400: placement
     {401, info, "pool_claimed"},
@@ -38,6 +41,10 @@
     {601, warning, "idempotency_outcome_unknown"},
     {602, warning, "poison_suspected"},
     {603, error, "poison_confirmed"},
+    {604, warning, "idempotency_write_failed"},
+    {605, warning, "idempotency_answer_too_large"},
+    {606, info, "poison_cleared"},
+    {607, warning, "poison_table_full"},
 
     // 700: transport
     {701, warning, "peer_message_rejected"},
--- a/src/state/peer_message.hpp
+++ b/src/state/peer_message.hpp
@@ -153,6 +153,9 @@
     duration valid{0};
     /// When not enough could be granted: time until the tokens wanted will have accrued.
     duration retry_after{0};
+    /// The owner has ended the member's lending that followed `query` or an earlier one:
+    /// the member uses its base share again at once and keeps the granted tokens in it.
+    bool ends_lending = false;
 };
 
 /// Tells a pool's new owner or all members that a request signature crashed a backend
