--- a/src/coordination/detail/budget_pool.cpp
+++ b/src/coordination/detail/budget_pool.cpp
@@ -11,10 +11,10 @@
 /// Use is smoothed over about this time.
 constexpr duration use_window = std::chrono::seconds(1);
 /// A member is granted its use of this time ahead, so that it need not ask for each
-/// request.
-constexpr double headroom_seconds = 0.4;
-/// Part of the level that may go into one member's headroom.
-constexpr double headroom_part = 0.125;
+/// request and is served on while a dead owner is replaced.
+constexpr double headroom_seconds = 2.0;
+/// Part of the level that may go into one member's headroom at once.
+constexpr double headroom_part = 0.25;
 constexpr duration forget_member_after = std::chrono::minutes(5);
 /// Lendings come in for about this long after the first one.
 constexpr duration settling_time = std::chrono::milliseconds(300);
@@ -214,6 +214,14 @@
     return static_cast<token_count>(level()) - revived;
 }
 
+token_count budget_pool::headroom(member_account const& account, token_count possible)
+{
+    double const missing =
+        account.use * headroom_seconds - static_cast<double>(account.unspent());
+    double const limit = static_cast<double>(possible) * headroom_part;
+    return static_cast<token_count>(std::max(0.0, std::min(missing, limit)));
+}
+
 std::vector<addressed_grant> budget_pool::distribute(time_point now)
 {
     std::vector<std::pair<time_point, process_key>> waiting;
@@ -243,9 +251,7 @@
     token_count tokens = std::min(account.wanted, possible);
     if (tokens == account.wanted && tokens > 0)
     {
-        double const ahead = std::min(account.use * headroom_seconds,
-                                      static_cast<double>(possible) * headroom_part);
-        tokens = std::min(possible, tokens + static_cast<token_count>(ahead));
+        tokens += headroom(account, possible - tokens);
     }
     account.wanted = std::max<token_count>(0, account.wanted - tokens);
     if (tokens > 0)
@@ -260,11 +266,18 @@
                                                   process_key const& member)
 {
     auto const found = members_.find(member);
-    if (found == members_.end() || found->second.unspent() == 0)
+    if (found == members_.end())
+    {
+        return std::nullopt;
+    }
+    member_account const& account = found->second;
+    token_count const possible = std::max<token_count>(0, grantable(account));
+    token_count const tokens = account.wanted > 0 ? 0 : headroom(account, possible);
+    if (tokens == 0 && account.unspent() == 0)
     {
         return std::nullopt;
     }
-    return issue(now, member, 0, no_limit);
+    return issue(now, member, tokens, no_limit);
 }
 
 addressed_grant budget_pool::issue(time_point now, process_key const& member,
--- a/src/coordination/detail/budget_pool.hpp
+++ b/src/coordination/detail/budget_pool.hpp
@@ -51,7 +51,7 @@
     [[nodiscard]] std::vector<addressed_grant> distribute(time_point now);
     /// Grants to one member, possibly nothing, in answer to its last message.
     [[nodiscard]] addressed_grant grant(time_point now, process_key const& member);
-    /// Extends the unspent grants of a member, if it has any.
+    /// Extends the unspent grants of a member and tops them up for its recent use.
     [[nodiscard]] std::optional<addressed_grant> renew(time_point now,
                                                        process_key const& member);
     /// Takes the owner's own share out of the pool once no grant is funded by it; returns
@@ -112,6 +112,8 @@
     [[nodiscard]] addressed_grant end_lending(time_point now, process_key const& member,
                                               double part, std::uint64_t last_query);
     [[nodiscard]] token_count grantable(member_account const& account) const;
+    [[nodiscard]] static token_count headroom(member_account const& account,
+                                              token_count possible);
     [[nodiscard]] time_point funded_until(time_point now, token_count outstanding) const;
     [[nodiscard]] double cap() const;
     void apply_cap();
--- a/src/coordination/detail/fleet_budget.cpp
+++ b/src/coordination/detail/fleet_budget.cpp
@@ -275,40 +275,39 @@
 void fleet_budget::refuse_late(time_point now, organisation_id const& organisation,
                                budget_account& account, actions& out)
 {
-    token_count ahead = 0;
     bool const undecided = !account.answered && account.asked_at + ask_limit > now;
-    std::erase_if(
-        account.waiting,
-        [&](waiting_request const& entry)
+    double const rate = std::max(terms_of(organisation).rate, 1e-3);
+    token_count ahead = 0;
+    std::deque<waiting_request> kept;
+    for (auto& entry : account.waiting)
+    {
+        token_count const needed = ahead + entry.tokens;
+        auto const wait = expected_wait(now, organisation, account, entry, needed);
+        time_point const limit = entry.since + wait_limit;
+        if (limit > now && (undecided || !wait || now + *wait <= limit))
         {
-            ahead += entry.tokens;
-            auto const wait = expected_wait(now, organisation, account, ahead);
-            bool const late = entry.since + wait_limit <= now;
-            bool const hopeless =
-                !undecided && wait && now + *wait > entry.since + wait_limit;
-            if (!late && !hopeless)
-            {
-                return false;
-            }
-            double const rate = std::max(terms_of(organisation).rate, 1e-3);
-            duration const accrual = from_seconds(static_cast<double>(ahead) / rate);
-            out.emplace_back(raise_event{budget_decided{
-                entry.request, false, std::max(wait.value_or(accrual), duration(1))}});
-            waiting_.erase(entry.request);
-            ahead -= entry.tokens;
-            return true;
-        });
+            ahead = needed;
+            kept.push_back(std::move(entry));
+            continue;
+        }
+        duration const accrual = from_seconds(static_cast<double>(needed) / rate);
+        duration const retry = wait.value_or(duration(0)) > wait_limit ? *wait : accrual;
+        waiting_.erase(entry.request);
+        out.emplace_back(raise_event{budget_decided{entry.request, false, retry}});
+    }
+    account.waiting = std::move(kept);
 }
 
 std::optional<duration> fleet_budget::expected_wait(time_point now,
                                                     organisation_id const& id,
                                                     budget_account const& account,
+                                                    waiting_request const& entry,
                                                     token_count ahead) const
 {
     if (acts_as_owner(now, id) && account.pool.lendings() > 0)
     {
         token_count const own = ahead - account.share.spendable(now);
-        return account.pool.time_until(now, static_cast<double>(own), now);
+        return account.pool.time_until(now, static_cast<double>(own), entry.since);
     }
     if (!account.ready_at)
     {
--- a/src/coordination/detail/fleet_budget.hpp
+++ b/src/coordination/detail/fleet_budget.hpp
@@ -56,6 +56,14 @@
     token_count answer_wanted = 0;
     /// Whether this instance acted as the owner at the last step.
     bool owned = false;
+    bool members_first = false;
+
+    /// Whether periodic work is due; accrual alone is caught up on when it is needed.
+    [[nodiscard]] bool busy(time_point now) const
+    {
+        return owned || !waiting.empty() || !held.empty() || pool.lendings() > 0 ||
+               pool.active(now);
+    }
 };
 
 class fleet_budget final : public budget_manager
@@ -97,6 +105,7 @@
     [[nodiscard]] std::optional<duration> expected_wait(time_point now,
                                                         organisation_id const& id,
                                                         budget_account const& account,
+                                                        waiting_request const& entry,
                                                         token_count ahead) const;
     [[nodiscard]] token_count wanted(time_point now, budget_account const& account) const;
     void ask_owner(time_point now, organisation_id const& organisation,
@@ -117,7 +126,7 @@
                       budget_account& account, actions& out);
     [[nodiscard]] bool acts_as_owner(time_point now,
                                      organisation_id const& organisation) const;
-    void query_members(time_point now, std::vector<organisation_id> organisations,
+    void query_members(time_point now, std::vector<organisation_id> const& organisations,
                        actions& out);
     void query_member(time_point now, instance_id const& to,
                       std::vector<organisation_id> organisations, actions& out);
--- a/src/coordination/detail/fleet_budget_peers.cpp
+++ b/src/coordination/detail/fleet_budget_peers.cpp
@@ -33,9 +33,13 @@
     update_members(now);
     std::vector<organisation_id> queried;
     bool const due = queried_at_ + query_period <= now || queried_at_ > now;
-    for (auto const& [organisation, limits] : config_.current().organisations)
+    for (auto& [organisation, account] : accounts_)
     {
-        budget_account& account = *refreshed(now, organisation);
+        if (!account.busy(now))
+        {
+            continue;
+        }
+        static_cast<void>(refreshed(now, organisation));
         step_account(now, organisation, account, out);
         if (due && account.owned)
         {
@@ -47,7 +51,7 @@
         queried_at_ = now;
         std::erase_if(queries_, [now](auto const& entry)
                       { return entry.second + lend_period < now; });
-        query_members(now, std::move(queried), out);
+        query_members(now, queried, out);
     }
 }
 
@@ -56,7 +60,6 @@
 {
     charge_long_held(now, terms_of(organisation), account);
     step_pool(now, organisation, account, out);
-    serve_waiting(now, organisation, account, out);
     serve_members(now, organisation, account, out);
     retry_ask(now, organisation, account, out);
 }
@@ -114,7 +117,8 @@
 }
 
 void fleet_budget::query_members(time_point now,
-                                 std::vector<organisation_id> organisations, actions& out)
+                                 std::vector<organisation_id> const& organisations,
+                                 actions& out)
 {
     if (organisations.empty())
     {
@@ -141,14 +145,16 @@
 void fleet_budget::serve_members(time_point now, organisation_id const& organisation,
                                  budget_account& account, actions& out)
 {
-    if (account.waiting.empty())
+    // Requests here and other members take turns to be served first.
+    account.members_first = !account.members_first;
+    if (!account.members_first)
     {
-        send_grants(account.pool.distribute(now), out);
+        serve_waiting(now, organisation, account, out);
     }
-    else
+    send_grants(account.pool.distribute(now), out);
+    if (account.members_first)
     {
         serve_waiting(now, organisation, account, out);
-        send_grants(account.pool.distribute(now), out);
     }
 }
 
@@ -197,6 +203,7 @@
     budget_ask ask{++ask_, identity_.incarnation, account.share.counters(key)};
     ask.entry.organisation = organisation;
     ask.entry.wanted = wanted(now, account);
+    account.answer_wanted = ask.entry.wanted;
     account.share.note_ask(now, key, ask.ask);
     send(owner->id, ask, out);
 }
@@ -204,8 +211,9 @@
 void fleet_budget::retry_ask(time_point now, organisation_id const& organisation,
                              budget_account& account, actions& out)
 {
-    if (account.waiting.empty() || account.answered ||
-        account.asked_at + query_period > now)
+    // An answered ask is repeated less often, in case the owner has gone since.
+    duration const pause = account.answered ? 2 * query_period : query_period;
+    if (account.waiting.empty() || account.asked_at + pause > now)
     {
         return;
     }
