--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -29,6 +29,17 @@
     // 400: placement
     {401, info, "pool_claimed"},
     {402, info, "load_decided"},
+    {403, info, "unload_decided"},
+    {404, warning, "pool_lost"},
+    {405, info, "pool_released"},
+    {406, warning, "order_repeated"},
+    {407, warning, "order_refused"},
+    {408, info, "runner_restarted"},
+    {409, info, "runner_removed"},
+    {410, warning, "runner_row_unreadable"},
+    {411, warning, "unknown_memory_adopted"},
+    {412, warning, "replica_missing_in_report"},
+    {413, info, "pool_fence_raised"},
 
     // 500: requests
     {501, info, "request_refused"},
--- a/src/state/peer_message.hpp
+++ b/src/state/peer_message.hpp
@@ -90,7 +90,8 @@
     fencing_number fence = 0;
     std::uint64_t version = 0;
     std::vector<replica> replicas;
-    /// Expected time until each of these models is loaded, for waiting callers.
+    /// Expected time until each of these models is loaded, for waiting callers, in the
+    /// order of loads. `bytes` is the memory reserved: 0 while the load is only queued.
     std::vector<std::pair<loaded_item, duration>> loading;
 };
 
