--- a/src/coordination/placement/runner_ledger.cpp
+++ b/src/coordination/placement/runner_ledger.cpp
@@ -242,11 +242,12 @@
                                           [&](auto const& entry)
                                           { return same_item(entry, item.what.item); });
         // A load under way may take memory before the report lists it.
-        bool const may_hold = reported || item.inherited || item.load.sent > 0;
+        bool const may_hold =
+            reported || (!item.refused && (item.inherited || item.load.sent > 0));
         explained += may_hold ? item.what.item.bytes : 0;
     }
-    for (auto const& freed : freed_)
-        explained += freed.item.bytes;
+    for (auto const& item : report.loaded)
+        explained += find(item) == nullptr && freed_lately(item) ? item.bytes : 0;
     return std::max(unknown_items, report.used_bytes - explained);
 }
 
