--- a/src/coordination/placement/usage_history.hpp
+++ b/src/coordination/placement/usage_history.hpp
@@ -3,8 +3,8 @@
 #include "coordination/placement_manager.hpp"
 #include "state/time.hpp"
 
-#include <deque>
 #include <optional>
+#include <vector>
 
 namespace carawayturn::placement
 {
@@ -31,8 +31,11 @@
 
 private:
     std::optional<time_point> last_use_;
-    std::deque<duration> gaps_;
-    std::deque<time_point> wakes_;
+    // Bounded; vectors, because an empty deque takes half a kilobyte and there are tens
+    // of thousands of adapters.
+    std::vector<duration> gaps_;
+    std::vector<duration> long_gaps_;
+    std::vector<time_point> wakes_;
 };
 
 } // namespace carawayturn::placement
