--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -37,9 +37,9 @@
 static void fields(Io& io, peer_archive::described<Io, member_entry> value)
 {
     auto& [id, incarnation, slot, has_slot, heartbeat, state, peer_address,
-           failure_domain, store_contact_age, config] = value;
+           failure_domain, store_contact_age, config, fence] = value;
     io(id, incarnation, slot, has_slot, heartbeat, state, peer_address, failure_domain,
-       store_contact_age, config);
+       store_contact_age, config, fence);
 }
 
 template <class Io>
@@ -210,9 +210,9 @@
 static void fields(Io& io, peer_archive::described<Io, budget_grant> value)
 {
     auto& [ask, query, organisation, owner_incarnation, member_incarnation, clock,
-           granted, valid, retry_after] = value;
+           granted, valid, retry_after, ends_lending] = value;
     io(ask, query, organisation, owner_incarnation, member_incarnation, clock, granted,
-       valid, retry_after);
+       valid, retry_after, ends_lending);
 }
 
 template <class Io>
--- a/tests/coordination/request_flow_test.cpp
+++ b/tests/coordination/request_flow_test.cpp
@@ -1,6 +1,6 @@
 #include "coordination/request_flow.hpp"
 
-#include "flow_fakes.hpp"
+#include "coordination/flow_fakes.hpp"
 
 #include <gtest/gtest.h>
 
