Let base shares accrue from the claim of the slot, not from first use

An idle share that was first touched long after its slot was claimed began at zero, so the fleet's burst was missing after instances had been replaced.

--- a/src/coordination/detail/budget_share.cpp
+++ b/src/coordination/detail/budget_share.cpp
@@ -20,22 +20,17 @@
 
 } // namespace
 
-void budget_share::restart(time_point now, double level)
+void budget_share::restart(time_point from, double level)
 {
     base_.reset(level);
-    accrued_to_ = now;
+    accrued_to_ = from;
     lending_.reset();
 }
 
 void budget_share::refresh(time_point now, budget_terms const& terms,
                            standing const& slot)
 {
-    bool const owned_before = slot_.owning;
     slot_ = slot;
-    if (!slot_.owning || !owned_before)
-    {
-        accrued_to_ = now;
-    }
     accrue(now, terms);
     expire_grants(now);
 }
@@ -46,7 +41,9 @@
     {
         return;
     }
-    time_point from = std::max(accrued_to_, slot_.usable_from);
+    // Tokens also accrue while the slot is held without authority: nobody else can have
+    // used the share since it was claimed.
+    time_point from = accrued_to_;
     if (lending_)
     {
         from = std::max(from, lending_->until);
--- a/src/coordination/detail/budget_share.hpp
+++ b/src/coordination/detail/budget_share.hpp
@@ -32,9 +32,9 @@
         time_point usable_from{};
     };
 
-    /// Starts a base share with the given level. Reservations from before give nothing
-    /// back.
-    void restart(time_point now, double level);
+    /// Starts a base share with the given level at a time, which may be past or to come.
+    /// Reservations from before give nothing back.
+    void restart(time_point from, double level);
 
     /// Brings accrual and expiry up to date. To be called before any other use.
     void refresh(time_point now, budget_terms const& terms, standing const& slot);
--- a/src/coordination/detail/fleet_budget.cpp
+++ b/src/coordination/detail/fleet_budget.cpp
@@ -102,7 +102,7 @@
     {
         account.slot_epoch = slot_epoch_;
         bool const first = slot_ && slot_->second <= 1;
-        account.share.restart(now, first ? terms.share_burst() : 0.0);
+        account.share.restart(standing_.usable_from, first ? terms.share_burst() : 0.0);
     }
     account.share.refresh(now, terms, standing_);
     account.pool.refresh(now, terms);
