Let rule (b) count only members that cannot have backed a claim of the slot

Random faults showed an instance serving by rule (b) after its slot had been claimed by an instance that then lost its peers. A claimant now needs recent store contact of its majority, and a holder counts a member only if that member lost contact before a claim was possible.

--- a/src/coordination/detail/authority_state.cpp
+++ b/src/coordination/detail/authority_state.cpp
@@ -20,6 +20,9 @@
 // committed in that time.
 constexpr std::size_t version_starts_kept = 1024;
 
+// Allowed for the time that a message is on its way, which its ages do not include.
+constexpr duration message_delay = std::chrono::milliseconds(300);
+
 std::int64_t milliseconds(duration period)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(period).count();
@@ -148,6 +151,17 @@
         confirm_config(head_->asked, head_->version);
 }
 
+/// Whether the member lost contact too early to have backed a claim of this instance's
+/// slot. A claim takes effect `patient` after the last renewal at the earliest and needs
+/// a majority whose contact is recent then; rule (b) counts only members outside every
+/// such majority.
+bool authority_state::unclaimed_while_in_contact(member const& known) const
+{
+    auto const renewed = lease_.renewed();
+    return renewed && known.contact_at + periods_.recent_contact + message_delay <=
+                          *renewed + periods_.patient;
+}
+
 void authority_state::refresh_rule_b(time_point now)
 {
     rule_b_until_.reset();
@@ -159,7 +173,8 @@
     {
         if (held && slot == held->slot)
             continue;
-        if (known->direct_at && known->direct_without_contact)
+        if (known->direct_at && known->direct_without_contact &&
+            (!held || unclaimed_while_in_contact(*known)))
             ends.push_back(*known->direct_at + periods_.cautious);
     }
     std::size_t const needed = majority() - (held ? 1 : 0);
@@ -223,7 +238,8 @@
 /// same during the period, or it need not intersect the majority that rule (b) counts.
 bool authority_state::majority_has_contact(time_point now) const
 {
-    if (!contact_.unbroken_for(now, periods_.patient))
+    if (!contact_.unbroken_for(now, periods_.patient) ||
+        contact_.age(now) >= periods_.recent_contact)
         return false;
     auto const& held = lease_.held();
     std::size_t count = lease_.valid(now) ? 1 : 0;
@@ -232,7 +248,7 @@
         if (held && slot == held->slot)
             continue;
         if (known->contact_since <= now - periods_.patient &&
-            now - known->contact_at < periods_.cautious)
+            now - known->contact_at < periods_.recent_contact)
             ++count;
     }
     return count >= majority();
--- a/src/coordination/detail/authority_state.hpp
+++ b/src/coordination/detail/authority_state.hpp
@@ -122,6 +122,7 @@
     [[nodiscard]] std::size_t majority() const { return slots() / 2 + 1; }
     void refresh_confirmed();
     void refresh_rule_b(time_point now);
+    [[nodiscard]] bool unclaimed_while_in_contact(member const& known) const;
     [[nodiscard]] bool majority_has_contact(time_point now) const;
     [[nodiscard]] bool holder_stopped(time_point now, slot_watch const& watch) const;
     [[nodiscard]] bool rows_read_since(time_point since) const;
--- a/src/coordination/detail/member_table.cpp
+++ b/src/coordination/detail/member_table.cpp
@@ -28,7 +28,8 @@
 authority_periods::authority_periods(lease_timing const& timing)
     : time_to_live(timing.time_to_live),
       cautious(scaled(timing.time_to_live, 1.0 - timing.drift_margin)),
-      patient(scaled(timing.time_to_live, 1.0 + timing.drift_margin))
+      patient(scaled(timing.time_to_live, 1.0 + timing.drift_margin)),
+      recent_contact(timing.time_to_live / 2)
 {
 }
 
--- a/src/coordination/detail/member_table.hpp
+++ b/src/coordination/detail/member_table.hpp
@@ -21,6 +21,10 @@
     duration cautious;
     /// What a claimant waits: time_to_live plus the drift margin.
     duration patient;
+    /// How recent the store contact must be that a claimant counts. Short against
+    /// `patient`, so that a holder whose renewals ended together with everyone's store
+    /// contact can tell that nobody has claimed its slot.
+    duration recent_contact;
 };
 
 /// What this instance knows of another one from gossip.
--- a/src/coordination/detail/slot_lease.hpp
+++ b/src/coordination/detail/slot_lease.hpp
@@ -42,6 +42,9 @@
     [[nodiscard]] bool valid(time_point now) const { return left(now) > duration{0}; }
     [[nodiscard]] duration left(time_point now) const;
 
+    /// When the last renewal that is known to have taken effect was sent.
+    [[nodiscard]] std::optional<time_point> renewed() const { return renewed_; }
+
     /// When the present unbroken validity began.
     [[nodiscard]] time_point valid_since() const { return valid_since_; }
 
--- a/tests/coordination/fake_fleet.hpp
+++ b/tests/coordination/fake_fleet.hpp
@@ -6,15 +6,19 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carawayturn
 {
 
 /// Instances with serving authority and configuration log over one fake table, in
-/// simulated time. Messages and answers arrive at once unless a fault is set.
+/// simulated time. Messages and answers arrive at once, in order, unless a fault or a
+/// delay is set.
 class fake_fleet
 {
 public:
@@ -37,6 +41,8 @@
     };
 
     fake_table table;
+    /// Messages and answers take a random time up to this, and overtake each other.
+    duration max_delay{0};
     time_point now{std::chrono::seconds(1000)};
 
     node& start(std::string const& id, incarnation_number incarnation = 1)
@@ -81,11 +87,15 @@
         drain();
     }
 
-    void submit(node& target, std::string const& operation, config_change change,
+    void submit(node& target, std::string const& operation, config_change const& change,
                 std::optional<config_version> expected = std::nullopt)
     {
-        deliver(target,
-                change_submitted{operation_id(operation), std::move(change), expected});
+        event input = change_submitted{};
+        auto& submitted = std::get<change_submitted>(input);
+        submitted.operation = operation_id(operation);
+        submitted.change = change;
+        submitted.expected = expected;
+        deliver(target, input);
         drain();
     }
 
@@ -161,7 +171,7 @@
 
     void answer(node& target, operation_id const& operation, table_outcome outcome)
     {
-        queue_.emplace_back(&target, table_answered{operation, std::move(outcome)});
+        enqueue(target, table_answered{operation, std::move(outcome)});
     }
 
     void send(node& source, send_peer const& sent)
@@ -172,22 +182,29 @@
         {
             if (each->identity.peer_address == sent.address && !source.peers_cut &&
                 !each->peers_cut)
-                queue_.emplace_back(each.get(),
-                                    peer_received{source.identity.id, sent.message});
+                enqueue(*each, peer_received{source.identity.id, sent.message});
         }
     }
 
+    void enqueue(node& target, event input)
+    {
+        auto const delay = max_delay.count() == 0
+                               ? duration{0}
+                               : duration{random_() % max_delay.count()};
+        queue_.emplace(now + delay, std::pair(&target, std::move(input)));
+    }
+
     void drain()
     {
-        while (!queue_.empty())
+        while (!queue_.empty() && queue_.begin()->first <= now)
         {
-            auto [target, input] = std::move(queue_.front());
-            queue_.pop_front();
-            deliver(*target, input);
+            auto const next = std::move(queue_.extract(queue_.begin()).mapped());
+            deliver(*next.first, next.second);
         }
     }
 
-    std::deque<std::pair<node*, event>> queue_;
+    std::multimap<time_point, std::pair<node*, event>> queue_;
+    std::mt19937_64 random_{1};
 };
 
 } // namespace carawayturn
--- a/tests/coordination/serving_authority_test.cpp
+++ b/tests/coordination/serving_authority_test.cpp
@@ -436,32 +436,38 @@
     }
 }
 
-/// Random faults over a long time; at no moment may an instance have authority while
-/// another one holds it proven stopped, and no slot may have two valid leases.
+/// Random faults over a long time. At no moment may an instance have authority by rule
+/// (b) while another one holds it proven stopped, may a slot have two valid leases, or
+/// may an instance serve below an accepted version.
 class authority_exclusion_test : public serving_authority_test,
                                  public testing::WithParamInterface<unsigned>
 {
 protected:
+    bool chance(unsigned percent) { return random_() % 100 < percent; }
+
     void change_faults()
     {
-        auto const chance = [this](unsigned percent)
-        { return random_() % 100 < percent; };
-        if (chance(20))
+        if (chance(fleet_.table.down ? 25 : 8))
             fleet_.table.down = !fleet_.table.down;
         fleet_.table.lose_answers = chance(30) ? random_() % 4 : 0;
         fleet_.table.apply_held();
         fleet_.table.hold_commits = chance(10) ? 1 : 0;
         for (auto& each : fleet_.nodes)
         {
-            if (each->paused && chance(50))
+            if (each->paused && chance(15))
                 fleet_.resume(*each);
-            else if (chance(5))
+            else if (chance(3))
                 each->paused = true;
-            if (chance(10))
+            if (chance(each->store_cut ? 40 : 5))
                 each->store_cut = !each->store_cut;
-            if (chance(10))
+            if (chance(each->peers_cut ? 40 : 5))
                 each->peers_cut = !each->peers_cut;
         }
+        auto& operated = *fleet_.nodes[random_() % fleet_.nodes.size()];
+        auto config = operated.config->current();
+        config.instance_slots = 5;
+        if (!operated.paused && chance(30))
+            fleet_.submit(operated, "change", replace_config{config});
     }
 
     void expect_exclusion()
@@ -473,30 +479,52 @@
             if (holder->paused || !held)
                 continue;
             bool const lease = holder->authority->lease_valid(fleet_.now);
+            bool const serves = holder->authority->may_serve(fleet_.now);
             EXPECT_TRUE(!lease || leased.insert(held->slot).second);
-            if (!lease && !holder->authority->may_serve(fleet_.now))
-                continue;
-            for (auto const& judge : fleet_.nodes)
+            EXPECT_TRUE(!serves || holder->config->current().version >= accepted());
+            // A lease that lapsed and was renewed is seen with the judge's next read.
+            EXPECT_TRUE(lease || !serves || !held_stopped(*held));
+            served_by_majority_ += !lease && serves;
+            stopped_ += !serves && held_stopped(*held);
+        }
+    }
+
+    bool held_stopped(held_slot const& held) const
+    {
+        return std::any_of(fleet_.nodes.begin(), fleet_.nodes.end(),
+                           [this, &held](auto const& judge)
+                           {
+                               return !judge->paused &&
+                                      judge->authority->proven_stopped(
+                                          fleet_.now, held.slot, held.fence);
+                           });
+    }
+
+    config_version accepted()
+    {
+        for (auto const& each : fleet_.nodes)
+        {
+            for (auto const& answer : std::exchange(each->answers, {}))
             {
-                // A lease that lapsed and was renewed since is judged by the next read.
-                if (judge == holder || judge->paused || lease)
-                    continue;
-                EXPECT_FALSE(judge->authority->proven_stopped(fleet_.now, held->slot,
-                                                              held->fence));
-                stopped_checked_ = true;
+                if (answer.accepted)
+                    accepted_ = std::max(accepted_, answer.version);
             }
         }
+        return accepted_;
     }
 
     std::mt19937 random_{GetParam()};
-    bool stopped_checked_ = false;
+    config_version accepted_ = 0;
+    std::size_t served_by_majority_ = 0;
+    std::size_t stopped_ = 0;
 };
 
 TEST_P(authority_exclusion_test, random_faults_never_give_authority_to_a_stopped_holder)
 {
     start_full_fleet(5);
     fleet_.start("entry-spare");
-    for (int round = 0; round < 150 && !HasFailure(); ++round)
+    fleet_.max_delay = milliseconds(200);
+    for (int round = 0; round < 400 && !HasFailure(); ++round)
     {
         change_faults();
         for (int step = 0; step < 60 && !HasFailure(); ++step)
@@ -505,9 +533,16 @@
             expect_exclusion();
         }
     }
+    // The faults have to reach the states that the rules are about.
+    EXPECT_GT(served_by_majority_, 0U);
+    EXPECT_GT(stopped_, 0U);
+    EXPECT_GT(accepted_, 1U);
 }
 
-INSTANTIATE_TEST_SUITE_P(seeds, authority_exclusion_test, testing::Range(1U, 9U));
+// The seeds from 97 on found that a majority alone does not exclude a claim made before
+// the outage; see authority_state::unclaimed_while_in_contact().
+INSTANTIATE_TEST_SUITE_P(seeds, authority_exclusion_test,
+                         testing::Values(1, 2, 3, 97, 128, 139, 154, 258, 288, 291));
 
 } // namespace
 } // namespace carawayturn
