--- a/src/coordination/config_log.cpp
+++ b/src/coordination/config_log.cpp
@@ -15,9 +15,9 @@
 class config_log_state : public config_log
 {
 public:
-    config_log_state(instance_identity const& identity, serving_authority& authority)
+    config_log_state(instance_identity identity, serving_authority& authority)
         : history_(authority), fetcher_(identity, authority, history_),
-          submissions_(identity, authority, history_, fetcher_)
+          submissions_(std::move(identity), authority, history_, fetcher_)
     {
     }
 
@@ -77,7 +77,7 @@
 std::unique_ptr<config_log> config_log::create(instance_identity identity,
                                                serving_authority& authority)
 {
-    return std::make_unique<config_log_state>(identity, authority);
+    return std::make_unique<config_log_state>(std::move(identity), authority);
 }
 
 } // namespace carawayturn
--- a/src/coordination/detail/config_submissions.cpp
+++ b/src/coordination/detail/config_submissions.cpp
@@ -19,10 +19,11 @@
 
 } // namespace
 
-config_submissions::config_submissions(instance_identity const& identity,
+config_submissions::config_submissions(instance_identity identity,
                                        serving_authority const& authority,
                                        config_history& history, config_fetcher& fetcher)
-    : identity_(identity), authority_(authority), history_(history), fetcher_(fetcher)
+    : identity_(std::move(identity)), authority_(authority), history_(history),
+      fetcher_(fetcher)
 {
 }
 
@@ -74,14 +75,14 @@
         return;
     switch (active_->step)
     {
-    case stage::read_head:
-    case stage::read_back:
+    case submission_stage::read_head:
+    case submission_stage::read_back:
         send_read(out);
         break;
-    case stage::catch_up:
+    case submission_stage::catch_up:
         on_head_read(now, out);
         break;
-    case stage::commit:
+    case submission_stage::commit:
         send_commit(out);
         break;
     }
@@ -92,7 +93,7 @@
     table_read read;
     read.operation = active_->pending = next_operation();
     read.keys.emplace_back(config_head_key);
-    if (active_->step == stage::read_back)
+    if (active_->step == submission_stage::read_back)
         read.keys.push_back(config_change_key(version()));
     out.emplace_back(store_read{std::move(read)});
 }
@@ -116,7 +117,7 @@
     if (!active_ || active_->pending != answer.operation)
         return;
     active_->pending = operation_id();
-    if (active_->step == stage::commit)
+    if (active_->step == submission_stage::commit)
         on_commit_answer(now, answer.outcome, out);
     else if (auto const* const rows = std::get_if<rows_read>(&answer.outcome))
         on_rows(now, *rows, out);
@@ -148,7 +149,7 @@
     }
     fetcher_.note_version(*parsed);
     row_version const head_row = head == nullptr ? 0 : head->version;
-    if (active_->step == stage::read_back)
+    if (active_->step == submission_stage::read_back)
     {
         on_read_back(now, written, head_row, out);
         return;
@@ -163,12 +164,12 @@
     auto const current = history_.current().version;
     if (active_->head > current)
     {
-        active_->step = stage::catch_up;
+        active_->step = submission_stage::catch_up;
     }
     else if (active_->head < current)
     {
         // A newer version came into force since the head was read.
-        active_->step = stage::read_head;
+        active_->step = submission_stage::read_head;
         active_->next_try = now + try_again_after;
     }
     else
@@ -195,7 +196,7 @@
     active_->change_text = print_change(request.change);
     if (version() % copy_every == 0)
         active_->copy_text = print_config(std::get<fleet_config>(applied));
-    active_->step = stage::commit;
+    active_->step = submission_stage::commit;
     drive(now, out);
 }
 
@@ -218,7 +219,7 @@
             log_record{204, active_->request.operation.str(), "reading it back"});
     // After a conflict, the read tells the current version, or that an earlier attempt of
     // this submission caused it.
-    active_->step = stage::read_back;
+    active_->step = submission_stage::read_back;
     if (!std::holds_alternative<commit_conflict>(outcome))
         active_->next_try = now + try_again_after;
     drive(now, out);
@@ -238,7 +239,7 @@
     }
     else
     {
-        active_->step = stage::commit;
+        active_->step = submission_stage::commit;
         active_->next_try = now + try_again_after;
     }
 }
@@ -283,7 +284,7 @@
 void config_submissions::check_acceptance(time_point now, actions& out)
 {
     next_acceptance_check_ = now + acceptance_check_every;
-    auto const settle = [this, now, &out](awaited const& entry)
+    auto const settle = [this, now, &out](awaited_change const& entry)
     {
         answer_submission answer;
         answer.operation = entry.operation;
--- a/src/coordination/detail/config_submissions.hpp
+++ b/src/coordination/detail/config_submissions.hpp
@@ -10,6 +10,44 @@
 namespace carawayturn::detail
 {
 
+/// Steps of a submission.
+enum class submission_stage
+{
+    read_head,
+    catch_up,
+    commit,
+    read_back
+};
+struct submission
+{
+    operation_id operation;
+    config_change change;
+    std::optional<config_version> expected;
+    time_point deadline{};
+};
+/// The submission that is being committed.
+struct active_submission
+{
+    submission request;
+    submission_stage step = submission_stage::read_head;
+    row_version head_row = 0;
+    config_version head = 0;
+    /// Commits sent; any of them may take effect.
+    std::set<operation_id> attempts;
+    /// The operation waited for; empty before it is sent.
+    operation_id pending;
+    time_point next_try{};
+    std::string change_text;
+    std::string copy_text;
+};
+/// A committed change that not all instances have confirmed.
+struct awaited_change
+{
+    operation_id operation;
+    config_version version = 0;
+    time_point deadline{};
+};
+
 /// Commits operators' changes, one at a time, and answers them.
 ///
 /// A commit whose outcome is unknown is read back. The row `config/<version>` is written
@@ -19,9 +57,8 @@
 class config_submissions
 {
 public:
-    config_submissions(instance_identity const& identity,
-                       serving_authority const& authority, config_history& history,
-                       config_fetcher& fetcher);
+    config_submissions(instance_identity identity, serving_authority const& authority,
+                       config_history& history, config_fetcher& fetcher);
 
     void submit(time_point now, change_submitted const& submitted, actions& out);
     void on_tick(time_point now, actions& out);
@@ -31,41 +68,6 @@
     [[nodiscard]] std::size_t open() const;
 
 private:
-    enum class stage
-    {
-        read_head,
-        catch_up,
-        commit,
-        read_back
-    };
-    struct submission
-    {
-        operation_id operation;
-        config_change change;
-        std::optional<config_version> expected;
-        time_point deadline{};
-    };
-    struct active_submission
-    {
-        submission request;
-        stage step = stage::read_head;
-        row_version head_row = 0;
-        config_version head = 0;
-        /// Commits sent; any of them may take effect.
-        std::set<operation_id> attempts;
-        /// The operation waited for; empty before it is sent.
-        operation_id pending;
-        time_point next_try{};
-        std::string change_text;
-        std::string copy_text;
-    };
-    struct awaited
-    {
-        operation_id operation;
-        config_version version = 0;
-        time_point deadline{};
-    };
-
     void start_next(time_point now, actions& out);
     void drive(time_point now, actions& out);
     void send_read(actions& out);
@@ -90,7 +92,7 @@
     config_fetcher& fetcher_;
     std::deque<submission> waiting_;
     std::optional<active_submission> active_;
-    std::vector<awaited> awaited_;
+    std::vector<awaited_change> awaited_;
     std::uint64_t operations_ = 0;
     time_point next_acceptance_check_{};
 };
