--- a/src/coordination/detail/fleet_budget_peers.cpp
+++ b/src/coordination/detail/fleet_budget_peers.cpp
@@ -31,6 +31,7 @@
 void fleet_budget::step(time_point now, actions& out)
 {
     update_members(now);
+    update_slot(now);
     std::vector<organisation_id> queried;
     bool const due = queried_at_ + query_period <= now || queried_at_ > now;
     for (auto& [organisation, account] : accounts_)
