--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -134,7 +134,8 @@
 
 TEST_F(budget_manager_test, grants_expire_before_stale_lendings_that_fund_them)
 {
-    network.submit(3, 100);
+    network.run(50ms);
+    network.submit(3, 500);
     network.run(1s);
     network.cut = [](auto, auto, peer_message const& message)
     { return std::holds_alternative<lend_query>(message); };
@@ -166,7 +167,8 @@
 
 TEST_F(budget_manager_test, new_slot_holder_does_not_use_share_still_lent)
 {
-    network.submit(3, 100);
+    network.run(50ms);
+    network.submit(3, 500);
     network.run(4s);
     // Holders lose their slots while they go on lending for as long as they may; the
     // owner does not see the new holders yet.
@@ -198,7 +200,10 @@
     { return std::holds_alternative<lend_query>(message); };
     network.run(7s);
     network.cut = [](auto, auto, auto const&) { return false; };
+    network.net.delay_min = network.net.delay_max = 20ms;
     network.submit(3, 500);
+    // By now all members have begun to lend again, and their first replies are under way.
+    network.run(50ms);
     for (int part = 0; part < 200; ++part)
     {
         network.run(1ms);
