--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -176,12 +176,13 @@
     network.unrenewed = [owner](std::size_t slot) { return slot != owner; };
     network.hidden = [owner](std::size_t viewer, std::size_t member)
     { return viewer == owner && member >= instances; };
-    for (int part = 0; part < 72; ++part)
+    for (int part = 0; part < 70; ++part)
     {
         network.submit(owner, 1);
         network.run(100ms);
     }
     ASSERT_GE(network.holder((owner + 1) % instances), instances);
+    ASSERT_NE(network.dump(owner).find("\"pool_lendings\":15"), std::string::npos);
     drain(network);
 }
 
