--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -184,6 +184,9 @@
     ASSERT_GE(network.holder((owner + 1) % instances), instances);
     ASSERT_NE(network.dump(owner).find("\"pool_lendings\":15"), std::string::npos);
     drain(network);
+    // Once the new holders may use their shares, these have not been filled anew.
+    network.run(2s);
+    drain(network);
 }
 
 TEST_F(budget_manager_test, handed_over_tokens_are_not_credited_after_lapse)
@@ -290,6 +293,32 @@
     EXPECT_EQ(network.sum.granted, 1);
 }
 
+TEST_F(budget_manager_test, new_instance_refuses_nothing_within_rate)
+{
+    network.run(50ms);
+    network.submit(3, 300);
+    network.run(100ms);
+    std::size_t const slot = others(1).front();
+    network.kill(network.holder(slot));
+    drive(network, 7s, 0.5 * rate, others(4));
+    ASSERT_GE(network.holder(slot), instances);
+    drive(network, 5s, 0.8 * rate, {slot});
+    EXPECT_EQ(network.sum.refused, 0) << "of " << network.sum.asked;
+}
+
+TEST_F(budget_manager_test, queries_are_few_and_end_with_activity)
+{
+    drive(network, 5s, 0.8 * rate, {3, 4});
+    network.sent.clear();
+    drive(network, 4s, 0.8 * rate, {3, 4});
+    std::size_t const query = peer_message(lend_query{}).index();
+    EXPECT_LE(network.sent[query], 17 * static_cast<int>(instances - 1));
+    network.run(15s);
+    network.sent.clear();
+    network.run(5s);
+    EXPECT_TRUE(network.sent.empty());
+}
+
 TEST_F(budget_manager_test, request_above_burst_is_refused_with_longest_time)
 {
     auto const id = network.submit(3, burst + 1);
--- a/tests/coordination/support/budget_network.hpp
+++ b/tests/coordination/support/budget_network.hpp
@@ -144,6 +144,8 @@
 
     faults net;
     totals sum;
+    /// Messages sent, by index in peer_message.
+    std::map<std::size_t, int> sent;
     organisation_id organisation{"acme"};
     /// Which members an instance leaves out of its view.
     std::function<bool(std::size_t viewer, std::size_t member)> hidden =
@@ -407,9 +409,9 @@
     {
         for (auto const& entry : out)
         {
-            if (auto const* const sent = std::get_if<send_peer>(&entry))
+            if (auto const* const message = std::get_if<send_peer>(&entry))
             {
-                transmit(at, *sent);
+                transmit(at, *message);
             }
             else if (auto const* const raised = std::get_if<raise_event>(&entry))
             {
@@ -419,8 +421,9 @@
         }
     }
 
-    void transmit(node const& from, send_peer const& sent)
+    void transmit(node const& from, send_peer const& message)
     {
+        ++sent[message.message.index()];
         int copies = uniform() < net.loss ? 0 : 1;
         copies += uniform() < net.doubling ? 1 : 0;
         for (; copies > 0; --copies)
@@ -434,11 +437,11 @@
             }
             for (std::size_t to = 0; to < nodes_.size(); ++to)
             {
-                if (nodes_[to]->identity.id == sent.to &&
-                    !cut(index_of(from), to, sent.message))
+                if (nodes_[to]->identity.id == message.to &&
+                    !cut(index_of(from), to, message.message))
                 {
                     wire_.push(
-                        {now_ + late, ++order_, to, from.identity.id, sent.message});
+                        {now_ + late, ++order_, to, from.identity.id, message.message});
                 }
             }
         }
