Bound evictions by free load slots, and wait out lost unload orders

A queue of blocked loads could evict more replicas than there are slots to load into. A late copy of an unload order could remove a replica loaded anew on the same runner; such a runner is passed over for 30 s.

--- a/src/coordination/placement/pool_needs.cpp
+++ b/src/coordination/placement/pool_needs.cpp
@@ -185,34 +185,37 @@
     claimed_memory claimed;
     std::uint32_t model_loads = loads_available(now, false);
     std::uint32_t adapter_loads = loads_available(now, true);
+    // No more memory is freed than can be loaded into with the slots available.
+    std::uint32_t model_rooms = model_loads;
+    std::uint32_t adapter_rooms = adapter_loads;
     for (auto& need : needs)
     {
-        auto& available = need.item.adapter.empty() ? model_loads : adapter_loads;
-        if (available > 0 && place_load(now, need, claimed, out))
+        bool const adapter = !need.item.adapter.empty();
+        auto& available = adapter ? adapter_loads : model_loads;
+        auto& rooms = adapter ? adapter_rooms : model_rooms;
+        auto* const runner =
+            available > 0 ? choose_runner(now, need.item, claimed) : nullptr;
+        if (runner != nullptr)
         {
-            --available;
+            decide_load(now, *runner, need.item, out);
             turns_.note_served(need.organisation);
+            --available;
+            continue;
         }
-        else
-            queue_.push_back(std::move(need));
-    }
-}
-
-bool pool_owner::place_load(time_point now, load_need& need, claimed_memory& claimed,
-                            actions& out)
-{
-    if (auto* const runner = choose_runner(need.item, claimed))
-    {
-        decide_load(now, *runner, need.item, out);
-        return true;
+        if (available > 0 && rooms > 0)
+        {
+            need.without_memory = !make_room(now, need.item, claimed, out);
+            rooms -= need.without_memory ? 0 : 1;
+        }
+        queue_.push_back(std::move(need));
     }
-    need.without_memory = !make_room(now, need.item, claimed, out);
-    return false;
 }
 
-bool pool_owner::may_hold(runner_ledger const& ledger, loaded_item const& item) const
+bool pool_owner::may_hold(time_point now, runner_ledger const& ledger,
+                          loaded_item const& item, backend_report const& report) const
 {
-    if (ledger.find(item) != nullptr)
+    if (ledger.find(item) != nullptr ||
+        ledger.unload_may_arrive(now, item, report, owned_->fence))
         return false;
     if (item.adapter.empty())
         return true;
@@ -222,7 +225,7 @@
     return model != nullptr && model->in(reservation_phase::loaded);
 }
 
-runner_ledger* pool_owner::choose_runner(loaded_item const& item,
+runner_ledger* pool_owner::choose_runner(time_point now, loaded_item const& item,
                                          claimed_memory const& claimed)
 {
     std::optional<runner_option> best;
@@ -230,7 +233,7 @@
     for (auto const& [id, ledger] : ledgers_)
     {
         auto const* const report = decidable(ledger);
-        if (report == nullptr || !may_hold(ledger, item))
+        if (report == nullptr || !may_hold(now, ledger, item, *report))
             continue;
         auto const& items = ledger.items();
         auto const loads = std::count_if(items.begin(), items.end(),
@@ -269,7 +272,7 @@
         auto const item = configured_item(key);
         auto* const runner =
             count_of(key).total() == 0 && loads_available(now, !key.adapter.empty()) > 0
-                ? choose_runner(item, {})
+                ? choose_runner(now, item, {})
                 : nullptr;
         if (runner != nullptr)
             decide_load(now, *runner, item, out);
--- a/src/coordination/placement/pool_orders.cpp
+++ b/src/coordination/placement/pool_orders.cpp
@@ -49,8 +49,11 @@
         ++copies.lost;
         copies.lost_fence = std::max(copies.lost_fence, answer.order.fence);
     }
-    // The item was there already, so one of the lost copies has taken effect.
-    if (answer.outcome == order_result::already && copies.lost > 0)
+    // The order had nothing left to do, so one of the lost copies has taken effect.
+    bool const nothing_left =
+        answer.outcome == order_result::already ||
+        (answer.outcome == order_result::not_loaded && is_unload(answer.order.action));
+    if (nothing_left && copies.lost > 0)
         --copies.lost;
 }
 
@@ -81,7 +84,7 @@
         return false;
     auto const& ledger = found->second;
     if (order.decision == ledger.fence_decision())
-        return ledger.durable() && ledger.durable()->fence == ledger.wanted()->fence;
+        return ledger.durable() && ledger.durable()->fence == ledger.owner_fence();
     auto const* const item = ledger.find(order.decision);
     return item != nullptr && item->needed() == order.decision &&
            action_for(*item) == order.action && ledger.durably_needed(*item);
@@ -183,7 +186,7 @@
     if (item == nullptr)
         return nullptr;
     bool const unloads = is_unload(answer.order.action);
-    bool const own_copy = answer.order.fence >= ledger.wanted()->fence;
+    bool const own_copy = answer.order.fence >= ledger.owner_fence();
     if (own_copy)
         settle_copy(unloads ? item->unload : item->load, answer);
     if (shows_fence(answer.outcome) && own_copy)
--- a/src/coordination/placement/pool_owner.hpp
+++ b/src/coordination/placement/pool_owner.hpp
@@ -190,12 +190,11 @@
     [[nodiscard]] std::map<model_id, item_demand>
     demand_by_model(replica_counts const& counts) const;
     void place_loads(time_point now, std::vector<load_need> needs, actions& out);
-    bool place_load(time_point now, load_need& need, claimed_memory& claimed,
-                    actions& out);
-    [[nodiscard]] runner_ledger* choose_runner(loaded_item const& item,
+    [[nodiscard]] runner_ledger* choose_runner(time_point now, loaded_item const& item,
                                                claimed_memory const& claimed);
-    [[nodiscard]] bool may_hold(runner_ledger const& ledger,
-                                loaded_item const& item) const;
+    [[nodiscard]] bool may_hold(time_point now, runner_ledger const& ledger,
+                                loaded_item const& item,
+                                backend_report const& report) const;
     void decide_load(time_point now, runner_ledger& ledger, loaded_item const& item,
                      actions& out);
     /// Model loads (or adapter loads) that may be decided now.
@@ -217,7 +216,7 @@
     /// Returns whether memory will become free.
     bool make_room(time_point now, loaded_item const& wanted, claimed_memory& claimed,
                    actions& out);
-    void begin_unload(time_point now, runner_ledger& ledger, decision_id load,
+    void begin_unload(time_point now, runner_ledger& ledger, decision_id const& load,
                       actions& out);
     void unload_item(time_point now, runner_ledger& ledger, held_item& item,
                      actions& out);
--- a/src/coordination/placement/pool_reports.cpp
+++ b/src/coordination/placement/pool_reports.cpp
@@ -23,9 +23,10 @@
 {
     if (!owned_ || !runners_read_)
         return;
-    refresh_ledgers(now, out);
     if (auto const found = ledgers_.find(report.backend); found != ledgers_.end())
         apply_report(now, found->second, report, out);
+    // Free memory may have appeared for what waits.
+    changed_ = changed_ || !queue_.empty();
 }
 
 void pool_owner::refresh_ledgers(time_point now, actions& out)
--- a/src/coordination/placement/pool_unloads.cpp
+++ b/src/coordination/placement/pool_unloads.cpp
@@ -109,7 +109,7 @@
     for (auto& [id, ledger] : ledgers_)
     {
         auto const* const report = decidable(ledger);
-        if (report == nullptr || !may_hold(ledger, wanted))
+        if (report == nullptr || !may_hold(now, ledger, wanted, *report))
             continue;
         byte_count room = ledger.free(*report) + unloading_bytes(ledger) - claimed[id];
         plan candidate{&ledger, 0, {}};
@@ -140,8 +140,8 @@
 
 // A model is unloaded only after its adapters: while there are any, only they go, and a
 // later round comes back to the model.
-void pool_owner::begin_unload(time_point now, runner_ledger& ledger, decision_id load,
-                              actions& out)
+void pool_owner::begin_unload(time_point now, runner_ledger& ledger,
+                              decision_id const& load, actions& out)
 {
     auto* const item = ledger.find(load);
     if (item == nullptr || !item->in(reservation_phase::loaded))
--- a/src/coordination/placement/runner_ledger.cpp
+++ b/src/coordination/placement/runner_ledger.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+// A lost unload order that arrives later than this costs a reload; it overcommits
+// nothing, so that the runner need not be closed to the item for good.
+constexpr duration late_unload_limit = std::chrono::seconds(30);
+
 reservation const* find_reservation(runner_row const& row, decision_id const& load)
 {
     auto const found =
@@ -69,6 +73,9 @@
 
 held_item* runner_ledger::find(decision_id const& decision)
 {
+    // Items in other phases than unloading have an empty unload decision.
+    if (decision.empty())
+        return nullptr;
     auto const found = std::find_if(items_.begin(), items_.end(),
                                     [&](held_item const& item) {
                                         return item.what.load == decision ||
@@ -154,6 +161,7 @@
     bool const restarted = incarnation_ != 0 || !items_.empty();
     incarnation_ = seen;
     freed_.clear();
+    late_unloads_.clear();
     unknown_.clear();
     if (!restarted)
         return false;
@@ -181,9 +189,26 @@
     if (found == items_.end())
         return;
     freed_.push_back({found->what.item, until});
+    bool const inherited = found->inherited_phase == reservation_phase::unloading;
+    if (found->unload.open() || (found->inherited && inherited))
+        late_unloads_.push_back(
+            {found->what.item, found->unload.lost_fence, until + late_unload_limit});
     items_.erase(found);
 }
 
+bool runner_ledger::unload_may_arrive(time_point now, loaded_item const& item,
+                                      backend_report const& report,
+                                      fencing_number fence) const
+{
+    return std::any_of(late_unloads_.begin(), late_unloads_.end(),
+                       [&](late_unload const& lost)
+                       {
+                           bool const refused = report.checks_fence && lost.fence < fence;
+                           return lost.until > now && !refused &&
+                                  same_item(lost.item, item);
+                       });
+}
+
 bool runner_ledger::freed_lately(loaded_item const& item) const
 {
     return std::any_of(freed_.begin(), freed_.end(),
@@ -193,6 +218,8 @@
 
 void runner_ledger::forget_freed(time_point now, backend_report const& report)
 {
+    std::erase_if(late_unloads_,
+                  [now](late_unload const& lost) { return lost.until <= now; });
     std::erase_if(freed_,
                   [&](dated_item const& freed)
                   {
--- a/src/coordination/placement/runner_ledger.hpp
+++ b/src/coordination/placement/runner_ledger.hpp
@@ -109,6 +109,11 @@
     void free_item(decision_id const& unload, time_point until);
     /// Drops what is no longer needed of the items freed lately.
     void forget_freed(time_point now, backend_report const& report);
+    /// Whether a lost copy of an unload order for the item may still arrive, at an engine
+    /// that would execute it together with an order of the given fencing number.
+    [[nodiscard]] bool unload_may_arrive(time_point now, loaded_item const& item,
+                                         backend_report const& report,
+                                         fencing_number fence) const;
     /// Items of the report that no reservation explains and that were there at least
     /// since `lag` ago.
     [[nodiscard]] std::vector<loaded_item>
@@ -135,6 +140,8 @@
         duration delay{0};
     };
     [[nodiscard]] decision_id fence_decision() const;
+    /// Fencing number with which the present owner took the runner over.
+    [[nodiscard]] fencing_number owner_fence() const { return owner_fence_; }
     fence_order& fence() { return fence_; }
     [[nodiscard]] fence_order const& fence() const { return fence_; }
     [[nodiscard]] bool needs_fence(backend_report const& report) const;
@@ -160,6 +167,13 @@
 
     std::vector<held_item> items_;
     std::vector<dated_item> freed_;
+    struct late_unload
+    {
+        loaded_item item;
+        fencing_number fence = 0;
+        time_point until{};
+    };
+    std::vector<late_unload> late_unloads_;
     std::vector<dated_item> unknown_;
     row_version version_ = 0;
     std::optional<runner_row> durable_;
--- a/src/coordination/placement_manager.cpp
+++ b/src/coordination/placement_manager.cpp
@@ -113,12 +113,17 @@
 
     void take(time_point now, report_received const& value, actions& out)
     {
+        auto const* const known = runners_.find(value.report.backend);
+        bool const was_usable = known != nullptr && known->usable();
+        auto const incarnation = known != nullptr ? known->incarnation() : 0;
         if (!runners_.note_report(now, value.report))
             return;
         auto const* const info = runners_.find(value.report.backend);
         if (auto const found = pools_.find(info->pool); found != pools_.end())
         {
             found->second.take_report(now, *info->report, out);
+            if (info->usable() == was_usable && info->incarnation() == incarnation)
+                return;
             found->second.note_runners_changed();
             found->second.advance(now, out);
             publish(now, out);
