--- a/src/coordination/placement/strategy.cpp
+++ b/src/coordination/placement/strategy.cpp
@@ -41,6 +41,7 @@
     };
     std::map<organisation_id, std::size_t> rounds;
     std::vector<ranked> ranks;
+    ranks.reserve(needs.size());
     for (std::size_t index = 0; index < needs.size(); ++index)
     {
         auto const& organisation = needs[index].organisation;
@@ -53,6 +54,7 @@
                          std::tie(right.round, right.turn, right.index);
               });
     std::vector<load_need> ordered;
+    ordered.reserve(needs.size());
     for (auto const& rank : ranks)
         ordered.push_back(std::move(needs[rank.index]));
     needs = std::move(ordered);
--- a/tests/coordination/placement_safety_test.cpp
+++ b/tests/coordination/placement_safety_test.cpp
@@ -296,6 +296,54 @@
     EXPECT_EQ(replicas(next, "n").size(), 1U) << "a new incarnation ends the pin";
 }
 
+TEST_F(placement_manager_test, inherited_replica_with_recorded_answer_is_pinned_by_policy)
+{
+    for (bool const trusted : {false, true})
+    {
+        SCOPED_TRACE(trusted);
+        limits_.trust_recorded_answers = trusted;
+        std::string const suffix = trusted ? "1" : "0";
+        auto& engine = add_engine("r1", 50);
+        add_instance("a" + suffix);
+        add_instance("b" + suffix);
+        run(3s);
+        ASSERT_TRUE(load(owner(), "m"));
+        stop(owner());
+        run(70s);
+        EXPECT_EQ(load(owner(), "n"), trusted);
+        for (auto& [id, one] : instances_)
+        {
+            if (!one.paused)
+                stop(one);
+        }
+        engine.restart();
+    }
+}
+
+TEST_F(placement_manager_test, lost_unload_copy_does_not_hit_a_new_load_of_the_model)
+{
+    auto& engine = add_engine("r1", 50);
+    auto& a = add_instance("a");
+    run(1s);
+    ASSERT_TRUE(load(a, "m"));
+    run(5s);
+    engine.mode = fake_engine::fault::delayed;
+    wait_for(a, "n");
+    run(300ms);
+    wait_for(a, "n", "", 0);
+    engine.mode = fake_engine::fault::none;
+    run(2s);
+    ASSERT_EQ(engine.late.size(), 1U);
+    ASSERT_TRUE(engine.loaded.empty());
+    wait_for(a, "m");
+    run(10s);
+    engine.arrive_late();
+    run(30s);
+    EXPECT_EQ(engine.count(order_action::load), 2U);
+    EXPECT_EQ(replicas(a, "m").size(), 1U);
+    EXPECT_EQ(engine.loaded.size(), 1U);
+}
+
 TEST_F(placement_manager_test, new_owner_at_engine_with_fencing_sends_fence_first)
 {
     auto& engine = add_engine("r1", 50);
