--- a/standins/http_service.cpp
+++ b/standins/http_service.cpp
@@ -70,6 +70,7 @@
     bool send_chunk(std::string const& text);
     void end_events();
     [[nodiscard]] bool closed();
+    [[nodiscard]] bool aborted() const { return aborted_; }
     void abort();
 
 private:
@@ -217,6 +218,11 @@
     return owner_.closed();
 }
 
+bool exchange::aborted() const
+{
+    return owner_.aborted();
+}
+
 void exchange::abort()
 {
     owner_.abort();
--- a/standins/http_service.hpp
+++ b/standins/http_service.hpp
@@ -50,6 +50,9 @@
     /// Whether the peer has closed its side or the connection was aborted.
     [[nodiscard]] bool peer_closed() const;
 
+    /// Whether the connection was aborted on this side, for example by a crash.
+    [[nodiscard]] bool aborted() const;
+
     /// Closes the connection without an answer, or in the middle of one.
     void abort();
 
--- a/standins/plain_service.cpp
+++ b/standins/plain_service.cpp
@@ -54,6 +54,9 @@
             return report(current);
         if (request.path == "/v1/executions" || request.path == "/v1/log")
             return answer_log(current);
+        // A request that a crash overtook, for example in a delay, died with the process.
+        if (current.aborted())
+            return;
         execute(current);
     }
 
