--- a/standins/chat_body.cpp
+++ b/standins/chat_body.cpp
@@ -58,6 +58,7 @@
         return std::nullopt;
     chat_body body;
     body.model = text_field(*fields, "model");
+    body.reference = text_field(*fields, "user");
     body.stream = bool_field(*fields, "stream");
     std::string const prompt = message_text(*fields);
     body.prompt_tokens = static_cast<std::int64_t>((prompt.size() + bytes_per_token - 1) /
--- a/standins/chat_body.hpp
+++ b/standins/chat_body.hpp
@@ -12,6 +12,8 @@
 struct chat_body
 {
     std::string model;
+    /// The "user" field, by which callers tell their requests apart.
+    std::string reference;
     bool stream = false;
     /// One token for each four bytes of message content, rounded up.
     std::int64_t prompt_tokens = 0;
--- a/standins/http_service.cpp
+++ b/standins/http_service.cpp
@@ -234,6 +234,7 @@
     tcp::acceptor acceptor{context};
     std::mutex mutex;
     std::set<connection*> open;
+    std::atomic<std::uint64_t> accepted = 0;
 
     void serve(tcp::socket socket, handler const& handle)
     {
@@ -275,12 +276,18 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(10));
             continue;
         }
+        ++state_->accepted;
         std::thread([this, &handle, accepted = std::move(socket)]() mutable
                     { state_->serve(std::move(accepted), handle); })
             .detach();
     }
 }
 
+std::uint64_t http_service::accepted() const
+{
+    return state_->accepted;
+}
+
 void http_service::abort_connections()
 {
     std::lock_guard const lock(state_->mutex);
--- a/standins/http_service.hpp
+++ b/standins/http_service.hpp
@@ -82,6 +82,9 @@
     /// Prints "listening on PORT" and serves until the process ends.
     [[noreturn]] void run(handler const& handle);
 
+    /// Number of connections accepted so far.
+    [[nodiscard]] std::uint64_t accepted() const;
+
     /// Closes all connections, also those in the middle of an answer.
     void abort_connections();
 
--- a/standins/model_engine.cpp
+++ b/standins/model_engine.cpp
@@ -245,6 +245,8 @@
     {
         std::lock_guard const lock(mutex_);
         ++executions_[run.place.request_id];
+        if (!run.body.reference.empty())
+            ++by_reference_[run.body.reference];
         if (run.offset > 0)
             ++resumes_[run.place.request_id];
     }
@@ -395,6 +397,7 @@
             std::lock_guard const lock(mutex_);
             log["crashes"] = crashes_;
             log["executions"] = print_counts(executions_);
+            log["by_reference"] = print_counts(by_reference_);
             log["resumes"] = print_counts(resumes_);
         }
         answer_json(current, 200, log);
@@ -415,6 +418,7 @@
     std::chrono::steady_clock::time_point restarted_at_;
     std::uint64_t crashes_ = 0;
     std::map<std::string, std::uint64_t> executions_;
+    std::map<std::string, std::uint64_t> by_reference_;
     std::map<std::string, std::uint64_t> resumes_;
     std::deque<json::object> kept_kv_;
     std::map<std::string, json::object> imported_kv_;
--- a/standins/plain_service.cpp
+++ b/standins/plain_service.cpp
@@ -135,6 +135,7 @@
         boost::json::object const log{{"by_request", print_counts(by_request_)},
                                       {"by_reference", print_counts(by_reference_)},
                                       {"authorization_headers", authorization_headers_},
+                                      {"connections", service_.accepted()},
                                       {"crashes", crashes_}};
         lock.unlock();
         answer_json(current, 200, log);
