--- a/scripts/demo_parts/fleet.py
+++ b/scripts/demo_parts/fleet.py
@@ -1,6 +1,7 @@
 """Processes of the demo: stand-ins, daemons and the load tool."""
 
 import http.client
+import itertools
 import json
 import socket
 import subprocess
@@ -161,6 +162,9 @@
             for server in servers:
                 self.register_backend(server, "plain", pool)
 
+    def backends(self):
+        return [*self.engines, *itertools.chain.from_iterable(self.plain.values())]
+
     def register(self, **fields):
         call(self.platform["list"].port, "POST", "/v1/register", fields)
 
@@ -215,9 +219,10 @@
     """A run of the load tool in the background."""
 
     def __init__(self, fleet, name, trace):
-        self.trace = {request["id"]: request for request in trace}
-        self.answers_file = settings.OUTPUT / f"{name}.answers.jsonl"
-        trace_file = settings.OUTPUT / f"{name}.trace.jsonl"
+        self.name = name
+        file_name = name.replace(" ", "-")
+        self.answers_file = settings.OUTPUT / f"{file_name}.answers.jsonl"
+        trace_file = settings.OUTPUT / f"{file_name}.trace.jsonl"
         trace_file.write_text("".join(json.dumps(request) + "\n" for request in trace))
         instances = ",".join(f"127.0.0.1:{daemon.listen_port}"
                              for daemon in fleet.live_daemons())
--- a/scripts/demo_parts/main.py
+++ b/scripts/demo_parts/main.py
@@ -3,6 +3,7 @@
 import argparse
 import collections
 import shutil
+import signal
 import sys
 import time
 
@@ -76,6 +77,8 @@
     options = parser.parse_args()
     shutil.rmtree(settings.OUTPUT, ignore_errors=True)
     settings.OUTPUT.mkdir(parents=True)
+    # The processes started are ended also when the demo is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     begun = time.monotonic()
     try:
         kept = run(options.daemon)
--- a/scripts/demo_parts/promises.py
+++ b/scripts/demo_parts/promises.py
@@ -20,9 +20,7 @@
         self.engines = {engine.name: engine.log() for engine in fleet.engines}
         self.plain = {server.name: server.log()
                       for servers in fleet.plain.values() for server in servers}
-        self.runs = collections.Counter()
-        for log in (*self.engines.values(), *self.plain.values()):
-            self.runs.update(log["by_reference"])
+        self.runs = scenario.count_runs()
         self.rows = call(fleet.platform["table"].port, "POST", "/v1/read",
                          {"prefix": "runners/", "limit": 1000})[1]["rows"]
 
@@ -52,7 +50,7 @@
                 if json.dumps(name) not in reserved.get(engine.name, ""):
                     broken.append(f"{engine.name} holds {name} without a decision")
         broken += [f"{model} has {count} replicas" for model, count in replicas.items()
-                   if count > 2]
+                   if count > settings.MAX_REPLICAS]
         return broken
 
     def check_r2(self):
@@ -63,10 +61,13 @@
     def check_r3(self):
         broken = []
         for name, answer in self.answers.items():
-            if answer["status"] == 0 and answer["instance"] != self.facts["killed_port"]:
+            if answer["code"] == "no_connection":
                 broken.append(f"no answer: {self.show(answer)}")
             if answer["status"] in (429, 503) and not answer["retry_after"]:
                 broken.append(f"no Retry-After: {self.show(answer)}")
+            if not answer["whole"] and answer["code"] in ("", "connection_lost", "timeout") and (
+                    answer["instance"] != self.facts["killed_port"]):
+                broken.append(f"incomplete answer: {self.show(answer)}")
             refused_late = answer["status"] >= 400 and answer["latency_ms"] > (
                 self.asked[name]["deadline_ms"] + 1000)
             if refused_late:
@@ -136,12 +137,23 @@
         return broken
 
     def check_r9(self):
+        # A request may be sent again, so each phase is judged by what ran in it; the last
+        # look finds those that ran later.
+        broken = self.false_claims(self.answers.values(), collections.Counter(), self.runs)
+        before = collections.Counter()
+        for phase, after in self.scenario.runs_after.items():
+            broken += self.false_claims(self.of(self.scenario.phases[phase]), before, after)
+            before = after
+        return sorted(set(broken))
+
+    @staticmethod
+    def false_claims(answers, before, after):
         claims = collections.defaultdict(set)
-        for answer in self.answers.values():
+        for answer in answers:
             claims[answer["reference"]].add(answer["ran"])
-        return [f"{reference} was refused as not-run and ran {self.runs[reference]} times"
+        return [f"{reference} was refused as not-run, but ran"
                 for reference, claimed in claims.items()
-                if claimed == {"not-run"} and self.runs[reference]]
+                if claimed == {"not-run"} and after[reference] > before[reference]]
 
     def check_r10(self):
         once = {asked["reference"] for asked in self.asked.values() if "idempotency_key" in asked}
--- a/scripts/demo_parts/settings.py
+++ b/scripts/demo_parts/settings.py
@@ -37,6 +37,7 @@
 ENGINES = 4
 ENGINE_CAPACITY = 4 << 30
 MODEL_BYTES = 1 << 30
+MAX_REPLICAS = 2
 ADAPTER_BYTES = 32 << 20
 LIST_LAG_MS = 1000
 # Time from a change to its effect at every instance.
@@ -75,7 +76,7 @@
     """Configuration with a model service and the plain services of both deployments."""
     return {
         "instance_slots": INSTANCES,
-        "models": [{"id": name, "version": "1", "bytes": MODEL_BYTES, "max_replicas": 2}
+        "models": [{"id": name, "version": "1", "bytes": MODEL_BYTES, "max_replicas": MAX_REPLICAS}
                    for name in MODELS],
         "adapters": [{"id": name, "model": model, "bytes": ADAPTER_BYTES}
                      for name, model in ADAPTERS.items()],
--- a/tools/load_summary.cpp
+++ b/tools/load_summary.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 
 namespace carawayturn::load
@@ -34,7 +35,7 @@
     for (auto const& [label, share] : percentiles)
     {
         auto const rank = static_cast<std::size_t>(
-            share * static_cast<double>(values.size() - 1) + 0.5);
+            std::lround(share * static_cast<double>(values.size() - 1)));
         to << name << '_' << label << ' ' << values.at(rank) << " ms\n";
     }
 }
