--- a/bench/fleet/measures.cpp
+++ b/bench/fleet/measures.cpp
@@ -28,6 +28,17 @@
     return values[std::min(values.size(), std::max<std::size_t>(rank, 1)) - 1];
 }
 
+std::vector<caller_record const*> by_arrival(fleet const& replayed)
+{
+    std::vector<caller_record const*> records;
+    for (auto const& [id, record] : replayed.callers())
+        records.push_back(&record);
+    std::sort(records.begin(), records.end(),
+              [](auto const* left, auto const* right)
+              { return left->arrived < right->arrived; });
+    return records;
+}
+
 /// One organisation's lot: what an ideal fleet-wide bucket would have let it have, and
 /// what it got.
 struct organisation_lot
@@ -36,9 +47,9 @@
     token_bucket ideal;
     /// Charged with what ran, at its arrival, to find use over the bound.
     token_bucket charged;
-    /// Charged as one central owner would: the upper bound at arrival, settled at the
-    /// end.
-    token_bucket central;
+    /// Charged with all that was offered, with a debt of at most one burst: while
+    /// something is owed, the organisation is not inside its rate.
+    token_bucket offered;
     double entitled_tokens = 0;
     double served_tokens = 0;
     std::uint64_t wrongly_over_rate = 0;
@@ -62,7 +73,7 @@
     return record.reason && record.reason->code == refusal_code::over_rate;
 }
 
-void count_arrival(organisation_lot& lot, caller_record const& record)
+void count(organisation_lot& lot, caller_record const& record)
 {
     auto const need = static_cast<double>(upper_bound(record.request));
     auto const use = static_cast<double>(actual(record.request));
@@ -73,27 +84,18 @@
     }
     if (record.answer == answer_kind::served)
         lot.served_tokens += use;
+    bool const inside = lot.offered.charge_with_debt(record.arrived, need);
     if (is_over_rate(record))
-        lot.wrongly_over_rate += lot.central.level(record.arrived) >= need;
+        lot.wrongly_over_rate += inside;
     else
         lot.other_refusals += record.answer == answer_kind::refused;
     if (record.executions > 0)
-    {
         lot.over_bound =
             std::max(lot.over_bound, lot.charged.charge(record.arrived, use));
-        lot.central.charge(record.arrived, need);
-    }
     if (record.started)
         lot.waits.push_back(seconds(*record.started - record.arrived));
 }
 
-void count_end(organisation_lot& lot, caller_record const& record)
-{
-    if (record.executions > 0)
-        lot.central.give_back(static_cast<double>(upper_bound(record.request)) -
-                              static_cast<double>(actual(record.request)));
-}
-
 std::map<organisation_id, organisation_lot>
 count_organisations(fleet const& replayed, fleet_config const& config)
 {
@@ -104,20 +106,8 @@
                                   static_cast<double>(organisation.burst));
         lots.emplace(id, organisation_lot{bucket, bucket, bucket, 0, 0, 0, 0, 0, {}});
     }
-    std::multimap<time_point, std::pair<bool, caller_record const*>> steps;
-    for (auto const& [id, record] : replayed.callers())
-    {
-        steps.emplace(record.arrived, std::pair(true, &record));
-        steps.emplace(record.answered, std::pair(false, &record));
-    }
-    for (auto const& [at, step] : steps)
-    {
-        auto& lot = lots.at(step.second->request.organisation);
-        if (step.first)
-            count_arrival(lot, *step.second);
-        else
-            count_end(lot, *step.second);
-    }
+    for (auto const* const record : by_arrival(replayed))
+        count(lots.at(record->request.organisation), *record);
     return lots;
 }
 
@@ -211,6 +201,8 @@
     std::uint64_t other = 0;
     for (auto const& [id, lot] : lots)
     {
+        out.push_back({"served_share." + id.str(),
+                       lot.served_tokens / std::max(1.0, lot.entitled_tokens), "share"});
         if (lot.entitled_tokens > 0)
             worst = std::min(worst, lot.served_tokens / lot.entitled_tokens);
         worst_wait = std::max(worst_wait, percentile(lot.waits, 0.99));
--- a/bench/fleet/token_bucket.hpp
+++ b/bench/fleet/token_bucket.hpp
@@ -35,6 +35,12 @@
         level_ = level(now) - tokens;
         return std::max(0.0, -level_);
     }
+    /// Takes tokens down to a debt of at most one burst; returns whether none is owed.
+    bool charge_with_debt(time_point now, double tokens)
+    {
+        level_ = std::max(-burst_, level(now) - tokens);
+        return level_ >= 0;
+    }
     void give_back(double tokens) { level_ = std::min(burst_, level_ + tokens); }
     [[nodiscard]] duration time_until(time_point now, double tokens)
     {
