--- a/tests/coordination/config_log_test.cpp
+++ b/tests/coordination/config_log_test.cpp
@@ -69,6 +69,31 @@
         EXPECT_NE(answer.failure->detail.find(current), std::string::npos);
     }
 
+    /// Runs one instance, without its reads and peers, until it asks a peer, which is
+    /// then `asked_`.
+    config_query await_query(std::size_t index)
+    {
+        node(index).reads_cut = true;
+        node(index).peers_cut = true;
+        for (int step = 0; step < 1000; ++step)
+        {
+            fleet_.now += tick_interval;
+            actions out;
+            node(index).config->handle(fleet_.now, tick{}, out);
+            for (auto const& wanted : out)
+            {
+                auto const* const sent = std::get_if<send_peer>(&wanted);
+                if (sent == nullptr ||
+                    !std::holds_alternative<config_query>(sent->message))
+                    continue;
+                asked_ = sent->to;
+                return std::get<config_query>(sent->message);
+            }
+        }
+        throw std::runtime_error("no query");
+    }
+
+    instance_id asked_;
     organisation_id acme_{"acme"};
     fleet_config base_;
     fake_fleet fleet_;
@@ -292,6 +317,17 @@
     EXPECT_EQ(node(1).config->current(), node(0).config->current());
 }
 
+TEST_F(config_log_test, older_copy_in_answer_to_own_query_never_reverts)
+{
+    start_fleet();
+    auto const old = node(1).config->current();
+    commit_keys(3);
+    auto const question = await_query(1);
+    config_reply const reply{question.query, 1, seconds(0), {}, {old}};
+    fleet_.deliver(node(1), peer_received{asked_, reply});
+    EXPECT_EQ(version(1), 4U);
+}
+
 TEST_F(config_log_test, new_instance_reads_one_copy_and_the_changes_since)
 {
     start_fleet();
@@ -365,30 +401,12 @@
 TEST_F(config_log_test, peer_answering_late_confirms_as_of_the_question)
 {
     start_fleet();
-    node(1).reads_cut = true;
     auto const before = *node(1).authority->config_confirmed();
-    node(1).peers_cut = true;
-    std::optional<config_query> query;
-    instance_id asked;
-    time_point asked_at{};
-    while (!query)
-    {
-        fleet_.now += tick_interval;
-        actions out;
-        node(1).config->handle(fleet_.now, tick{}, out);
-        for (auto const& wanted : out)
-        {
-            auto const* const sent = std::get_if<send_peer>(&wanted);
-            if (sent == nullptr || !std::holds_alternative<config_query>(sent->message))
-                continue;
-            query = std::get<config_query>(sent->message);
-            asked = sent->to;
-            asked_at = fleet_.now;
-        }
-    }
+    auto const question = await_query(1);
+    auto const asked_at = fleet_.now;
     fleet_.now += milliseconds(400);
-    config_reply const reply{query->query, 1, milliseconds(100), {}, {}};
-    fleet_.deliver(node(1), peer_received{asked, reply});
+    config_reply const reply{question.query, 1, milliseconds(100), {}, {}};
+    fleet_.deliver(node(1), peer_received{asked_, reply});
     EXPECT_GT(*node(1).authority->config_confirmed(), before);
     EXPECT_EQ(*node(1).authority->config_confirmed(), asked_at - milliseconds(100));
 }
--- a/tests/coordination/serving_authority_test.cpp
+++ b/tests/coordination/serving_authority_test.cpp
@@ -200,6 +200,68 @@
     EXPECT_EQ(authority_->lease_left(now_), first_sent + milliseconds(5400) - now_);
 }
 
+TEST_F(single_authority_test, read_that_overtook_a_renewal_does_not_undo_it)
+{
+    claim_slot();
+    auto const read = next<store_read>();
+    auto const before = table_.read(read.read);
+    answer(next<store_commit>());
+    auto const held = authority_->slot()->row;
+    handle(table_answered{read.read.operation, before});
+    EXPECT_EQ(authority_->slot()->row, held);
+}
+
+TEST_F(single_authority_test, majority_with_higher_version_does_not_let_serve)
+{
+    authority_->set_config({1, 3});
+    claim_slot();
+    now_ += seconds(7);
+    // Both others lost the store when this instance did.
+    auto peer = peer_entry(1, seconds(7));
+    peer.has_slot = true;
+    peer.slot = (authority_->slot()->slot + 1) % 3;
+    peer.config = 2;
+    receive(peer);
+    EXPECT_FALSE(authority_->may_serve(now_));
+    authority_->set_config({2, 3});
+    EXPECT_TRUE(authority_->may_serve(now_));
+    now_ += milliseconds(5400);
+    EXPECT_FALSE(authority_->may_serve(now_));
+}
+
+TEST_F(single_authority_test, member_whose_contact_had_a_gap_backs_no_proof)
+{
+    // Slot 0 belongs to the silent entry-7, slot 2 to entry-9; this instance takes 1.
+    authority_->set_config({1, 3});
+    for (auto const* const key : {"slots/0", "slots/2"})
+        table_.commit({operation_id(key),
+                       {},
+                       {{key, R"({"holder":"entry-7","incarnation":1,"fence":4,)"
+                              R"("counter":1,"address":"127.0.0.1","peer_port":7007,)"
+                              R"("failure_domain":""})"}}});
+    claim_slot();
+    auto peer = peer_entry(0, seconds(0));
+    peer.has_slot = true;
+    peer.slot = 2;
+    auto const run = [&](int reads, bool hears_peer)
+    {
+        for (int count = 0; count < reads; ++count)
+        {
+            answer(next<store_read>());
+            peer.heartbeat += 1;
+            if (hears_peer)
+                receive(peer);
+        }
+    };
+    run(20, true);
+    EXPECT_TRUE(authority_->proven_stopped(now_, 0, 4));
+    run(6, false);
+    run(1, true);
+    EXPECT_FALSE(authority_->proven_stopped(now_, 0, 4));
+    run(8, true);
+    EXPECT_TRUE(authority_->proven_stopped(now_, 0, 4));
+}
+
 TEST_F(single_authority_test, row_taken_by_another_drops_the_slot)
 {
     claim_slot();
