Keep lendings of members with unspent grants when a pool is released

A lost release message left such grants spendable but uncounted. Returned shares no longer count as use, which had kept idle organisations queried for ever.

--- a/src/coordination/detail/budget_pool.cpp
+++ b/src/coordination/detail/budget_pool.cpp
@@ -214,8 +214,16 @@
     return static_cast<token_count>(level()) - revived;
 }
 
-token_count budget_pool::headroom(member_account const& account, token_count possible)
+token_count budget_pool::headroom(member_account const& account,
+                                  token_count possible) const
 {
+    bool const shortage =
+        std::any_of(members_.begin(), members_.end(),
+                    [](auto const& entry) { return entry.second.wanted > 0; });
+    if (shortage)
+    {
+        return 0;
+    }
     double const missing =
         account.use * headroom_seconds - static_cast<double>(account.unspent());
     double const limit = static_cast<double>(possible) * headroom_part;
@@ -249,11 +257,11 @@
     member_account& account = members_.at(member);
     token_count const possible = std::max<token_count>(0, grantable(account));
     token_count tokens = std::min(account.wanted, possible);
-    if (tokens == account.wanted && tokens > 0)
+    account.wanted -= tokens;
+    if (tokens > 0)
     {
         tokens += headroom(account, possible - tokens);
     }
-    account.wanted = std::max<token_count>(0, account.wanted - tokens);
     if (tokens > 0)
     {
         // A member that was served a part goes behind the others.
@@ -375,6 +383,9 @@
         return grants;
     }
     lenders.erase(lenders.begin(), lenders.begin() + static_cast<std::ptrdiff_t>(kept));
+    // A member with unspent grants may spend them even if the message is lost.
+    std::erase_if(lenders, [this](auto const& lender)
+                  { return members_.at(lender.second).counted() > 0; });
     double const part = level() / static_cast<double>(lendings_);
     for (auto const& [expires, key] : lenders)
     {
@@ -398,6 +409,8 @@
     addressed_grant ending =
         issue(now, member, std::max<token_count>(0, tokens), account.expires);
     ending.grant.ends_lending = true;
+    // The tokens belong to the member's share from now on.
+    account.written_off = true;
     ending.grant.query = last_query;
     account.ended_query = last_query;
     account.wanted = 0;
--- a/src/coordination/detail/budget_pool.hpp
+++ b/src/coordination/detail/budget_pool.hpp
@@ -112,8 +112,8 @@
     [[nodiscard]] addressed_grant end_lending(time_point now, process_key const& member,
                                               double part, std::uint64_t last_query);
     [[nodiscard]] token_count grantable(member_account const& account) const;
-    [[nodiscard]] static token_count headroom(member_account const& account,
-                                              token_count possible);
+    [[nodiscard]] token_count headroom(member_account const& account,
+                                       token_count possible) const;
     [[nodiscard]] time_point funded_until(time_point now, token_count outstanding) const;
     [[nodiscard]] double cap() const;
     void apply_cap();
--- a/src/coordination/detail/budget_share.cpp
+++ b/src/coordination/detail/budget_share.cpp
@@ -246,13 +246,15 @@
                          lending_->query <= grant.query;
     if (!current)
     {
+        // The owner counts the tokens no longer, so they are not spent.
+        account.expires = now;
         return;
     }
     lending_.reset();
     accrued_to_ = std::max(accrued_to_, now);
     // Without validity the owner has written the grants off.
     token_count const tokens = grant.valid > duration(0) ? account.available() : 0;
-    account.spent += tokens;
+    account.returned += tokens;
     base_.move_in(static_cast<double>(tokens));
     base_.credit(0, terms.share_burst());
 }
--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -165,6 +165,23 @@
     }
 }
 
+TEST_F(budget_manager_test, lost_release_of_lendings_keeps_window_bound)
+{
+    for (bool const lost : {false, true})
+    {
+        hold_burst_at(3);
+        network.cut = [lost](auto, auto, auto const&) { return lost; };
+        network.release(network.owner());
+        for (int part = 0; part < 30; ++part)
+        {
+            network.run(100ms);
+            drain(network);
+        }
+        network.cut = [](auto, auto, auto const&) { return false; };
+        network.run(12s);
+    }
+}
+
 TEST_F(budget_manager_test, new_slot_holder_does_not_use_share_still_lent)
 {
     network.run(50ms);
