--- a/src/coordination/detail/budget_share.cpp
+++ b/src/coordination/detail/budget_share.cpp
@@ -232,18 +232,17 @@
     account.expires = followed == sent.end() ? now : followed->second + grant.valid;
     if (grant.ends_lending)
     {
-        end_lending(now, account, grant, terms);
+        end_lending(now, owner, account, grant, terms);
     }
     expire_grants(now);
     return true;
 }
 
-void budget_share::end_lending(time_point now, owner_account& account,
-                               budget_grant const& grant, budget_terms const& terms)
+void budget_share::end_lending(time_point now, process_key const& owner,
+                               owner_account& account, budget_grant const& grant,
+                               budget_terms const& terms)
 {
-    bool const current = lending_ && lending_->until > now &&
-                         &owners_.at(lending_->owner) == &account &&
-                         lending_->query <= grant.query;
+    bool const current = lent_to(now) == owner && lending_->query <= grant.query;
     if (!current)
     {
         // The owner counts the tokens no longer, so they are not spent.
--- a/src/coordination/detail/budget_share.hpp
+++ b/src/coordination/detail/budget_share.hpp
@@ -109,8 +109,8 @@
 
     void expire_grants(time_point now);
     void accrue(time_point now, budget_terms const& terms);
-    void end_lending(time_point now, owner_account& account, budget_grant const& grant,
-                     budget_terms const& terms);
+    void end_lending(time_point now, process_key const& owner, owner_account& account,
+                     budget_grant const& grant, budget_terms const& terms);
     [[nodiscard]] lend_entry entry_of(owner_account const& account);
 
     /// Orders this instance's counters, also after an owner's account was forgotten.
--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -11,6 +11,8 @@
 
 using namespace std::chrono_literals;
 using testing_support::budget_network;
+using testing_support::fake_config_log;
+using testing_support::fake_serving_authority;
 
 constexpr double rate = 1000;
 constexpr token_count burst = 3000;
@@ -182,6 +184,36 @@
     }
 }
 
+TEST_F(budget_manager_test, late_end_of_lending_to_former_owner_is_ignored)
+{
+    fake_config_log config;
+    fake_serving_authority authority;
+    organisation_id const acme("acme");
+    config.config.organisations[acme] = {acme, rate, burst, {}, {}, {}};
+    member_entry self;
+    self.id = instance_id("self");
+    self.incarnation = 1;
+    self.has_slot = true;
+    self.state = instance_state::ready;
+    authority.members = {self};
+    authority.held = held_slot{0, 1, {"slots/0", 1}};
+    instance_identity identity;
+    identity.id = self.id;
+    identity.incarnation = 1;
+    auto const manager = budget_manager::create(identity, config, authority);
+    instance_id const other("other");
+    time_point const now{100s};
+    actions out;
+    manager->handle(now, peer_received{other, lend_query{1, 1, {acme}}}, out);
+    // The lending lapses, and this instance owns the budget and borrows its own share.
+    manager->handle(now + 3s, tick{}, out);
+    manager->reserve(now + 3s, request_id("r"), acme, burst / 2, out);
+    manager->handle(now + 3s, tick{}, out);
+    budget_grant grant{0, 1, acme, 1, 1, 1, 500, 1s, duration(0), true};
+    manager->handle(now + 3s, peer_received{other, grant}, out);
+    EXPECT_NE(manager->dump(now + 3s).find("\"lent_to\":\"self\""), std::string::npos);
+}
+
 TEST_F(budget_manager_test, new_slot_holder_does_not_use_share_still_lent)
 {
     network.run(50ms);
