--- a/src/coordination/placement/pool_needs.cpp
+++ b/src/coordination/placement/pool_needs.cpp
@@ -35,6 +35,7 @@
 void pool_owner::decide(time_point now, actions& out)
 {
     counts_ = count_replicas();
+    free_.clear();
     for (auto const& [key, demand] : demand_.waiting())
         last_wait_[{key.model, {}}] = now;
     auto needs = collect_needs(now);
@@ -211,6 +212,16 @@
     }
 }
 
+// Adding up a runner's memory compares all its items with its report, which is too much
+// for each pair of a need and a runner.
+byte_count pool_owner::free_at(runner_ledger const& ledger, backend_report const& report)
+{
+    auto const [entry, added] = free_.try_emplace(ledger.id(), 0);
+    if (added)
+        entry->second = ledger.free(report);
+    return entry->second;
+}
+
 bool pool_owner::may_hold(time_point now, runner_ledger const& ledger,
                           loaded_item const& item, backend_report const& report) const
 {
@@ -240,7 +251,7 @@
                                          [](auto const& held)
                                          { return held.in(reservation_phase::loading); });
         runner_option option{id, tier_of(*report, item.model),
-                             ledger.free(*report) - claimed_at(claimed, id),
+                             free_at(ledger, *report) - claimed_at(claimed, id),
                              report->running + report->waiting,
                              static_cast<std::uint32_t>(loads)};
         if (option.free >= item.bytes && (!best || better(option, *best)))
@@ -258,6 +269,7 @@
     log(402, held.what.load.str(),
         ledger.id().str() + " " + item.model.str() + " " + item.adapter.str(), out);
     ledger.items().push_back(std::move(held));
+    free_.erase(ledger.id());
 }
 
 // Loads what woke at this time on the days before, if there is room without evictions.
--- a/src/coordination/placement/pool_owner.hpp
+++ b/src/coordination/placement/pool_owner.hpp
@@ -192,6 +192,8 @@
     void place_loads(time_point now, std::vector<load_need> needs, actions& out);
     [[nodiscard]] runner_ledger* choose_runner(time_point now, loaded_item const& item,
                                                claimed_memory const& claimed);
+    [[nodiscard]] byte_count free_at(runner_ledger const& ledger,
+                                     backend_report const& report);
     [[nodiscard]] bool may_hold(time_point now, runner_ledger const& ledger,
                                 loaded_item const& item,
                                 backend_report const& report) const;
@@ -275,6 +277,8 @@
     std::map<item_key, time_point> last_wait_;
     /// Replicas at the start of the round.
     replica_counts counts_;
+    /// Free memory of the runners looked at in the round, less its decisions.
+    std::map<backend_id, byte_count> free_;
     std::uint64_t decisions_ = 0;
     bool changed_ = false;
     time_point next_round_{};
--- a/src/coordination/placement/pool_unloads.cpp
+++ b/src/coordination/placement/pool_unloads.cpp
@@ -111,7 +111,8 @@
         auto const* const report = decidable(ledger);
         if (report == nullptr || !may_hold(now, ledger, wanted, *report))
             continue;
-        byte_count room = ledger.free(*report) + unloading_bytes(ledger) - claimed[id];
+        byte_count room =
+            free_at(ledger, *report) + unloading_bytes(ledger) - claimed[id];
         plan candidate{&ledger, 0, {}};
         auto options = room >= wanted.bytes || cost_of == nullptr
                            ? std::vector<eviction_option>{}
