Run idle rounds once a second; test adapters beside models and restarts

An idle pool of 460 runners spent most of its time in rounds. Removing the model check of adapter loads and the reservation kept across an answer of a new incarnation went unnoticed by the tests before.

--- a/src/coordination/placement/pool_needs.cpp
+++ b/src/coordination/placement/pool_needs.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+constexpr duration idle_check_interval = std::chrono::seconds(1);
 constexpr duration prewarm_check_interval = std::chrono::seconds(10);
 
 void merge(item_demand& total, item_demand const& part)
@@ -44,7 +45,7 @@
     place_loads(now, std::move(needs), out);
     if (next_idle_check_ <= now)
     {
-        next_idle_check_ = now + std::chrono::milliseconds(250);
+        next_idle_check_ = now + idle_check_interval;
         unload_idle(now, out);
     }
     if (nothing_waits && context_.limits.prewarm && next_prewarm_check_ <= now)
--- a/src/coordination/placement/pool_owner.cpp
+++ b/src/coordination/placement/pool_owner.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-// A round also runs without a change, for demand whose waits grow.
+// A round also runs without a change, for demand that grows, and more seldom for replicas
+// that become idle: a round looks at all items of the pool.
 constexpr duration round_interval = std::chrono::milliseconds(250);
+constexpr duration idle_round_interval = std::chrono::seconds(1);
 constexpr duration call_delay_min = std::chrono::milliseconds(100);
 constexpr duration call_delay_max = std::chrono::seconds(2);
 
@@ -53,7 +55,8 @@
     {
         refresh_ledgers(now, out);
         changed_ = false;
-        next_round_ = now + round_interval;
+        next_round_ =
+            now + (demand_.waiting().empty() ? idle_round_interval : round_interval);
         decide(now, out);
         if (raise_wanted_)
             raise_fence(now, out);
--- a/tests/coordination/placement_safety_test.cpp
+++ b/tests/coordination/placement_safety_test.cpp
@@ -631,6 +631,23 @@
     EXPECT_FALSE(engine.overcommitted);
 }
 
+TEST_F(placement_manager_test, load_answered_by_new_incarnation_stays_reserved)
+{
+    auto& engine = add_engine("r1", 50);
+    auto& a = add_instance("a");
+    run(1s);
+    engine.restart();
+    auto const report = engine.report();
+    next_poll_ = now_ + 1s;
+    wait_for(a, "m");
+    run(200ms);
+    ASSERT_EQ(replicas(a, "m").size(), 1U);
+    feed(a, report_received{report});
+    wait_for(a, "n");
+    run(5s);
+    EXPECT_FALSE(engine.overcommitted);
+}
+
 TEST_F(placement_manager_test, runner_gone_from_list_and_unreachable_loses_its_row)
 {
     auto& engine = add_engine("r1");
@@ -660,6 +677,21 @@
 
 // Adapters.
 
+TEST_F(placement_manager_test, adapter_is_loaded_only_beside_its_model)
+{
+    add_engine("r1");
+    add_engine("r2");
+    add_adapter("notes", "m", 5);
+    auto& a = add_instance("a");
+    run(1s);
+    ASSERT_TRUE(load(a, "m"));
+    // The other runner has more free memory.
+    ASSERT_TRUE(load(a, "m", "notes"));
+    EXPECT_EQ(replicas(a, "m", "notes").front().backend,
+              replicas(a, "m").front().backend);
+    EXPECT_EQ(orders(order_action::load_adapter), 1U);
+}
+
 TEST_F(placement_manager_test, adapter_is_loaded_after_its_model_and_unloaded_before_it)
 {
     auto& engine = add_engine("r1", 50);
