--- a/tests/coordination/placement_safety_test.cpp
+++ b/tests/coordination/placement_safety_test.cpp
@@ -512,6 +512,11 @@
     wait_for(a, "m");
     run(15ms);
     table_.mode = fake_table::fault::none;
+    // The decision is made anew for the other runner.
+    ASSERT_TRUE(table_.late.at(0).writes.at(0).key == "runners/r1");
+    engines_.at("r1").hidden_bytes = 100;
+    report_lag_ = 0ms;
+    poll();
     run(2s);
     table_.arrive_late();
     run(2s);
