--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -41,11 +41,16 @@
 
     // 700: transport
     {701, warning, "peer_message_rejected"},
+    {702, info, "listening"},
+    {703, warning, "instance_list_unavailable"},
+    {704, warning, "backend_poll_failed"},
+    {705, info, "admin_request"},
 
     // 800: process
     {801, info, "process_started"},
     {802, info, "drain_started"},
     {803, info, "process_stopped"},
+    {805, error, "start_failed"},
 };
 
 } // namespace
--- a/src/transport/caller_gateway.hpp
+++ b/src/transport/caller_gateway.hpp
@@ -92,9 +92,10 @@
     std::atomic<bool> ready_ = false;
     std::atomic<bool> closing_ = false;
     std::uint64_t made_ids_ = 0;
+    http_server server_;
+    /// Exchanges end before the server whose event loop they use.
     std::unordered_map<request_id, open_request> open_;
     std::unordered_map<http_exchange const*, request_id> by_exchange_;
-    http_server server_;
     std::thread thread_;
 };
 
--- a/src/transport/core_loop.cpp
+++ b/src/transport/core_loop.cpp
@@ -20,8 +20,8 @@
         std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-core_loop::core_loop(std::unique_ptr<core_driver> core, std::size_t ring_capacity)
-    : core_(std::move(core)), capacity_(ring_capacity), ring_(ring_capacity)
+core_loop::core_loop(std::size_t ring_capacity)
+    : capacity_(ring_capacity), ring_(ring_capacity)
 {
 }
 
@@ -30,8 +30,9 @@
     stop();
 }
 
-void core_loop::start(action_sink& sink)
+void core_loop::start(std::unique_ptr<core_driver> core, action_sink& sink)
 {
+    core_ = std::move(core);
     thread_ = std::thread([this, &sink] { run(sink); });
 }
 
@@ -41,6 +42,10 @@
     ring_.close();
     if (thread_.joinable())
         thread_.join();
+    // Questions hold parts of other duties, which may end before this object.
+    while (ring_.pop_until(std::chrono::steady_clock::now()))
+    {
+    }
 }
 
 bool core_loop::offer(event raised)
--- a/src/transport/core_loop.hpp
+++ b/src/transport/core_loop.hpp
@@ -61,11 +61,11 @@
     /// from work already accepted.
     static constexpr double offer_share = 0.75;
 
-    core_loop(std::unique_ptr<core_driver> core, std::size_t ring_capacity);
+    explicit core_loop(std::size_t ring_capacity);
     ~core_loop() override;
 
-    /// Starts the thread.
-    void start(action_sink& sink);
+    /// Starts the thread with the core that it owns from now on.
+    void start(std::unique_ptr<core_driver> core, action_sink& sink);
 
     /// Stops and joins the thread; events still in the ring are dropped.
     void stop();
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -158,6 +158,10 @@
     asio::steady_timer changed_;
 };
 
+/// How long a stopping server waits for answers in progress, and how often it looks.
+constexpr auto stop_grace = std::chrono::seconds(1);
+constexpr auto stop_poll = std::chrono::milliseconds(5);
+
 class connection;
 
 struct shared_parts
@@ -211,6 +215,13 @@
         close();
     }
 
+    /// Closes the connection now or, if a request is open, after its answer.
+    void close_when_answered()
+    {
+        if (answer_ == nullptr)
+            close();
+    }
+
     void close()
     {
         beast::error_code ignored;
@@ -529,7 +540,21 @@
         beast::error_code ignored;
         acceptor.close(ignored);
         for (auto* const each : open)
-            each->close();
+            each->close_when_answered();
+        asio::co_spawn(context, end_connections(), asio::detached);
+    }
+
+    /// Lets answers in progress finish for a moment, then ends the event loop.
+    asio::awaitable<void> end_connections()
+    {
+        auto const deadline = asio::steady_timer::clock_type::now() + stop_grace;
+        asio::steady_timer pause(context);
+        while (!open.empty() && asio::steady_timer::clock_type::now() < deadline)
+        {
+            pause.expires_after(stop_poll);
+            co_await pause.async_wait(as_result);
+        }
+        context.stop();
     }
 
     tcp::acceptor acceptor{context};
--- a/src/transport/rejection.cpp
+++ b/src/transport/rejection.cpp
@@ -22,8 +22,13 @@
         boost::json::parse(boost::json::string_view(body.data(), body.size()), failure);
     if (failure)
         return false;
-    auto const* const ran = document.find_pointer("/error/ran", failure);
-    return ran != nullptr && ran->is_string() && ran->get_string() == "not-run";
+    for (auto const* const place : {"/error/ran", "/ran"})
+    {
+        auto const* const ran = document.find_pointer(place, failure);
+        if (ran != nullptr && ran->is_string() && ran->get_string() == "not-run")
+            return true;
+    }
+    return false;
 }
 
 } // namespace
--- a/src/transport/rejection.hpp
+++ b/src/transport/rejection.hpp
@@ -9,7 +9,7 @@
 {
 
 /// Whether a backend server's answer proves that it did not run the request: an engine
-/// that is overloaded (429, 503), or any refusal whose error says "ran":"not-run". A
+/// that is overloaded (429, 503), or any error answer that says "ran":"not-run". A
 /// plain service's bare 503 proves nothing.
 [[nodiscard]] bool proves_not_run(unsigned status, std::string_view body, bool chat);
 
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace carawayturn
 {
 namespace
@@ -35,10 +37,9 @@
         script_->respond = [this](event const& input) { return respond(input); };
         settings_.caller_limits.max_body_bytes = 1000;
         settings_.caller_limits.max_header_bytes = 1000;
-        server_ = std::make_unique<instance_server>(
-            settings_, std::make_unique<scripted_core>(script_));
+        server_ = std::get<0>(instance_server::create(settings_, log_));
         server_->addresses().replace({backend});
-        EXPECT_TRUE(succeeded(server_->start()));
+        server_->start(std::make_unique<scripted_core>(script_));
     }
 
     /// Dispatches each request at once as attempt 1.
@@ -67,6 +68,8 @@
         return connection;
     }
 
+    std::ostringstream log_text_;
+    event_log log_{"entry", log_level::debug, log_text_};
     bool keep_answer_ = false;
     std::function<actions(event const&)> override_;
     server_settings settings_;
