--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -100,5 +100,278 @@
     EXPECT_EQ(ended.tokens_used, 7);
 }
 
+// Guards against a late answer of a replaced attempt that reaches the caller.
+TEST_F(request_path_test, answer_of_replaced_attempt_is_discarded)
+{
+    override_ = [this](event const& input) -> actions
+    {
+        auto const* const started = std::get_if<dispatch_started>(&input);
+        if (started != nullptr && started->attempt == 1)
+            return {attempt(started->request, 2)};
+        return {};
+    };
+    auto caller = call(chat_request_text("r1"));
+    auto first = backend_.accept();
+    first.read_message();
+    auto second = backend_.accept();
+    second.read_message();
+    first.send(message("HTTP/1.1 200 OK", "late"));
+    script_->wait_for<dispatch_ended>();
+    second.send(message("HTTP/1.1 200 OK", "right"));
+    EXPECT_TRUE(caller.read_message().ends_with("right"));
+}
+
+// Guards against a connection with an unread answer that serves the next caller.
+TEST_F(request_path_test, second_request_after_cancel_uses_fresh_connection)
+{
+    override_ = [](event const& input) -> actions
+    {
+        if (auto const* const gone = std::get_if<caller_gone>(&input))
+            return {cancel_dispatch{gone->request, 1}};
+        return {};
+    };
+    auto first_caller = call(chat_request_text("r1"));
+    auto first = backend_.accept();
+    first.read_message();
+    first_caller.close();
+    // The engine is told on a connection of its own, and the old one is closed.
+    auto cancel = backend_.accept();
+    EXPECT_TRUE(cancel.read_message().starts_with("DELETE /v1/requests/r1 "));
+    EXPECT_EQ(script_->wait_for<caller_gone>().request, request_id("r1"));
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::cancelled);
+    first.send(message("HTTP/1.1 200 OK", "first caller's"));
+    EXPECT_TRUE(first.read_to_end());
+    auto second_caller = call(chat_request_text("r2"));
+    auto second = backend_.accept();
+    EXPECT_NE(second.read_message().find("X-Request-Id: r2"), std::string::npos);
+    second.send(message("HTTP/1.1 200 OK", "second caller's"));
+    EXPECT_TRUE(second_caller.read_message().ends_with("second caller's"));
+}
+
+TEST_F(request_path_test, whole_answer_lets_connection_be_reused)
+{
+    auto caller = call(chat_request_text("r1"));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send(message("HTTP/1.1 200 OK", "one"));
+    EXPECT_TRUE(caller.read_message().ends_with("one"));
+    script_->wait_for<dispatch_ended>();
+    caller.send(chat_request_text("r2"));
+    EXPECT_NE(backend.read_message().find("X-Request-Id: r2"), std::string::npos);
+    backend.send(message("HTTP/1.1 200 OK", "two"));
+    EXPECT_TRUE(caller.read_message().ends_with("two"));
+}
+
+std::string const stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+// Two events of 9 bytes and the beginning of a third one.
+std::string const two_events_and_a_half = "16\r\ndata: a\n\ndata: b\n\ndata\r\n";
+
+// Guards against a caller that takes a broken stream for a whole one, or sees an event
+// twice or in part after a resume.
+TEST_F(request_path_test, broken_stream_is_resumed_at_its_offset_then_fails_visibly)
+{
+    override_ = [this](event const& input) -> actions
+    {
+        auto const* const ended = std::get_if<dispatch_ended>(&input);
+        if (ended == nullptr)
+            return {};
+        if (ended->attempt == 1)
+            return {attempt(ended->request, 2, ended->offset)};
+        refusal reason;
+        reason.code = refusal_code::backend_failed;
+        reason.ran = execution::unknown;
+        return {refuse_request{ended->request, reason}};
+    };
+    auto caller = call(chat_request_text("r1", stream_body));
+    {
+        auto first = backend_.accept();
+        first.read_message();
+        first.send(stream_head + two_events_and_a_half);
+        EXPECT_NE(caller.read_until("data: b\n\n").find("data: a\n\n"),
+                  std::string::npos);
+    }
+    auto second = backend_.accept();
+    EXPECT_NE(second.read_message().find("X-Resume-Offset: 2"), std::string::npos);
+    second.send(stream_head + "9\r\ndata: c\n\n\r\n");
+    auto const resumed = caller.read_until("data: c\n\n");
+    EXPECT_EQ(resumed.find("data: b"), std::string::npos);
+    second.close();
+    auto const rest = caller.read_until("0\r\n\r\n");
+    EXPECT_NE(rest.find("event: error\ndata: "), std::string::npos);
+    EXPECT_NE(rest.find("backend_failed"), std::string::npos);
+    EXPECT_EQ(script_->wait_for<dispatch_ended>(2).outcome, dispatch_outcome::broken);
+    EXPECT_EQ(script_->wait_for<dispatch_ended>(2).offset, 3U);
+}
+
+TEST_F(request_path_test, caller_that_hangs_up_during_stream_cancels_at_engine)
+{
+    override_ = [](event const& input) -> actions
+    {
+        if (auto const* const gone = std::get_if<caller_gone>(&input))
+            return {cancel_dispatch{gone->request, 1}};
+        return {};
+    };
+    auto caller = call(chat_request_text("r1", stream_body));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send(stream_head + "9\r\ndata: a\n\n\r\n");
+    caller.read_until("data: a\n\n");
+    caller.close();
+    EXPECT_TRUE(backend_.accept().read_message().starts_with("DELETE /v1/requests/r1 "));
+    EXPECT_TRUE(backend.read_to_end());
+}
+
+TEST_F(request_path_test, refused_connection_ends_as_not_sent)
+{
+    override_ = [](event const& input) -> actions
+    {
+        auto const* const ended = std::get_if<dispatch_ended>(&input);
+        if (ended == nullptr)
+            return {};
+        refusal reason;
+        reason.code = refusal_code::backend_unavailable;
+        reason.retry_after = std::chrono::milliseconds(1200);
+        return {refuse_request{ended->request, reason},
+                refuse_request{ended->request, reason}};
+    };
+    backend_.close();
+    auto caller = call(chat_request_text("r1"));
+    auto const answer = caller.read_message();
+    EXPECT_NE(answer.find("503 Service Unavailable"), std::string::npos);
+    EXPECT_NE(answer.find("Retry-After: 2\r\n"), std::string::npos);
+    EXPECT_NE(answer.find("\"ran\":\"not-run\""), std::string::npos);
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::not_sent);
+    EXPECT_EQ(script_->count<dispatch_started>(), 0U);
+    // The second refusal of the same request must not answer the next one.
+    caller.send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(caller.read_message().ends_with("ok\n"));
+}
+
+TEST_F(request_path_test, broken_answer_is_not_shown_and_reported_as_broken)
+{
+    override_ = [](event const& input) -> actions
+    {
+        auto const* const ended = std::get_if<dispatch_ended>(&input);
+        if (ended == nullptr)
+            return {};
+        refusal reason;
+        reason.code = refusal_code::backend_failed;
+        reason.ran = execution::unknown;
+        return {refuse_request{ended->request, reason}};
+    };
+    auto caller = call(chat_request_text("r1"));
+    {
+        auto backend = backend_.accept();
+        backend.read_message();
+        backend.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf an answer");
+    }
+    auto const answer = caller.read_message();
+    EXPECT_NE(answer.find("502 Bad Gateway"), std::string::npos);
+    EXPECT_EQ(answer.find("half an answer"), std::string::npos);
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
+}
+
+TEST_F(request_path_test, engine_that_did_not_run_request_ends_as_rejected)
+{
+    auto caller = call(chat_request_text("r1"));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send(message("HTTP/1.1 409 Conflict", R"({"ran":"not-run"})"));
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::rejected);
+}
+
+TEST_F(request_path_test, kept_answer_reaches_caller_only_when_core_delivers_it)
+{
+    keep_answer_ = true;
+    override_ = [](event const& input) -> actions
+    {
+        if (auto const* const ended = std::get_if<dispatch_ended>(&input))
+        {
+            auto answer = ended->answer.value_or(stored_answer{});
+            answer.body += " kept";
+            return {deliver_answer{ended->request, answer}};
+        }
+        return {};
+    };
+    auto caller =
+        call(message("POST /book HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k", "seat 4"));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send(message("HTTP/1.1 201 Created\r\nContent-Type: text/plain", "booked"));
+    auto const answer = caller.read_message();
+    EXPECT_NE(answer.find("201 Created"), std::string::npos);
+    EXPECT_NE(answer.find("Content-Type: text/plain"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("booked kept"));
+    EXPECT_EQ(script_->wait_for<request_arrived>().request.idempotency_key, "k");
+}
+
+TEST_F(request_path_test, request_beyond_a_limit_gets_clear_error)
+{
+    auto large_body =
+        call(message("POST /x HTTP/1.1\r\nHost: x", std::string(1001, 'b')));
+    auto const body_answer = large_body.read_message();
+    EXPECT_NE(body_answer.find("413 "), std::string::npos);
+    EXPECT_NE(body_answer.find("larger than 1000 bytes"), std::string::npos);
+    auto large_head =
+        call("GET /x HTTP/1.1\r\nX-Long: " + std::string(1001, 'h') + "\r\n\r\n");
+    EXPECT_NE(large_head.read_message().find("431 "), std::string::npos);
+    auto no_http = call("nonsense\r\n\r\n");
+    EXPECT_NE(no_http.read_message().find("400 "), std::string::npos);
+    EXPECT_EQ(script_->count<request_arrived>(), 0U);
+}
+
+TEST_F(request_path_test, wrong_header_or_body_is_refused_with_its_name)
+{
+    auto caller =
+        call(message("POST /x HTTP/1.1\r\nHost: x\r\nX-Deadline-Ms: soon", "b"));
+    EXPECT_NE(caller.read_message().find("X-Deadline-Ms must be"), std::string::npos);
+    caller.send(chat_request_text("r1", "{}"));
+    auto const answer = caller.read_message();
+    EXPECT_NE(answer.find("400 Bad Request"), std::string::npos);
+    EXPECT_NE(answer.find("model"), std::string::npos);
+    EXPECT_EQ(script_->count<request_arrived>(), 0U);
+}
+
+// Guards against two requests under one id, whose answers an engine could exchange.
+TEST_F(request_path_test, second_open_request_with_same_id_is_refused)
+{
+    auto first = call(chat_request_text("r1"));
+    auto backend = backend_.accept();
+    backend.read_message();
+    auto second = call(chat_request_text("r1"));
+    EXPECT_NE(second.read_message().find("400 Bad Request"), std::string::npos);
+    backend.send(message("HTTP/1.1 200 OK", "first"));
+    EXPECT_TRUE(first.read_message().ends_with("first"));
+}
+
+TEST_F(request_path_test, pipelined_requests_are_answered_in_order)
+{
+    auto caller = call(chat_request_text("r1") + chat_request_text("r2"));
+    auto backend = backend_.accept();
+    EXPECT_NE(backend.read_message().find("X-Request-Id: r1"), std::string::npos);
+    backend.send(message("HTTP/1.1 200 OK", "one"));
+    EXPECT_TRUE(caller.read_message().ends_with("one"));
+    EXPECT_NE(backend.read_message().find("X-Request-Id: r2"), std::string::npos);
+    backend.send(message("HTTP/1.1 200 OK", "two"));
+    EXPECT_TRUE(caller.read_message().ends_with("two"));
+    EXPECT_EQ(script_->count<caller_gone>(), 0U);
+}
+
+TEST_F(request_path_test, metrics_show_answers_and_refusals)
+{
+    auto caller = call("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_NE(caller.read_message().find("503 "), std::string::npos);
+    caller.send(chat_request_text("r1", "{}"));
+    caller.read_message();
+    caller.send("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    auto const text = caller.read_message();
+    EXPECT_NE(text.find("carawayturn_refusals_total{code=\"bad_request\"} 1"),
+              std::string::npos);
+    EXPECT_NE(text.find("carawayturn_request_seconds_bucket{le=\"+Inf\"} 0"),
+              std::string::npos);
+    EXPECT_NE(text.find("carawayturn_core_ring_capacity"), std::string::npos);
+}
+
 } // namespace
 } // namespace carawayturn
