--- /dev/null
+++ b/tests/transport/platform_test.cpp
@@ -0,0 +1,185 @@
+#include "transport_fakes.hpp"
+
+#include "transport/duty_thread.hpp"
+#include "transport/http_client.hpp"
+#include "transport/platform.hpp"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace carawayturn
+{
+namespace
+{
+
+class platform_test : public testing::Test
+{
+protected:
+    platform_test()
+    {
+        loop_.start(std::make_unique<scripted_core>(script_), sink_);
+        thread_.start();
+        listed_instance runner;
+        runner.id = "runner-1";
+        runner.kind = "runner";
+        runner.address = {"127.0.0.1", server_.port()};
+        addresses_.replace({runner});
+    }
+    ~platform_test() override
+    {
+        loop_.stop();
+        thread_.stop();
+        connections_.clear();
+    }
+
+    [[nodiscard]] endpoint server() const { return {"127.0.0.1", server_.port()}; }
+
+    [[nodiscard]] std::unique_ptr<table_service> make_table(duration timeout)
+    {
+        return make_http_table({server(), timeout}, parts_);
+    }
+
+    static table_commit some_commit()
+    {
+        return {operation_id("op-1"), {}, {{"key", "value"}}};
+    }
+
+    static engine_order some_order()
+    {
+        engine_order order;
+        order.decision = decision_id("d1");
+        order.backend = backend_id("runner-1");
+        order.item.model = model_id("base");
+        return order;
+    }
+
+    test_listener server_;
+    std::ostringstream log_text_;
+    event_log log_{"entry", log_level::debug, log_text_};
+    std::shared_ptr<core_script> script_ = std::make_shared<core_script>();
+    no_actions sink_;
+    core_loop loop_{64};
+    duty_thread thread_;
+    connection_pool connections_{thread_.executor(), 4};
+    address_book addresses_;
+    platform_parts parts_{thread_, connections_, loop_, log_, addresses_};
+};
+
+TEST_F(platform_test, commit_answered_raises_its_outcome)
+{
+    auto const table = make_table(std::chrono::seconds(60));
+    table->commit(some_commit());
+    auto connection = server_.accept();
+    EXPECT_NE(connection.read_message().find("\"op\":\"op-1\""), std::string::npos);
+    connection.send(
+        message("HTTP/1.1 200 OK",
+                R"({"committed":true,"versions":[{"key":"key","version":3}]})"));
+    auto const answer = script_->wait_for<table_answered>();
+    EXPECT_EQ(answer.operation, operation_id("op-1"));
+    EXPECT_TRUE(std::holds_alternative<committed>(answer.outcome));
+}
+
+// Guards against a lost answer that is taken for a write that did not happen.
+TEST_F(platform_test, commit_whose_answer_is_lost_is_unknown)
+{
+    auto const table = make_table(std::chrono::seconds(60));
+    table->commit(some_commit());
+    server_.accept().read_message();
+    auto const answer = script_->wait_for<table_answered>();
+    EXPECT_TRUE(std::holds_alternative<outcome_unknown>(answer.outcome));
+}
+
+TEST_F(platform_test, commit_answered_after_timeout_is_unknown_and_not_raised_again)
+{
+    auto const table = make_table(std::chrono::milliseconds(300));
+    table->commit(some_commit());
+    auto connection = server_.accept();
+    connection.read_message();
+    auto const answer = script_->wait_for<table_answered>();
+    EXPECT_TRUE(std::holds_alternative<outcome_unknown>(answer.outcome));
+    connection.send(message("HTTP/1.1 200 OK", R"({"committed":true,"versions":[]})"));
+    EXPECT_TRUE(connection.read_to_end());
+    EXPECT_EQ(script_->count<table_answered>(), 1U);
+}
+
+TEST_F(platform_test, commit_to_refusing_table_is_unavailable)
+{
+    auto const table = make_table(std::chrono::seconds(60));
+    server_.close();
+    table->commit(some_commit());
+    auto const answer = script_->wait_for<table_answered>();
+    EXPECT_TRUE(std::holds_alternative<table_unavailable>(answer.outcome));
+}
+
+// Guards against an order that leaves after the lease has lapsed.
+TEST_F(platform_test, order_forbidden_by_core_is_not_delivered)
+{
+    script_->orders_allowed = false;
+    auto const orders = make_http_engine_orders({}, parts_);
+    orders->send(some_order());
+    auto connection = server_.accept();
+    EXPECT_EQ(connection.read_message(), "");
+    EXPECT_EQ(script_->wait_for<order_answered>().outcome, order_result::not_delivered);
+}
+
+TEST_F(platform_test, order_whose_answer_is_lost_is_unknown)
+{
+    auto const orders = make_http_engine_orders({}, parts_);
+    orders->send(some_order());
+    EXPECT_TRUE(server_.accept().read_message().starts_with("POST /v1/orders "));
+    EXPECT_EQ(script_->wait_for<order_answered>().outcome, order_result::unknown);
+}
+
+TEST_F(platform_test, order_done_raises_result_and_incarnation)
+{
+    auto const orders = make_http_engine_orders({}, parts_);
+    orders->send(some_order());
+    auto connection = server_.accept();
+    connection.read_message();
+    connection.send(message("HTTP/1.1 200 OK", R"({"result":"done","incarnation":7})"));
+    auto const answer = script_->wait_for<order_answered>();
+    EXPECT_EQ(answer.outcome, order_result::done);
+    EXPECT_EQ(answer.incarnation, 7U);
+}
+
+TEST_F(platform_test, three_failed_polls_raise_unreachable)
+{
+    report_settings fast;
+    fast.interval = std::chrono::milliseconds(1);
+    fast.timeout = std::chrono::seconds(60);
+    auto const reports = make_http_report_poller(fast, parts_);
+    reports->start();
+    for (int poll = 0; poll < 3; ++poll)
+    {
+        EXPECT_EQ(script_->count<backend_unreachable>(), 0U);
+        server_.accept().read_message();
+    }
+    EXPECT_EQ(script_->wait_for<backend_unreachable>().backend, backend_id("runner-1"));
+}
+
+TEST_F(platform_test, list_fills_address_book_and_registers_instance)
+{
+    list_settings settings;
+    settings.address = server();
+    settings.interval = std::chrono::milliseconds(1);
+    settings.timeout = std::chrono::seconds(60);
+    settings.self.id = "entry-1";
+    settings.self.kind = "entry";
+    auto const list = make_http_instance_list(settings, parts_);
+    list->start();
+    auto connection = server_.accept();
+    EXPECT_TRUE(connection.read_message().starts_with("GET /v1/instances "));
+    connection.send(message(
+        "HTTP/1.1 200 OK",
+        R"({"instances":[{"id":"runner-2","kind":"runner","service":"chat","host":"127.0.0.1",)"
+        R"("port":9,"peer_port":0,"failure_domain":"a","state":"live","incarnation":1}]})"));
+    EXPECT_EQ(script_->wait_for<instances_listed>().instances.size(), 1U);
+    EXPECT_TRUE(addresses_.find(backend_id("runner-2")).has_value());
+    auto const registration = connection.read_message();
+    EXPECT_TRUE(registration.starts_with("POST /v1/register "));
+    EXPECT_NE(registration.find("\"id\":\"entry-1\""), std::string::npos);
+}
+
+} // namespace
+} // namespace carawayturn
--- a/tests/transport/transport_fakes.hpp
+++ b/tests/transport/transport_fakes.hpp
@@ -2,12 +2,15 @@
 
 #include "state/hash.hpp"
 #include "transport/core_driver.hpp"
+#include "transport/core_loop.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <functional>
 #include <memory>
@@ -103,6 +106,13 @@
     fleet_config config_;
 };
 
+/// Drops all actions, for tests that call a duty directly.
+class no_actions : public action_sink
+{
+public:
+    void take(action) override {}
+};
+
 /// A blocking connection of a test, as a caller or as a backend server.
 class test_connection
 {
