--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -94,6 +94,11 @@
     {
     }
 
+    /// The sockets end only after the thread that uses them.
+    ~state() { thread.stop(); }
+    state(state const&) = delete;
+    state& operator=(state const&) = delete;
+
     result<std::uint16_t> listen();
     void send(send_peer const& message);
     asio::awaitable<void> send_stream(tcp::endpoint to, std::string bytes);
--- a/src/transport/platform.hpp
+++ b/src/transport/platform.hpp
@@ -17,7 +17,7 @@
 class connection_pool;
 
 /// What the platform adapters share: their thread, its connections, and the way to the
-/// core.
+/// core. The thread is stopped before an adapter is destroyed.
 struct platform_parts
 {
     duty_thread& thread;
--- a/tests/transport/platform_test.cpp
+++ b/tests/transport/platform_test.cpp
@@ -35,9 +35,9 @@
 
     [[nodiscard]] endpoint server() const { return {"127.0.0.1", server_.port()}; }
 
-    [[nodiscard]] std::unique_ptr<table_service> make_table(duration timeout)
+    void make_table(duration timeout)
     {
-        return make_http_table({server(), timeout}, parts_);
+        table_ = make_http_table({server(), timeout}, parts_);
     }
 
     static table_commit some_commit()
@@ -64,12 +64,16 @@
     connection_pool connections_{thread_.executor(), 4};
     address_book addresses_;
     platform_parts parts_{thread_, connections_, loop_, log_, addresses_};
+    std::unique_ptr<table_service> table_;
+    std::unique_ptr<engine_orders> orders_;
+    std::unique_ptr<report_poller> reports_;
+    std::unique_ptr<instance_list> list_;
 };
 
 TEST_F(platform_test, commit_answered_raises_its_outcome)
 {
-    auto const table = make_table(std::chrono::seconds(60));
-    table->commit(some_commit());
+    make_table(std::chrono::seconds(60));
+    table_->commit(some_commit());
     auto connection = server_.accept();
     EXPECT_NE(connection.read_message().find("\"op\":\"op-1\""), std::string::npos);
     connection.send(
@@ -83,8 +87,8 @@
 // Guards against a lost answer that is taken for a write that did not happen.
 TEST_F(platform_test, commit_whose_answer_is_lost_is_unknown)
 {
-    auto const table = make_table(std::chrono::seconds(60));
-    table->commit(some_commit());
+    make_table(std::chrono::seconds(60));
+    table_->commit(some_commit());
     server_.accept().read_message();
     auto const answer = script_->wait_for<table_answered>();
     EXPECT_TRUE(std::holds_alternative<outcome_unknown>(answer.outcome));
@@ -92,8 +96,8 @@
 
 TEST_F(platform_test, commit_answered_after_timeout_is_unknown_and_not_raised_again)
 {
-    auto const table = make_table(std::chrono::milliseconds(300));
-    table->commit(some_commit());
+    make_table(std::chrono::milliseconds(300));
+    table_->commit(some_commit());
     auto connection = server_.accept();
     connection.read_message();
     auto const answer = script_->wait_for<table_answered>();
@@ -105,9 +109,9 @@
 
 TEST_F(platform_test, commit_to_refusing_table_is_unavailable)
 {
-    auto const table = make_table(std::chrono::seconds(60));
+    make_table(std::chrono::seconds(60));
     server_.close();
-    table->commit(some_commit());
+    table_->commit(some_commit());
     auto const answer = script_->wait_for<table_answered>();
     EXPECT_TRUE(std::holds_alternative<table_unavailable>(answer.outcome));
 }
@@ -116,8 +120,8 @@
 TEST_F(platform_test, order_forbidden_by_core_is_not_delivered)
 {
     script_->orders_allowed = false;
-    auto const orders = make_http_engine_orders({}, parts_);
-    orders->send(some_order());
+    orders_ = make_http_engine_orders({}, parts_);
+    orders_->send(some_order());
     auto connection = server_.accept();
     EXPECT_EQ(connection.read_message(), "");
     EXPECT_EQ(script_->wait_for<order_answered>().outcome, order_result::not_delivered);
@@ -125,16 +129,16 @@
 
 TEST_F(platform_test, order_whose_answer_is_lost_is_unknown)
 {
-    auto const orders = make_http_engine_orders({}, parts_);
-    orders->send(some_order());
+    orders_ = make_http_engine_orders({}, parts_);
+    orders_->send(some_order());
     EXPECT_TRUE(server_.accept().read_message().starts_with("POST /v1/orders "));
     EXPECT_EQ(script_->wait_for<order_answered>().outcome, order_result::unknown);
 }
 
 TEST_F(platform_test, order_done_raises_result_and_incarnation)
 {
-    auto const orders = make_http_engine_orders({}, parts_);
-    orders->send(some_order());
+    orders_ = make_http_engine_orders({}, parts_);
+    orders_->send(some_order());
     auto connection = server_.accept();
     connection.read_message();
     connection.send(message("HTTP/1.1 200 OK", R"({"result":"done","incarnation":7})"));
@@ -148,8 +152,8 @@
     report_settings fast;
     fast.interval = std::chrono::milliseconds(1);
     fast.timeout = std::chrono::seconds(60);
-    auto const reports = make_http_report_poller(fast, parts_);
-    reports->start();
+    reports_ = make_http_report_poller(fast, parts_);
+    reports_->start();
     for (int poll = 0; poll < 3; ++poll)
     {
         EXPECT_EQ(script_->count<backend_unreachable>(), 0U);
@@ -166,8 +170,8 @@
     settings.timeout = std::chrono::seconds(60);
     settings.self.id = "entry-1";
     settings.self.kind = "entry";
-    auto const list = make_http_instance_list(settings, parts_);
-    list->start();
+    list_ = make_http_instance_list(settings, parts_);
+    list_->start();
     auto connection = server_.accept();
     EXPECT_TRUE(connection.read_message().starts_with("GET /v1/instances "));
     connection.send(message(
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -39,7 +39,6 @@
         settings_.caller_limits.max_header_bytes = 1000;
         server_ = std::get<0>(instance_server::create(settings_, log_));
         server_->addresses().replace({backend});
-        server_->start(std::make_unique<scripted_core>(script_));
     }
 
     /// Dispatches each request at once as attempt 1.
@@ -61,8 +60,12 @@
         return {id, number, backend_id("runner-1"), offset, 10, keep_answer_};
     }
 
-    [[nodiscard]] test_connection call(std::string const& text) const
+    /// Connects and sends. The first call starts the server, so that a test can set its
+    /// script before the core thread reads it.
+    [[nodiscard]] test_connection call(std::string const& text)
     {
+        if (!std::exchange(started_, true))
+            server_->start(std::make_unique<scripted_core>(script_));
         auto connection = test_connection::to(server_->caller_port());
         connection.send(text);
         return connection;
@@ -70,6 +73,7 @@
 
     std::ostringstream log_text_;
     event_log log_{"entry", log_level::debug, log_text_};
+    bool started_ = false;
     bool keep_answer_ = false;
     std::function<actions(event const&)> override_;
     server_settings settings_;
