--- a/src/app/carawayturnd.cpp
+++ b/src/app/carawayturnd.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr std::string_view version_text = "carawayturnd " CARAWAYTURN_VERSION "\n";
+constexpr std::string_view version_text = "carawayturnd " CARAWAYTURN_VERSION;
 
 /// Starts the drain on SIGTERM or SIGINT, on a thread of its own.
 class signal_watcher
@@ -83,7 +83,7 @@
     }
     if (asks_for(argc, argv, "--version"))
     {
-        std::cout << version_text;
+        std::cout << version_text << '\n';
         return exit_ok;
     }
     auto settings = read_command_line(argc, argv);
--- a/src/transport/caller_request_reader.cpp
+++ b/src/transport/caller_request_reader.cpp
@@ -17,7 +17,7 @@
 /// A day; longer deadlines are mistakes in the unit.
 constexpr std::int64_t max_deadline_ms = 86'400'000;
 
-error bad_header(std::string name, std::string detail)
+error bad_header(std::string const& name, std::string const& detail)
 {
     return {error_code::invalid_input, name, {}, name + " " + detail};
 }
