--- a/src/transport/http_call.hpp
+++ b/src/transport/http_call.hpp
@@ -3,6 +3,7 @@
 #include "state/fleet.hpp"
 #include "state/result.hpp"
 #include "state/time.hpp"
+#include "transport/http_types.hpp"
 
 #include <cstddef>
 #include <string>
@@ -12,12 +13,6 @@
 namespace carawayturn
 {
 
-struct http_header
-{
-    std::string name;
-    std::string value;
-};
-
 /// One HTTP/1.1 request for call_http(). Host, Content-Length and Connection are added.
 struct http_call
 {
