Unpin replicas whose load orders were all answered, and mend the estimate of inherited loads

Cause: at engines that ignore fencing a new pool owner pinned every inherited replica until its runner restarted, so no memory could be freed after a change of owner. Separately, an inherited load had no start time, and its expected wait became the age of the process divided by 4: callers were refused with deadline_unreachable and a wait of 725 s.

Ruled out: trusting every load in phase loaded. A lost first copy of an order may still arrive after the repeat was answered; the row now says "settled" only when the sending owner saw every copy answered.

Two faults of the matrix itself: a delayed change to not ready overtook a later change to ready, and a first request that was truly refused as not-run counted as broken when its repeat ran later.

--- a/bench/fleet/fake_engine.cpp
+++ b/bench/fleet/fake_engine.cpp
@@ -174,7 +174,7 @@
         return;
     }
     if (!work.reference.empty())
-        ++record_.executions_by_reference[work.reference];
+        record_.executions_by_reference[work.reference].push_back(queue_.now());
     waiting_.push_back({std::move(work), std::move(done), next_task_++});
     start_waiting();
 }
--- a/bench/fleet/fleet.cpp
+++ b/bench/fleet/fleet.cpp
@@ -26,6 +26,7 @@
     std::unique_ptr<instance_driver> driver;
     bool alive = false;
     bool ready = false;
+    std::uint64_t ready_changes = 0;
     time_point paused_until{};
     std::map<request_id, std::uint32_t> attempts;
     std::set<request_id> open;
@@ -125,6 +126,7 @@
     ++entry.start.incarnation;
     entry.alive = true;
     entry.ready = false;
+    ++entry.ready_changes;
     entry.paused_until = {};
     entry.driver = factory_(entry.start);
     record_listing();
@@ -238,10 +240,14 @@
     }
     void operator()(set_ready const& done) const
     {
-        // The balancer notices after a while.
+        // The balancer notices after a while; a later change overtakes an earlier one.
+        auto const change = ++owner.nodes_[index]->ready_changes;
         owner.queue_.after(done.ready ? duration{0} : balancer_lag,
-                           [this_owner = &owner, at = index, ready = done.ready]
-                           { this_owner->nodes_[at]->ready = ready; });
+                           [this_owner = &owner, at = index, change, ready = done.ready]
+                           {
+                               if (this_owner->nodes_[at]->ready_changes == change)
+                                   this_owner->nodes_[at]->ready = ready;
+                           });
     }
     void operator()(drain_finished const&) const
     {
--- a/scripts/demo_parts/fleet.py
+++ b/scripts/demo_parts/fleet.py
@@ -80,8 +80,10 @@
         self.domain = domain
         self.listen_port, self.admin_port, self.peer_port = (free_port() for _ in range(3))
         values = {
-            "instance_id": name, "failure_domain": domain, "listen_port": self.listen_port,
-            "admin_port": self.admin_port, "peer_port": self.peer_port,
+            "instance_id": name, "failure_domain": domain,
+            "listen": f"127.0.0.1:{self.listen_port}",
+            "admin_listen": f"127.0.0.1:{self.admin_port}",
+            "peer_listen": f"127.0.0.1:{self.peer_port}",
             "table": f"127.0.0.1:{platform['table'].port}",
             "objects": f"127.0.0.1:{platform['objects'].port}",
             "instance_list": f"127.0.0.1:{platform['list'].port}",
--- a/scripts/demo_parts/settings.py
+++ b/scripts/demo_parts/settings.py
@@ -15,16 +15,16 @@
 
 # Flags of the daemon, as `carawayturnd --help` gives them.
 DAEMON_FLAGS = {
-    "instance_id": "--instance-id",
-    "failure_domain": "--failure-domain",
-    "listen_port": "--listen-port",
-    "admin_port": "--admin-port",
-    "peer_port": "--peer-port",
+    "instance_id": "--instance",
+    "failure_domain": "--failure_domain",
+    "listen": "--listen",
+    "admin_listen": "--admin_listen",
+    "peer_listen": "--peer_listen",
     "table": "--table",
-    "objects": "--objects",
-    "instance_list": "--instance-list",
-    "cluster_secret": "--cluster-secret",
-    "operator_token": "--operator-token",
+    "objects": "--object_store",
+    "instance_list": "--instance_list",
+    "cluster_secret": "--cluster_secret",
+    "operator_token": "--operator_token",
 }
 
 # Paths of the operators' interface.
@@ -107,9 +107,9 @@
 
 def replace_change(config):
     """The change that replaces the whole configuration."""
-    return {"kind": "replace_config", "config": config}
+    return {"type": "replace", "config": config}
 
 
 def withdraw_change(name):
     """The change that withdraws an organisation's key."""
-    return {"kind": "withdraw_key", "organisation": name, "key": digest(KEYS[name])}
+    return {"type": "withdraw_key", "organisation": name, "key_digest": digest(KEYS[name])}
--- a/src/coordination/placement/pool_orders.cpp
+++ b/src/coordination/placement/pool_orders.cpp
@@ -240,6 +240,7 @@
         times_.note(item.what.item, tier_of(*info->report, item.what.item.model),
                     now - item.first_sent);
     item.what.phase = reservation_phase::loaded;
+    item.what.settled = !item.inherited && !item.load.open();
     item.loaded_at = now;
     item.missing_since.reset();
     item.delay = duration::zero();
--- a/src/coordination/placement/pool_publication.cpp
+++ b/src/coordination/placement/pool_publication.cpp
@@ -92,7 +92,11 @@
             if (!item.in(reservation_phase::loading))
                 continue;
             auto const& loaded = item.what.item;
-            auto const taken = now - item.decided_at;
+            // The start of an inherited load is not known; without this case it would
+            // look overdue by the age of the process, and callers would be told that
+            // wait.
+            auto const taken =
+                item.decided_at == time_point{} ? duration{0} : now - item.decided_at;
             auto const expected = expected_load_time(loaded);
             auto const left =
                 taken < expected ? expected - taken : taken / overdue_divisor;
--- a/src/coordination/placement/pool_reports.cpp
+++ b/src/coordination/placement/pool_reports.cpp
@@ -86,8 +86,7 @@
     // The unload order carries a higher fencing number than any lost copy of the load.
     if (report.checks_fence)
         return item.load.lost == 0 || item.load.lost_fence < owned_->fence;
-    bool const recorded = context_.limits.trust_recorded_answers &&
-                          item.inherited_phase == reservation_phase::loaded;
+    bool const recorded = context_.limits.trust_recorded_answers && item.what.settled;
     return item.load.lost == 0 && (!item.inherited || recorded);
 }
 
--- a/src/coordination/placement/rows.cpp
+++ b/src/coordination/placement/rows.cpp
@@ -39,7 +39,7 @@
     return {{"load", value.load.str()},        {"unload", value.unload.str()},
             {"model", value.item.model.str()}, {"adapter", value.item.adapter.str()},
             {"version", value.item.version},   {"bytes", value.item.bytes},
-            {"phase", name_of(value.phase)}};
+            {"phase", name_of(value.phase)},   {"settled", value.settled}};
 }
 
 reservation reservation_from(json::object const& object)
@@ -52,6 +52,7 @@
     value.item.version = text(object, "version");
     value.item.bytes = number<byte_count>(object, "bytes");
     value.phase = phase_of(text(object, "phase"));
+    value.settled = object.at("settled").as_bool();
     return value;
 }
 
--- a/src/coordination/placement/rows.hpp
+++ b/src/coordination/placement/rows.hpp
@@ -30,6 +30,9 @@
     decision_id unload;
     loaded_item item;
     reservation_phase phase = reservation_phase::loading;
+    /// The owner that sent the load saw every copy of its order answered: none can arrive
+    /// later, so that a following owner may unload it at an engine without fencing.
+    bool settled = false;
     friend bool operator==(reservation const&, reservation const&) = default;
 };
 
--- a/src/coordination/placement/runner_ledger.cpp
+++ b/src/coordination/placement/runner_ledger.cpp
@@ -37,6 +37,7 @@
 void restart_load(held_item& item, time_point now)
 {
     item.what.phase = reservation_phase::loading;
+    item.what.settled = false;
     item.what.unload = {};
     item.unload = {};
     item.inherited = false;
