Load cached checkpoints outside the weight-store slots

Cause: the four load slots and the start rate stand for the weight store, but each model load took one, including loads that read from the runner's memory or disk. A load holds its slot for 2 to 3 s, so four slots start about 1.4 loads a second, and loads of cached checkpoints queued behind them.

A load now takes a slot only if its runner did not report the checkpoint as cached when the load was decided. It counts again when it is repeated on a new incarnation, after a change of owner or after the engine lost the model.

--- a/src/coordination/placement/pool_needs.cpp
+++ b/src/coordination/placement/pool_needs.cpp
@@ -166,8 +166,8 @@
         for (auto const& item : ledger.items())
         {
             bool const refused = item.refused && !item.load.open();
-            if (item.is_model() == adapters || !item.in(reservation_phase::loading) ||
-                refused)
+            bool const counted = adapters ? !item.is_model() : item.uses_store();
+            if (!counted || !item.in(reservation_phase::loading) || refused)
                 continue;
             ++in_progress;
             unsent += item.load.sent == 0 ? 1 : 0;
@@ -195,13 +195,15 @@
         bool const adapter = !need.item.adapter.empty();
         auto& available = adapter ? adapter_loads : model_loads;
         auto& rooms = adapter ? adapter_rooms : model_rooms;
-        auto* const runner =
-            available > 0 ? choose_runner(now, need.item, claimed) : nullptr;
+        // A model whose checkpoint a runner has cached needs no weight-store slot.
+        auto* const runner = !adapter || available > 0
+                                 ? choose_runner(now, need.item, claimed, available > 0)
+                                 : nullptr;
         if (runner != nullptr)
         {
-            decide_load(now, *runner, need.item, out);
+            auto const& load = decide_load(now, *runner, need.item, out);
             turns_.note_served(need.organisation);
-            --available;
+            available -= adapter || load.uses_store() ? 1 : 0;
             continue;
         }
         if (available > 0 && rooms > 0)
@@ -238,7 +240,8 @@
 }
 
 runner_ledger* pool_owner::choose_runner(time_point now, loaded_item const& item,
-                                         claimed_memory const& claimed)
+                                         claimed_memory const& claimed,
+                                         bool store_allowed)
 {
     std::optional<runner_option> best;
     auto const better = strategy_of(context_.limits.runner_choice);
@@ -247,12 +250,14 @@
         auto const* const report = decidable(ledger);
         if (report == nullptr || !may_hold(now, ledger, item, *report))
             continue;
+        auto const tier = tier_of(*report, item.model);
+        if (!store_allowed && tier == cache_tier::none)
+            continue;
         auto const& items = ledger.items();
         auto const loads = std::count_if(items.begin(), items.end(),
                                          [](auto const& held)
                                          { return held.in(reservation_phase::loading); });
-        runner_option option{id, tier_of(*report, item.model),
-                             free_at(ledger, *report) - claimed_at(claimed, id),
+        runner_option option{id, tier, free_at(ledger, *report) - claimed_at(claimed, id),
                              report->running + report->waiting,
                              static_cast<std::uint32_t>(loads)};
         if (option.free >= item.bytes && (!best || better(option, *best)))
@@ -261,16 +266,20 @@
     return best ? &ledgers_.at(best->runner) : nullptr;
 }
 
-void pool_owner::decide_load(time_point now, runner_ledger& ledger,
-                             loaded_item const& item, actions& out)
+held_item const& pool_owner::decide_load(time_point now, runner_ledger& ledger,
+                                         loaded_item const& item, actions& out)
 {
     held_item held;
     held.what = {next_decision(), {}, item, reservation_phase::loading};
     held.decided_at = now;
+    auto const* const report = decidable(ledger);
+    held.from_store =
+        report == nullptr || tier_of(*report, item.model) == cache_tier::none;
     log(402, held.what.load.str(),
         ledger.id().str() + " " + item.model.str() + " " + item.adapter.str(), out);
     ledger.items().push_back(std::move(held));
     free_.erase(ledger.id());
+    return ledger.items().back();
 }
 
 // Loads what woke at this time on the days before, if there is room without evictions.
@@ -285,7 +294,7 @@
         auto const item = configured_item(key);
         auto* const runner =
             count_of(key).total() == 0 && loads_available(now, !key.adapter.empty()) > 0
-                ? choose_runner(now, item, {})
+                ? choose_runner(now, item, {}, true)
                 : nullptr;
         if (runner != nullptr)
             decide_load(now, *runner, item, out);
--- a/src/coordination/placement/pool_orders.cpp
+++ b/src/coordination/placement/pool_orders.cpp
@@ -111,7 +111,7 @@
         return;
     bool const unloads = item.in(reservation_phase::unloading);
     auto& copies = unloads ? item.unload : item.load;
-    bool const fetches = !unloads && item.is_model();
+    bool const fetches = !unloads && item.uses_store();
     auto const* const config = pool();
     if (copies.in_flight > 0 || config == nullptr ||
         (fetches && !pace_.allows(now, config->loads_per_second)))
--- a/src/coordination/placement/pool_owner.hpp
+++ b/src/coordination/placement/pool_owner.hpp
@@ -190,16 +190,18 @@
     [[nodiscard]] std::map<model_id, item_demand>
     demand_by_model(replica_counts const& counts) const;
     void place_loads(time_point now, std::vector<load_need> needs, actions& out);
+    /// Without `store_allowed`, only runners with the checkpoint cached are considered.
     [[nodiscard]] runner_ledger* choose_runner(time_point now, loaded_item const& item,
-                                               claimed_memory const& claimed);
+                                               claimed_memory const& claimed,
+                                               bool store_allowed);
     [[nodiscard]] byte_count free_at(runner_ledger const& ledger,
                                      backend_report const& report);
     [[nodiscard]] bool may_hold(time_point now, runner_ledger const& ledger,
                                 loaded_item const& item,
                                 backend_report const& report) const;
-    void decide_load(time_point now, runner_ledger& ledger, loaded_item const& item,
-                     actions& out);
-    /// Model loads (or adapter loads) that may be decided now.
+    held_item const& decide_load(time_point now, runner_ledger& ledger,
+                                 loaded_item const& item, actions& out);
+    /// Model loads from the weight store (or adapter loads) that may be decided now.
     [[nodiscard]] std::uint32_t loads_available(time_point now, bool adapters) const;
     void prewarm(time_point now, actions& out);
     [[nodiscard]] loaded_item configured_item(item_key const& key) const;
--- a/src/coordination/placement/pool_publication.cpp
+++ b/src/coordination/placement/pool_publication.cpp
@@ -96,7 +96,7 @@
             auto const expected = expected_load_time(loaded);
             auto const left =
                 taken < expected ? expected - taken : taken / overdue_divisor;
-            if (item.is_model())
+            if (item.uses_store())
                 plan.occupy_until(left);
             if (servable(ledger))
                 loading.emplace_back(loaded, left);
--- a/src/coordination/placement/pool_reports.cpp
+++ b/src/coordination/placement/pool_reports.cpp
@@ -132,6 +132,7 @@
         return;
     log(412, ledger.id().str(), item.what.item.model.str(), out);
     item.what.phase = reservation_phase::loading;
+    item.from_store = true;
     item.missing_since.reset();
     item.next_send = now;
     changed_ = true;
--- a/src/coordination/placement/runner_ledger.cpp
+++ b/src/coordination/placement/runner_ledger.cpp
@@ -41,6 +41,8 @@
     item.unload = {};
     item.inherited = false;
     item.refused = false;
+    // The new process may have lost its cache.
+    item.from_store = true;
     item.missing_since.reset();
     item.delay = duration::zero();
     item.next_send = now;
--- a/src/coordination/placement/runner_ledger.hpp
+++ b/src/coordination/placement/runner_ledger.hpp
@@ -33,6 +33,9 @@
     reservation what;
     order_copies load;
     order_copies unload;
+    /// The load may read the checkpoint from the weight store. It does not if the runner
+    /// reported the checkpoint as cached when the load was decided.
+    bool from_store = true;
     /// Found in the row at the change of owner: copies of the former owner's order may
     /// still arrive.
     bool inherited = false;
@@ -51,6 +54,8 @@
     std::optional<time_point> missing_since;
 
     [[nodiscard]] bool is_model() const { return what.item.adapter.empty(); }
+    /// Whether the load occupies a weight-store slot.
+    [[nodiscard]] bool uses_store() const { return is_model() && from_store; }
     [[nodiscard]] bool in(reservation_phase phase) const { return what.phase == phase; }
     /// The decision whose order is needed now.
     [[nodiscard]] decision_id const& needed() const
--- a/tests/coordination/placement_policy_test.cpp
+++ b/tests/coordination/placement_policy_test.cpp
@@ -5,6 +5,8 @@
 #include "coordination/placement/strategy.hpp"
 #include "coordination/placement/usage_history.hpp"
 
+#include <set>
+
 namespace carawayturn
 {
 namespace
@@ -78,6 +80,56 @@
     EXPECT_EQ(replicas(a, "m").front().backend, backend_id("r2"));
 }
 
+// Guards against loads that do not read from the weight store waiting behind those that
+// do, and against the exemption letting other loads pass the limit.
+TEST_F(placement_policy_test, load_of_cached_checkpoint_needs_no_weight_store_slot)
+{
+    pool().load_slots = 1;
+    pool().loads_per_second = 1;
+    for (auto const* const id : {"x", "y", "cached"})
+        add_model(id, 1);
+    add_engine("r1").load_time = 10s;
+    auto& engine = add_engine("r2");
+    engine.load_time = 10s;
+    engine.cached_in_memory = {model_id("cached")};
+    auto& a = add_instance("a");
+    run(2s);
+    for (auto const* const id : {"x", "y", "cached"})
+        wait_for(a, id);
+    run(500ms);
+    std::set<std::string> ordered;
+    for (auto const& [id, one] : engines_)
+    {
+        for (auto const& order : one.received)
+            ordered.insert(order.item.model.str());
+    }
+    EXPECT_EQ(ordered, (std::set<std::string>{"cached", "x"}));
+}
+
+// A restarted process may have lost its cache, so the repeated load counts again.
+TEST_F(placement_policy_test, load_of_cached_checkpoint_takes_a_slot_after_a_restart)
+{
+    pool().load_slots = 1;
+    for (auto const* const id : {"y", "cached"})
+        add_model(id, 1);
+    auto& engine = add_engine("r1");
+    engine.load_time = 10s;
+    engine.cached_in_memory = {model_id("cached")};
+    auto& a = add_instance("a");
+    run(2s);
+    wait_for(a, "cached");
+    run(200ms);
+    ASSERT_EQ(engine.count(order_action::load), 1U);
+    engine.cached_in_memory.clear();
+    ++engine.incarnation;
+    run(2s);
+    wait_for(a, "cached");
+    wait_for(a, "y");
+    run(500ms);
+    for (auto const& order : engine.received)
+        EXPECT_EQ(order.item.model, model_id("cached"));
+}
+
 TEST_F(placement_policy_test, replicas_are_added_by_waiting_up_to_the_limit)
 {
     add_model("m", 40, 2);
