Run the demo against the daemon, and prefer low slots

Cause: instances claimed random slots of the default 16 before the first configuration came, lost them when it had 3, and refused callers for about 2 s. Also, before the first runner report every model counted as without memory and callers were told to wait 30 s.

--- a/src/coordination/detail/authority_table.cpp
+++ b/src/coordination/detail/authority_table.cpp
@@ -256,7 +256,9 @@
 }
 
 /// A free slot, else one whose holder is proven stopped. The random choice keeps
-/// instances that start together from claiming the same slot.
+/// instances that start together from claiming the same slot. Low slots are preferred,
+/// because the first configuration may have fewer slots than the default, and the holders
+/// of slots beyond its number lose them.
 std::optional<slot_number> authority_state::choose_slot(time_point now)
 {
     std::vector<slot_number> free;
@@ -274,7 +276,9 @@
     auto const& candidates = free.empty() ? stopped : free;
     if (candidates.empty())
         return std::nullopt;
-    std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
+    std::size_t const instances = members_.all().size() + 1;
+    std::uniform_int_distribution<std::size_t> index(
+        0, std::min(candidates.size(), instances) - 1);
     return candidates[index(random_)];
 }
 
--- a/src/coordination/placement/pool_owner.hpp
+++ b/src/coordination/placement/pool_owner.hpp
@@ -232,6 +232,8 @@
 
     // Publication (pool_publication.cpp).
     [[nodiscard]] std::vector<replica> current_replicas() const;
+    /// Whether any runner's memory is known well enough for decisions.
+    [[nodiscard]] bool any_decidable() const;
     [[nodiscard]] std::vector<std::pair<loaded_item, duration>>
     estimates(time_point now) const;
     [[nodiscard]] duration expected_load_time(loaded_item const& item) const;
--- a/src/coordination/placement/pool_publication.cpp
+++ b/src/coordination/placement/pool_publication.cpp
@@ -78,6 +78,13 @@
     return times_.expected(item, tier);
 }
 
+bool pool_owner::any_decidable() const
+{
+    return std::any_of(ledgers_.begin(), ledgers_.end(),
+                       [this](auto const& entry)
+                       { return decidable(entry.second) != nullptr; });
+}
+
 std::vector<std::pair<loaded_item, duration>> pool_owner::estimates(time_point now) const
 {
     std::vector<std::pair<loaded_item, duration>> loading;
@@ -106,6 +113,9 @@
                 loading.emplace_back(loaded, left);
         }
     }
+    // Before the first report there is no telling whether memory is free.
+    if (!any_decidable())
+        return loading;
     for (auto const& need : queue_)
     {
         loaded_item queued = need.item;
--- a/tests/demo/fake_daemon.py
+++ b/tests/demo/fake_daemon.py
@@ -62,7 +62,7 @@
         config = read_row("config/head")[1]
         if config:
             State.config = config
-        listed = call(FLAGS["instance-list"], "GET", "/v1/instances")[1]["instances"]
+        listed = call(FLAGS["instance_list"], "GET", "/v1/instances")[1]["instances"]
         backends = collections.defaultdict(list)
         for entry in listed:
             if entry["state"] == "live" or "R11" in BREAKS:
@@ -159,7 +159,7 @@
         if config["version"] != asked["expected"]:
             return self.reply(409, {"version": 0, "error": {"code": "conflict"}})
         change = asked["change"]
-        changed = dict(change["config"]) if change["kind"] == "replace_config" else config
+        changed = dict(change["config"]) if change["type"] == "replace" else config
         for organisation in changed["organisations"]:
             if organisation["id"] == change.get("organisation"):
                 organisation["key_digests"].remove(change["key"])
@@ -294,9 +294,9 @@
 
 def main():
     threading.Thread(target=poll, daemon=True).start()
-    admin = Server(("127.0.0.1", int(FLAGS["admin-port"])), AdminHandler)
+    admin = Server(("127.0.0.1", int(FLAGS["admin_listen"].rsplit(":", 1)[1])), AdminHandler)
     threading.Thread(target=admin.serve_forever, daemon=True).start()
-    callers = Server(("127.0.0.1", int(FLAGS["listen-port"])), CallerHandler)
+    callers = Server(("127.0.0.1", int(FLAGS["listen"].rsplit(":", 1)[1])), CallerHandler)
     threading.Thread(target=callers.serve_forever, daemon=True).start()
     stopping = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stopping.set())
