--- a/src/coordination/placement_manager.hpp
+++ b/src/coordination/placement_manager.hpp
@@ -123,9 +123,9 @@
         duration report_lag = std::chrono::seconds(5);
         /// Time after which a runner that this instance never saw listed is gone.
         duration never_listed_limit = std::chrono::seconds(30);
-        /// At engines that ignore fencing numbers, also unload replicas of a former owner that
-        /// recorded every copy of its load order as answered. Off: all inherited replicas stay
-        /// until the runner's next incarnation.
+        /// At engines that ignore fencing numbers, also unload replicas of a former owner
+        /// that recorded every copy of its load order as answered. Off: all inherited
+        /// replicas stay until the runner's next incarnation.
         bool trust_recorded_answers = true;
     };
 
--- a/tests/demo/fake_daemon.py
+++ b/tests/demo/fake_daemon.py
@@ -162,7 +162,7 @@
         changed = dict(change["config"]) if change["type"] == "replace" else config
         for organisation in changed["organisations"]:
             if organisation["id"] == change.get("organisation"):
-                organisation["key_digests"].remove(change["key"])
+                organisation["key_digests"].remove(change["key_digest"])
         changed["version"] = asked["expected"] + 1
         accepted = write_row("config/head", version, changed)
         return self.reply(200, {"version": changed["version"], "accepted": accepted,
