Give base reservations back after their share is lent

Cause: lending a base share forgot its reservations in flight, so they were charged their upper bound.

A lender now reports the base tokens that are reserved or not handed over (lend_entry::reserved, a new field at the end of the message). They count against the owner's cap until the reply that hands them over, and a grant is valid only while shares fund it without them. The bound therefore holds: level, unspent grants and reserved base tokens together stay within the cap.

Ruled out: counting nothing against the cap. The test base_reservations_given_back_late_keep_window_bound fails then.

The test base_reservations_are_given_back_after_share_is_lent fails without the change.

--- a/fuzz/peer_fuzz.cpp
+++ b/fuzz/peer_fuzz.cpp
@@ -58,7 +58,7 @@
     config.organisations[organisation_id("acme")] = {
         organisation_id("acme"), 0.1, 1000, {"*"}, {"tax"}, {digest("ab"), digest("cd")}};
     loaded_item const item{model_id("base"), adapter_id("notes"), "2", 500};
-    lend_entry const lent{organisation_id("acme"), 1, 2, 3, -4, 5, 6};
+    lend_entry const lent{organisation_id("acme"), 1, 2, 3, -4, 5, 6, 7};
     config_reply const reply{4,
                              8,
                              duration(15),
--- a/src/coordination/detail/budget_pool.cpp
+++ b/src/coordination/detail/budget_pool.cpp
@@ -56,9 +56,18 @@
     forget_members(now);
 }
 
+double budget_pool::funds(member_account const& account) const
+{
+    return terms_.share_burst() - static_cast<double>(account.reserved);
+}
+
 double budget_pool::cap() const
 {
-    double const lent = static_cast<double>(lendings_) * terms_.share_burst();
+    double lent = 0;
+    for (auto const& [key, account] : members_)
+    {
+        lent += account.lends ? funds(account) : 0.0;
+    }
     return std::max(0.0, lent - static_cast<double>(outstanding()));
 }
 
@@ -177,6 +186,7 @@
         // Only an unbroken lending hands tokens over; see budget_share::lend().
         bucket_.move_in(static_cast<double>(std::max<token_count>(0, handed)));
     }
+    account.reserved = std::max<token_count>(0, entry.reserved);
     account.expires = std::max(account.expires, sent + owner_lend_period);
     apply_cap();
     return begins;
@@ -192,7 +202,8 @@
     }
 }
 
-void budget_pool::lend_own(time_point now, process_key const& self, double tokens)
+void budget_pool::lend_own(time_point now, process_key const& self, double tokens,
+                           token_count reserved)
 {
     member_account& account = members_[self];
     if (!account.lends)
@@ -201,6 +212,7 @@
     }
     account.heard_at = now;
     account.expires = now + owner_lend_period;
+    account.reserved = reserved;
     bucket_.move_in(tokens);
     apply_cap();
 }
@@ -339,19 +351,25 @@
     {
         return now;
     }
-    std::vector<time_point> ends;
+    std::vector<std::pair<time_point, double>> ends;
     for (auto const& [key, account] : members_)
     {
         if (account.lends)
         {
-            ends.push_back(account.expires);
+            ends.emplace_back(account.expires, funds(account));
         }
     }
     std::sort(ends.begin(), ends.end(), std::greater<>());
-    double const shares =
-        std::ceil(static_cast<double>(outstanding) / terms_.share_burst() - 1e-9);
-    auto const needed = static_cast<std::size_t>(std::max(1.0, shares));
-    return needed <= ends.size() ? ends[needed - 1] : now;
+    auto unfunded = static_cast<double>(outstanding) - 1e-6;
+    for (auto const& [end, tokens] : ends)
+    {
+        unfunded -= tokens;
+        if (unfunded <= 0)
+        {
+            return end;
+        }
+    }
+    return now;
 }
 
 std::optional<double> budget_pool::release_own(process_key const& self)
@@ -382,16 +400,21 @@
     }
     // The freshest lendings fund the grants that remain.
     std::sort(lenders.begin(), lenders.end(), std::greater<>());
-    double const kept =
-        terms_.share_burst() > 0
-            ? std::ceil(static_cast<double>(outstanding()) / terms_.share_burst())
-            : 0.0;
+    auto unfunded = static_cast<double>(outstanding());
+    auto const ends =
+        std::find_if(lenders.begin(), lenders.end(),
+                     [&](auto const& lender)
+                     {
+                         bool const needed = unfunded > 0;
+                         unfunded -= needed ? funds(members_.at(lender.second)) : 0.0;
+                         return !needed;
+                     });
     std::vector<addressed_grant> grants;
-    if (kept >= static_cast<double>(lenders.size()))
+    lenders.erase(lenders.begin(), ends);
+    if (lenders.empty())
     {
         return grants;
     }
-    lenders.erase(lenders.begin(), lenders.begin() + static_cast<std::ptrdiff_t>(kept));
     // A member with unspent grants may spend them even if the message is lost.
     std::erase_if(lenders, [this](auto const& lender)
                   { return members_.at(lender.second).counted() > 0; });
--- a/src/coordination/detail/budget_pool.hpp
+++ b/src/coordination/detail/budget_pool.hpp
@@ -21,8 +21,9 @@
 /// The owner's side of one organisation's budget: the shares lent to this instance, the
 /// tokens that accrue on them, and what was granted out of them.
 ///
-/// At every moment the level and the unspent grants together are at most the cap of the
-/// shares that are lent, and a grant expires no later than the lendings that fund it.
+/// At every moment the level, the unspent grants and the tokens that lenders may still
+/// hand over together are at most the cap of the shares that are lent, and a grant
+/// expires no later than the lendings that fund it.
 class budget_pool
 {
 public:
@@ -44,8 +45,10 @@
     bool merge_reply(time_point now, process_key const& member, lend_entry const& entry,
                      std::uint64_t query, time_point sent);
     void merge_ask(time_point now, process_key const& member, budget_ask const& ask);
-    /// Adds or renews the owner's own share, with the base tokens moved into the pool.
-    void lend_own(time_point now, process_key const& self, double tokens);
+    /// Adds or renews the owner's own share, with the base tokens moved into the pool and
+    /// those that its requests in flight have reserved.
+    void lend_own(time_point now, process_key const& self, double tokens,
+                  token_count reserved);
 
     /// Serves the members that want tokens, in the order in which they began to want.
     [[nodiscard]] std::vector<addressed_grant> distribute(time_point now);
@@ -75,6 +78,8 @@
         time_point expires{};
         time_point accrued_to{};
         std::uint64_t ended_query = 0;
+        /// Base tokens of the lent share that the member may still hand over.
+        token_count reserved = 0;
 
         token_count granted = 0;
         token_count spent = 0;
@@ -117,6 +122,8 @@
     [[nodiscard]] token_count headroom(member_account const& account,
                                        token_count possible) const;
     [[nodiscard]] time_point funded_until(time_point now, token_count outstanding) const;
+    /// Tokens that a lent share can hold in the pool. Negative if more are reserved.
+    [[nodiscard]] double funds(member_account const& account) const;
     [[nodiscard]] double cap() const;
     void apply_cap();
     void forget_members(time_point now);
--- a/src/coordination/detail/budget_share.cpp
+++ b/src/coordination/detail/budget_share.cpp
@@ -151,6 +151,11 @@
     return entry_of(owners_[owner]);
 }
 
+token_count budget_share::base_reserved() const
+{
+    return static_cast<token_count>(std::ceil(base_.unspent()));
+}
+
 lend_entry budget_share::lend(time_point now, process_key const& owner,
                               std::uint64_t query, bool willing)
 {
@@ -172,15 +177,12 @@
             base_.move_out(tokens);
             account.handed_over += static_cast<token_count>(tokens);
         }
-        if (!renewal)
-        {
-            base_.forget();
-        }
         lending_ = lending{owner, now + lend_period, query};
         shares = 1;
     }
     lend_entry entry = entry_of(account);
     entry.shares = shares;
+    entry.reserved = base_reserved();
     return entry;
 }
 
@@ -193,10 +195,6 @@
     }
     double const tokens = std::max(0.0, base_.level());
     base_.move_out(tokens);
-    if (!renewal)
-    {
-        base_.forget();
-    }
     lending_ = lending{self, now + lend_period, 0};
     return tokens;
 }
--- a/src/coordination/detail/budget_share.hpp
+++ b/src/coordination/detail/budget_share.hpp
@@ -46,6 +46,9 @@
     [[nodiscard]] token_count spendable(time_point now) const;
     [[nodiscard]] bool has_open_grants() const;
     [[nodiscard]] token_bucket& base() { return base_; }
+    /// Base tokens that are reserved or not handed over while the share is lent. Reserved
+    /// tokens that come back go to the borrower with the next renewal.
+    [[nodiscard]] token_count base_reserved() const;
 
     /// Takes up to `wanted` tokens from grants.
     [[nodiscard]] std::vector<grant_part> take_granted(token_count wanted);
--- a/src/coordination/detail/fleet_budget_peers.cpp
+++ b/src/coordination/detail/fleet_budget_peers.cpp
@@ -83,7 +83,7 @@
     }
     if (auto const tokens = account.share.lend_to_self(now, self()))
     {
-        account.pool.lend_own(now, self(), *tokens);
+        account.pool.lend_own(now, self(), *tokens, account.share.base_reserved());
     }
 }
 
--- a/src/coordination/detail/token_bucket.hpp
+++ b/src/coordination/detail/token_bucket.hpp
@@ -24,6 +24,10 @@
 
     [[nodiscard]] double level() const { return level_; }
 
+    /// The most that the level can become without accrual: reservations in flight may be
+    /// given back.
+    [[nodiscard]] double unspent() const { return std::max(0.0, level_) + in_flight_; }
+
     /// Adds accrued tokens and applies the cap, which may differ from call to call.
     void credit(double accrued, double cap)
     {
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -188,8 +188,9 @@
 template <class Io>
 static void fields(Io& io, peer_archive::described<Io, lend_entry> value)
 {
-    auto& [organisation, shares, clock, handed_over, spent, returned, wanted] = value;
-    io(organisation, shares, clock, handed_over, spent, returned, wanted);
+    auto& [organisation, shares, clock, handed_over, spent, returned, wanted, reserved] =
+        value;
+    io(organisation, shares, clock, handed_over, spent, returned, wanted, reserved);
 }
 
 template <class Io>
--- a/src/state/peer_message.hpp
+++ b/src/state/peer_message.hpp
@@ -121,6 +121,9 @@
     token_count returned = 0;
     /// Tokens wanted now by waiting requests.
     token_count wanted = 0;
+    /// Base tokens not handed over that requests in flight may still give back, or that
+    /// await the next reply. They count against the owner's cap.
+    token_count reserved = 0;
 };
 
 struct lend_reply
--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -440,6 +440,39 @@
     EXPECT_LT(network.sum.refused, network.sum.asked / 50);
 }
 
+/// Guards against charging base reservations in full when the share is lent.
+TEST_F(budget_manager_test, base_reservations_are_given_back_after_share_is_lent)
+{
+    network.run(50ms);
+    for (std::size_t slot = 0; slot < instances; ++slot)
+    {
+        network.submit(network.holder(slot), 150, 0, 500ms);
+    }
+    network.submit(network.holder(3), 300);
+    network.run(1s);
+    network.submit(network.holder(5), 2000);
+    network.run(50ms);
+    EXPECT_EQ(network.sum.granted, static_cast<int>(instances) + 2);
+    EXPECT_GE(network.ideal().lowest(), -tolerance);
+}
+
+/// Guards against giving reservations back on top of a pool that has filled up meanwhile.
+TEST_F(budget_manager_test, base_reservations_given_back_late_keep_window_bound)
+{
+    network.run(50ms);
+    for (std::size_t slot = 0; slot < instances; ++slot)
+    {
+        network.submit(network.holder(slot), 150, 0, 5s);
+    }
+    network.submit(network.holder(3), 300);
+    network.run(4800ms);
+    for (int part = 0; part < 20; ++part)
+    {
+        drain(network);
+        network.run(50ms);
+    }
+}
+
 TEST_F(budget_manager_test, withdrawn_request_is_not_decided)
 {
     network.submit(3, burst - 100);
--- a/tests/protocol/peer_codec_test.cpp
+++ b/tests/protocol/peer_codec_test.cpp
@@ -39,7 +39,7 @@
                               duration(12),
                               5};
     loaded_item const item{model_id("base"), adapter_id("notes"), "2", 500};
-    lend_entry const lent{organisation_id("acme"), 1, 2, 3, -4, 5, 6};
+    lend_entry const lent{organisation_id("acme"), 1, 2, 3, -4, 5, 6, 7};
     config_reply reply{4, 8, duration(15), {}, {sample_config()}};
     reply.changes = {replace_config{sample_config()},
                      grant_key{organisation_id("acme"), digest("ef")},
