--- a/src/coordination/detail/budget_pool.cpp
+++ b/src/coordination/detail/budget_pool.cpp
@@ -56,9 +56,18 @@
     forget_members(now);
 }
 
+double budget_pool::funds(member_account const& account) const
+{
+    return terms_.share_burst() - static_cast<double>(account.reserved);
+}
+
 double budget_pool::cap() const
 {
-    double const lent = static_cast<double>(lendings_) * terms_.share_burst();
+    double lent = 0;
+    for (auto const& [key, account] : members_)
+    {
+        lent += account.lends ? funds(account) : 0.0;
+    }
     return std::max(0.0, lent - static_cast<double>(outstanding()));
 }
 
@@ -110,8 +119,14 @@
     }
     merge_counters(now, account, entry);
     account.clock = entry.clock;
-    account.wanted_since = account.wanted > 0 ? account.wanted_since : now;
-    account.wanted = std::max<token_count>(0, entry.wanted);
+    token_count const wanted = std::max<token_count>(0, entry.wanted);
+    if (account.wanted == 0)
+    {
+        account.wanted_since = now;
+        account.turn = wanted;
+    }
+    account.turn = std::min(account.turn, wanted);
+    account.wanted = wanted;
     account.heard_at = now;
     return true;
 }
@@ -171,6 +186,7 @@
         // Only an unbroken lending hands tokens over; see budget_share::lend().
         bucket_.move_in(static_cast<double>(std::max<token_count>(0, handed)));
     }
+    account.reserved = std::max<token_count>(0, entry.reserved);
     account.expires = std::max(account.expires, sent + owner_lend_period);
     apply_cap();
     return begins;
@@ -186,7 +202,8 @@
     }
 }
 
-void budget_pool::lend_own(time_point now, process_key const& self, double tokens)
+void budget_pool::lend_own(time_point now, process_key const& self, double tokens,
+                           token_count reserved)
 {
     member_account& account = members_[self];
     if (!account.lends)
@@ -195,6 +212,7 @@
     }
     account.heard_at = now;
     account.expires = now + owner_lend_period;
+    account.reserved = reserved;
     bucket_.move_in(tokens);
     apply_cap();
 }
@@ -258,14 +276,17 @@
     token_count const possible = std::max<token_count>(0, grantable(account));
     token_count tokens = std::min(account.wanted, possible);
     account.wanted -= tokens;
-    if (tokens > 0)
+    account.turn -= tokens;
+    if (tokens > 0 && account.turn <= 0)
     {
-        tokens += headroom(account, possible - tokens);
+        // What came in during its turn goes behind the other members. Before that the
+        // member keeps its place: parts of a request spread over many members serve none.
+        account.wanted_since = now;
+        account.turn = account.wanted;
     }
     if (tokens > 0)
     {
-        // A member that was served a part goes behind the others.
-        account.wanted_since = now;
+        tokens += headroom(account, possible - tokens);
     }
     return issue(now, member, tokens, no_limit);
 }
@@ -330,19 +351,25 @@
     {
         return now;
     }
-    std::vector<time_point> ends;
+    std::vector<std::pair<time_point, double>> ends;
     for (auto const& [key, account] : members_)
     {
         if (account.lends)
         {
-            ends.push_back(account.expires);
+            ends.emplace_back(account.expires, funds(account));
         }
     }
     std::sort(ends.begin(), ends.end(), std::greater<>());
-    double const shares =
-        std::ceil(static_cast<double>(outstanding) / terms_.share_burst() - 1e-9);
-    auto const needed = static_cast<std::size_t>(std::max(1.0, shares));
-    return needed <= ends.size() ? ends[needed - 1] : now;
+    auto unfunded = static_cast<double>(outstanding) - 1e-6;
+    for (auto const& [end, tokens] : ends)
+    {
+        unfunded -= tokens;
+        if (unfunded <= 0)
+        {
+            return end;
+        }
+    }
+    return now;
 }
 
 std::optional<double> budget_pool::release_own(process_key const& self)
@@ -373,16 +400,21 @@
     }
     // The freshest lendings fund the grants that remain.
     std::sort(lenders.begin(), lenders.end(), std::greater<>());
-    double const kept =
-        terms_.share_burst() > 0
-            ? std::ceil(static_cast<double>(outstanding()) / terms_.share_burst())
-            : 0.0;
+    auto unfunded = static_cast<double>(outstanding());
+    auto const ends =
+        std::find_if(lenders.begin(), lenders.end(),
+                     [&](auto const& lender)
+                     {
+                         bool const needed = unfunded > 0;
+                         unfunded -= needed ? funds(members_.at(lender.second)) : 0.0;
+                         return !needed;
+                     });
     std::vector<addressed_grant> grants;
-    if (kept >= static_cast<double>(lenders.size()))
+    lenders.erase(lenders.begin(), ends);
+    if (lenders.empty())
     {
         return grants;
     }
-    lenders.erase(lenders.begin(), lenders.begin() + static_cast<std::ptrdiff_t>(kept));
     // A member with unspent grants may spend them even if the message is lost.
     std::erase_if(lenders, [this](auto const& lender)
                   { return members_.at(lender.second).counted() > 0; });
--- a/tests/coordination/budget_manager_test.cpp
+++ b/tests/coordination/budget_manager_test.cpp
@@ -281,6 +281,28 @@
     EXPECT_GT(network.sum.tokens, 0.95 * rate * 20);
 }
 
+/// Guards against grants stranded in parts, each too small for the request it waits with.
+TEST_F(budget_manager_test, large_requests_at_all_instances_get_nearly_whole_rate)
+{
+    double sum = 0;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed)
+    {
+        budget_network net(instances, rate, burst, seed);
+        auto const each = [&]
+        {
+            if (net.uniform() < 5 * rate / 450 / 1000)
+            {
+                net.submit(net.random()() % instances,
+                           static_cast<token_count>(300 + net.random()() % 300));
+            }
+        };
+        net.run(20s, each);
+        EXPECT_GE(net.ideal().lowest(), -tolerance);
+        sum += net.sum.tokens;
+    }
+    EXPECT_GT(sum / 8, 0.96 * (rate * 20 + static_cast<double>(burst)));
+}
+
 TEST_F(budget_manager_test, message_loss_refuses_nothing_within_rate)
 {
     network.net.loss = 0.05;
@@ -418,6 +440,39 @@
     EXPECT_LT(network.sum.refused, network.sum.asked / 50);
 }
 
+/// Guards against charging base reservations in full when the share is lent.
+TEST_F(budget_manager_test, base_reservations_are_given_back_after_share_is_lent)
+{
+    network.run(50ms);
+    for (std::size_t slot = 0; slot < instances; ++slot)
+    {
+        network.submit(network.holder(slot), 150, 0, 500ms);
+    }
+    network.submit(network.holder(3), 300);
+    network.run(1s);
+    network.submit(network.holder(5), 2000);
+    network.run(50ms);
+    EXPECT_EQ(network.sum.granted, static_cast<int>(instances) + 2);
+    EXPECT_GE(network.ideal().lowest(), -tolerance);
+}
+
+/// Guards against giving reservations back on top of a pool that has filled up meanwhile.
+TEST_F(budget_manager_test, base_reservations_given_back_late_keep_window_bound)
+{
+    network.run(50ms);
+    for (std::size_t slot = 0; slot < instances; ++slot)
+    {
+        network.submit(network.holder(slot), 150, 0, 5s);
+    }
+    network.submit(network.holder(3), 300);
+    network.run(4800ms);
+    for (int part = 0; part < 20; ++part)
+    {
+        drain(network);
+        network.run(50ms);
+    }
+}
+
 TEST_F(budget_manager_test, withdrawn_request_is_not_decided)
 {
     network.submit(3, burst - 100);
