--- a/bench/cost/fleet_costs.hpp
+++ b/bench/cost/fleet_costs.hpp
@@ -50,8 +50,13 @@
 
 struct outage_result
 {
-    /// Instances with serving authority 10 s after the table service went down.
-    double ready_share = 0;
+    /// Lowest share of instances with serving authority during the outage.
+    double lowest_share = 0;
+    /// Time from the start of the outage until 95 in 100 instances serve under rule (b);
+    /// the limit of the measurement if they never do.
+    double served_after_seconds = 0;
+    /// Mean time without serving authority, over instances.
+    double gap_seconds = 0;
 };
 
 /// The configuration of a measured fleet: rates high enough that no budget refuses.
@@ -60,6 +65,7 @@
 /// Runs a fleet for a few simulated seconds after it has become ready.
 [[nodiscard]] fleet_cost measure_fleet(fleet_load const& load);
 
+/// Takes the table service away from a fleet for 15 s.
 [[nodiscard]] outage_result measure_outage(std::uint32_t instances);
 
 /// Runs one put_adapter change through a fleet of 16, per number of adapters: simulated
