Close the serving gap at the start of a table outage

Cause: a lease lapses 3.4 to 5.4 s after the table's last answer, but rule (b) counted members only after 6 s without contact, and was computed only after the lease had lapsed. Between the two no instance served, and requests inside their organisation's rate were refused with no_authority.

Change: no contact is reported after 0.45 of the time to live (2.7 s); a gap of 0.8 of that starts a claimant's unbroken contact anew, so a member that rule (b) counted cannot back a claim until 6.6 s after its contact returned, and rule (b) ends 5.4 s after the report. Gossip runs every 100 ms in an outage.

--- a/src/coordination/detail/authority_state.cpp
+++ b/src/coordination/detail/authority_state.cpp
@@ -32,7 +32,7 @@
 
 void store_contact::note(time_point now)
 {
-    if (!last_ || now - *last_ >= periods_.cautious)
+    if (!last_ || now - *last_ >= periods_.contact_gap)
         since_ = now;
     last_ = now;
 }
@@ -44,7 +44,7 @@
 
 bool store_contact::unbroken_for(time_point now, duration period) const
 {
-    return last_ && now - *last_ < periods_.cautious && since_ <= now - period;
+    return last_ && now - *last_ < periods_.contact_gap && since_ <= now - period;
 }
 
 authority_state::authority_state(instance_identity identity, lease_timing timing)
@@ -165,7 +165,9 @@
 void authority_state::refresh_rule_b(time_point now)
 {
     rule_b_until_.reset();
-    if (lease_.valid(now) || members_.highest_config(now) > view_.version)
+    // Also while the lease is valid, so that the rule is ready when it lapses between
+    // events.
+    if (members_.highest_config(now) > view_.version)
         return;
     auto const& held = lease_.held();
     std::vector<time_point> ends;
@@ -231,7 +233,7 @@
 
 bool authority_state::has_store_contact(time_point now) const
 {
-    return contact_.age(now) < periods_.time_to_live;
+    return contact_.age(now) < periods_.no_contact;
 }
 
 /// Counts slots whose holders had contact during the whole period. The set has to be the
--- a/src/coordination/detail/authority_table.cpp
+++ b/src/coordination/detail/authority_table.cpp
@@ -10,7 +10,10 @@
     expire_pending(now);
     if (now >= next_gossip_)
     {
-        next_gossip_ = now + gossip_every;
+        // In an outage rule (b) waits until a majority was heard directly, so gossip
+        // hurries.
+        next_gossip_ =
+            now + (has_store_contact(now) ? gossip_every : gossip_in_outage_every);
         gossip_round(now, out);
     }
     if (state_ == instance_state::left)
--- a/src/coordination/detail/gossip_sender.hpp
+++ b/src/coordination/detail/gossip_sender.hpp
@@ -10,6 +10,8 @@
 {
 
 inline constexpr duration gossip_every = std::chrono::milliseconds(250);
+/// The same while the table service does not answer.
+inline constexpr duration gossip_in_outage_every = std::chrono::milliseconds(100);
 /// Peers and entries for each round; constant, so that the cost does not depend on the
 /// size of the fleet.
 inline constexpr std::size_t gossip_peers = 3;
--- a/src/coordination/detail/member_table.cpp
+++ b/src/coordination/detail/member_table.cpp
@@ -29,7 +29,8 @@
     : time_to_live(timing.time_to_live),
       cautious(scaled(timing.time_to_live, 1.0 - timing.drift_margin)),
       patient(scaled(timing.time_to_live, 1.0 + timing.drift_margin)),
-      recent_contact(timing.time_to_live / 2)
+      recent_contact(timing.time_to_live / 2),
+      no_contact(scaled(timing.time_to_live, 0.45)), contact_gap(scaled(no_contact, 0.8))
 {
 }
 
@@ -62,7 +63,7 @@
         return;
     if (is_new || order_of(entry) > order_of(known.entry))
         take(now, known, entry, is_new);
-    bool const without_contact = entry.store_contact_age >= periods_.time_to_live;
+    bool const without_contact = entry.store_contact_age >= periods_.no_contact;
     if (direct)
     {
         known.direct_at = now;
@@ -82,7 +83,7 @@
     if (restarted)
         known = member{};
     // A gap as long as this may hide a report of no contact, which rule (b) counts.
-    if (restarted || contact - known.contact_at >= periods_.cautious)
+    if (restarted || contact - known.contact_at >= periods_.contact_gap)
         known.contact_since = contact;
     known.contact_at = restarted ? contact : std::max(contact, known.contact_at);
     known.entry = entry;
--- a/src/coordination/detail/member_table.hpp
+++ b/src/coordination/detail/member_table.hpp
@@ -25,6 +25,14 @@
     /// `patient`, so that a holder whose renewals ended together with everyone's store
     /// contact can tell that nobody has claimed its slot.
     duration recent_contact;
+    /// Without an answer of the table service for this long an instance reports no
+    /// contact, which rule (b) counts. Less than a lease has left when it was due for
+    /// renewal, so that rule (b) can hold before the lease lapses.
+    duration no_contact;
+    /// A gap in contact of this length starts the unbroken contact anew that a claim
+    /// needs. Shorter than no_contact by more than a message's way, so that no report of
+    /// missing contact goes unnoticed by a claimant.
+    duration contact_gap;
 };
 
 /// What this instance knows of another one from gossip.
@@ -39,7 +47,7 @@
     time_point contact_since{};
     /// When the member's own message arrived last.
     std::optional<time_point> direct_at;
-    /// Whether that message reported no store contact for the time to live.
+    /// Whether that message reported no store contact.
     bool direct_without_contact = false;
 };
 
--- a/tests/coordination/serving_authority_test.cpp
+++ b/tests/coordination/serving_authority_test.cpp
@@ -382,6 +382,20 @@
     EXPECT_TRUE(authority(0).lease_valid(fleet_.now));
 }
 
+// Guards against a fleet that refuses all callers between the end of its leases and the
+// moment at which rule (b) holds.
+TEST_F(serving_authority_test, store_going_down_leaves_no_moment_without_authority)
+{
+    fleet_.start_many(14);
+    fleet_.run(seconds(10));
+    fleet_.table.down = true;
+    for (duration passed{0}; passed < seconds(15); passed += tick_interval)
+    {
+        fleet_.run(tick_interval);
+        ASSERT_EQ(fleet_.serving(), 14U) << "after " << passed.count() << " us";
+    }
+}
+
 TEST_F(serving_authority_test, instance_cut_off_stops_within_time_to_live)
 {
     fleet_.start_many(14);
