Spread leaving servers and poison signatures by gossip

Cause: gossip messages had the fields, and receivers merged them, but nobody filled them, so an instance whose list lagged went on sending work to a leaving server. leaving_server_is_passed_on_by_gossip fails without the change.

--- a/src/coordination/instance_core.cpp
+++ b/src/coordination/instance_core.cpp
@@ -23,6 +23,10 @@
 /// Time for the last writes (released slot and pools) to reach the table service.
 constexpr duration departure_grace = std::chrono::milliseconds(500);
 
+/// Bounds of what one gossip message carries, so that its size stays flat.
+constexpr std::size_t gossip_poison_signatures = 4;
+constexpr std::size_t gossip_leaving_servers = 16;
+
 /// Where a draining instance stands.
 enum class drain_phase
 {
@@ -43,6 +47,7 @@
     explicit state(core_settings chosen);
 
     void handle_one(time_point now, event const& input, actions& out);
+    void complete_gossip(action& done);
     void update_views(time_point now, actions& out);
     void update_ready(time_point now, actions& out);
     void start_drain(time_point now, actions& out);
@@ -105,6 +110,19 @@
     }
 }
 
+/// Adds to outgoing gossip what other components spread by it.
+void instance_core::state::complete_gossip(action& done)
+{
+    auto* const sent = std::get_if<send_peer>(&done);
+    auto* const message = sent == nullptr ? nullptr : std::get_if<gossip>(&sent->message);
+    if (message == nullptr)
+        return;
+    message->poisonous = poison->next_for_gossip(gossip_poison_signatures);
+    message->leaving = backends->leaving();
+    if (message->leaving.size() > gossip_leaving_servers)
+        message->leaving.resize(gossip_leaving_servers);
+}
+
 void instance_core::state::update_views(time_point, actions& out)
 {
     auto const& current = config->current();
@@ -198,7 +216,10 @@
             if (auto* const raised = std::get_if<raise_event>(&entry))
                 pending.push_back(std::move(raised->raised));
             else
+            {
+                state_->complete_gossip(entry);
                 done.push_back(std::move(entry));
+            }
         }
     }
     return done;
