--- a/fuzz/driver.cpp
+++ b/fuzz/driver.cpp
@@ -53,7 +53,9 @@
 
 void replace_byte(std::string& input, generator& random)
 {
-    static constexpr std::string_view bytes("\0\1\x7f\x80\xff\"\\[]{},:0-9eE.tn ", 24);
+    using namespace std::string_view_literals;
+    // The literal keeps the NUL byte.
+    static constexpr auto bytes = "\0\1\x7f\x80\xff\"\\[]{},:0-9eE.tn "sv;
     if (!input.empty())
         input[below(random, input.size())] = bytes[below(random, bytes.size())];
 }
--- a/src/protocol/peer_archive.hpp
+++ b/src/protocol/peer_archive.hpp
@@ -127,7 +127,7 @@
     void value(std::variant<Types...> const& source)
     {
         archive_(static_cast<std::uint8_t>(source.index()));
-        std::visit([this](auto const& alternative) { value(alternative); }, source);
+        std::visit([this](auto const& alternative) { this->value(alternative); }, source);
     }
     template <class List>
     void list(List const& source)
--- a/src/protocol/platform_codec.cpp
+++ b/src/protocol/platform_codec.cpp
@@ -32,7 +32,7 @@
                                       order_result::stale_fence, order_result::no_memory,
                                       order_result::not_loaded};
 
-std::string with_status(std::string detail, unsigned status)
+std::string with_status(std::string const& detail, unsigned status)
 {
     return detail + " (status " + std::to_string(status) + ")";
 }
