Share the refusal that keeps an entry open, and drop two empty sources

give_up_attempt() and end_request() ended the caller's part with the same four lines. component.cpp and bounded_ring.cpp only included their headers.

--- a/src/coordination/component.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "coordination/component.hpp"
--- a/src/coordination/flow/ending.cpp
+++ b/src/coordination/flow/ending.cpp
@@ -67,12 +67,8 @@
     if (entry.ledger_asked)
         parts_.idempotency.mark_unknown(now, entry.request.id, out);
     entry.ledger_asked = false;
-    if (entry.detached)
-        return;
-    entry.detached = true;
-    reason.ran = execution_of(entry);
-    note(entry, now, "caller was told: " + std::string(name_of(reason.code)));
-    out.push_back(refuse_request{entry.request.id, std::move(reason)});
+    if (!entry.detached)
+        refuse_and_detach(now, entry, std::move(reason), out);
 }
 
 void flow_engine::close(time_point now, open_request& entry, token_count used,
@@ -112,6 +108,17 @@
     refuse(now, *entry, refusal{}, out);
 }
 
+/// The entry outlives its caller: the answer is kept for a repeat, and a crash of the
+/// backend server is still counted.
+void flow_engine::refuse_and_detach(time_point now, open_request& entry, refusal reason,
+                                    actions& out)
+{
+    entry.detached = true;
+    reason.ran = execution_of(entry);
+    note(entry, now, "caller was told: " + std::string(name_of(reason.code)));
+    out.push_back(refuse_request{entry.request.id, std::move(reason)});
+}
+
 void flow_engine::end_request(time_point now, open_request& entry, refusal reason,
                               actions& out)
 {
@@ -119,12 +126,7 @@
     if ((at_backend && entry.at_most_once) ||
         entry.phase == request_phase::verifying_break)
     {
-        // The entry outlives its caller: the answer is kept for a repeat, and a crash of
-        // the backend server is still counted.
-        entry.detached = true;
-        reason.ran = execution_of(entry);
-        note(entry, now, "caller was told: " + std::string(name_of(reason.code)));
-        out.push_back(refuse_request{entry.request.id, std::move(reason)});
+        refuse_and_detach(now, entry, std::move(reason), out);
         return;
     }
     if (at_backend)
--- a/src/coordination/flow/flow_engine.hpp
+++ b/src/coordination/flow/flow_engine.hpp
@@ -80,6 +80,8 @@
     // ending.cpp: final answers.
     void refuse(time_point now, open_request& entry, refusal reason, actions& out);
     void end_request(time_point now, open_request& entry, refusal reason, actions& out);
+    void refuse_and_detach(time_point now, open_request& entry, refusal reason,
+                           actions& out);
     void give_up_attempt(time_point now, open_request& entry, refusal reason,
                          actions& out);
     void close(time_point now, open_request& entry, token_count used,
--- a/src/transport/bounded_ring.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "transport/bounded_ring.hpp"
