Tell the authority the configuration once

config_history sets it and raises config_changed when a version comes into force; instance_core compared versions after every component of every event and did both again, so each change was rechecked twice.

--- a/src/coordination/instance_core.cpp
+++ b/src/coordination/instance_core.cpp
@@ -8,7 +8,6 @@
 
 #include <array>
 #include <deque>
-#include <optional>
 #include <utility>
 
 namespace carawayturn
@@ -48,7 +47,6 @@
 
     void handle_one(time_point now, event const& input, actions& out);
     void complete_gossip(action& done);
-    void update_views(time_point now, actions& out);
     void update_ready(time_point now, actions& out);
     void start_drain(time_point now, actions& out);
     void advance_drain(time_point now, actions& out);
@@ -66,7 +64,6 @@
     /// In the order in which they see each event.
     std::vector<std::pair<char const*, component*>> components;
 
-    std::optional<config_version> announced_version;
     bool ready = false;
     drain_phase drain = drain_phase::none;
     time_point drain_started{};
@@ -97,10 +94,7 @@
 void instance_core::state::handle_one(time_point now, event const& input, actions& out)
 {
     for (auto const& [name, part] : components)
-    {
         part->handle(now, input, out);
-        update_views(now, out);
-    }
     if (std::holds_alternative<drain_requested>(input))
         start_drain(now, out);
     if (std::holds_alternative<tick>(input))
@@ -123,16 +117,6 @@
         message->leaving.resize(gossip_leaving_servers);
 }
 
-void instance_core::state::update_views(time_point, actions& out)
-{
-    auto const& current = config->current();
-    if (announced_version == current.version)
-        return;
-    announced_version = current.version;
-    authority->set_config({current.version, current.instance_slots});
-    out.push_back(raise_event{config_changed{current.version}});
-}
-
 void instance_core::state::update_ready(time_point now, actions& out)
 {
     bool const now_ready = drain == drain_phase::none && config->current().version > 0 &&
--- a/src/coordination/serving_authority.hpp
+++ b/src/coordination/serving_authority.hpp
@@ -39,8 +39,7 @@
 class serving_authority : public component
 {
 public:
-    /// What the component needs to know of the configuration in force; set by
-    /// instance_core.
+    /// What the component needs to know of the configuration in force; set by config_log.
     struct config_view
     {
         config_version version = 0;
