Take order counts from reports and never from the store's rows

Cause: the field seq holds heartbeats in a server's row and accepted orders in a report. All orders expected the heartbeat number and were denied (409), 18 of 18 in the log of the hub.

--- a/src/coordination/entry/directory_log.cpp
+++ b/src/coordination/entry/directory_log.cpp
@@ -7,7 +7,7 @@
 {
     auto const found = entries_.find(record.id);
     if (found != entries_.end() && !found->second.removed &&
-        found->second.record.same_state(record))
+        found->second.record == record)
         return false;
     entries_[record.id] = {record, ++revision_, false};
     return true;
--- a/src/coordination/entry/directory_log.hpp
+++ b/src/coordination/entry/directory_log.hpp
@@ -17,7 +17,7 @@
 public:
     explicit directory_log(std::uint64_t hub_incarnation) : hub_(hub_incarnation) {}
 
-    /// Returns whether anything but the order count changed.
+    /// Returns whether anything changed.
     bool put(backend_record const& record);
     void remove(std::string const& id);
 
--- a/src/coordination/entry/placement_planner.cpp
+++ b/src/coordination/entry/placement_planner.cpp
@@ -19,6 +19,9 @@
 constexpr duration confirmation_time = std::chrono::seconds(4);
 /// Reports are some hundred milliseconds old; an unknown outcome shows after this time.
 constexpr duration report_lag = std::chrono::milliseconds(400);
+/// Runners write their record at each heartbeat; it may show the state before an order
+/// for this long.
+constexpr duration record_lag = std::chrono::seconds(3);
 constexpr duration report_interval = std::chrono::milliseconds(150);
 /// A load that takes this many times its usual time has failed.
 constexpr int give_up_factor = 4;
@@ -107,16 +110,14 @@
         changed_.insert(record.id);
         return;
     }
-    bool const older = record.order_count < runner.record.order_count;
     auto next = record;
-    if (older || runner.order_out || runner.unsure || runner.loading)
+    if (runner.order_out || runner.loading || now < runner.records_old_until)
     {
         next.models = runner.record.models;
         next.cached_in_memory = runner.record.cached_in_memory;
         next.cached_on_disk = runner.record.cached_on_disk;
-        next.order_count = runner.record.order_count;
     }
-    bool const changed = !runner.record.same_state(next);
+    bool const changed = runner.record != next;
     auto models = std::move(next.models);
     next.models = runner.record.models;
     runner.record = std::move(next);
@@ -447,7 +448,7 @@
     runner_order order;
     order.runner = runner.record.id;
     order.address = runner.record.address;
-    order.expected_count = runner.record.order_count;
+    order.expected_count = runner.order_count;
     if (!runner.victims.empty())
     {
         order.what = runner_order::action::unload;
@@ -470,7 +471,7 @@
     runner_order order;
     order.runner = runner.record.id;
     order.address = runner.record.address;
-    order.expected_count = runner.record.order_count;
+    order.expected_count = runner.order_count;
     order.target = target;
     if (adapter_count(runner.record) + runner.arriving.size() < engine.adapter_slots)
         return order;
@@ -630,7 +631,8 @@
     {
     case order_outcome::accepted:
     case order_outcome::done:
-        runner.record.order_count = order.expected_count + 1;
+        runner.order_count = order.expected_count + 1;
+        runner.records_old_until = now + record_lag;
         if (order.what == runner_order::action::unload)
             unload_done(runner, order.target);
         else
@@ -705,18 +707,18 @@
         runner = {};
         runner.record = std::move(record);
         runner.record.born_ms = *report.born_ms;
-        runner.record.order_count = report.order_count;
         runner.record.models = report.models;
+        runner.next_report = now + report_lag;
         changed_.insert(id);
         return;
     }
-    bool const current = report.order_count >= runner.record.order_count;
+    bool const current = report.order_count >= runner.order_count;
     if (runner.unsure)
     {
         if (report.busy || !current)
             return;
         runner.unsure = false;
-        runner.record.order_count = report.order_count;
+        runner.order_count = report.order_count;
         runner.confirmed.clear();
         adopt(runner, report.models, now);
         if (runner.goal && holds(runner.record, runner.goal->target.model))
--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -117,8 +117,12 @@
         backend_record record;
         /// An order was sent and is not answered.
         bool order_out = false;
-        /// The outcome or the order count is unknown until a report tells.
-        bool unsure = false;
+        /// The order count, or what an order did, is unknown until a report tells.
+        bool unsure = true;
+        /// Orders accepted since the runner's start.
+        std::int64_t order_count = 0;
+        /// Records of the store may be older than the last order's effect until then.
+        time_point records_old_until{};
         /// An unsure runner, or one that works on a load, is asked from then on.
         time_point next_report{};
         bool report_out = false;
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -21,8 +21,8 @@
 void serialize(Archive& archive, backend_record& value)
 {
     archive(value.id, value.service, value.address, value.failure_domain, value.slots,
-            value.draining, value.born_ms, value.order_count, value.models,
-            value.cached_in_memory, value.cached_on_disk);
+            value.draining, value.born_ms, value.models, value.cached_in_memory,
+            value.cached_on_disk);
 }
 
 template <class Archive>
--- a/src/state/entry/backend_record.hpp
+++ b/src/state/entry/backend_record.hpp
@@ -32,20 +32,11 @@
     bool draining = false;
     /// Unix time of its start in milliseconds; differs between incarnations.
     std::int64_t born_ms = 0;
-    /// Number of orders accepted since its start.
-    std::int64_t order_count = 0;
     std::vector<held_model> models;
     /// Models whose weights lie in the machine's memory or on its disk.
     std::vector<std::string> cached_in_memory;
     std::vector<std::string> cached_on_disk;
 
-    /// Whether everything but the order count is equal.
-    [[nodiscard]] bool same_state(backend_record const& other) const
-    {
-        backend_record copy = other;
-        copy.order_count = order_count;
-        return copy == *this;
-    }
     friend bool operator==(backend_record const&, backend_record const&) = default;
 };
 
@@ -59,6 +50,7 @@
     std::vector<std::string> pending_adapters;
     /// A model order is being carried out.
     bool busy = false;
+    /// Number of orders accepted since its start.
     std::int64_t order_count = 0;
     std::optional<std::int64_t> born_ms;
 };
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -147,7 +147,7 @@
 void entry_node::put_on_board(backend_record const& record)
 {
     auto const* const known = board_.find(record.id);
-    if (known == nullptr || !known->same_state(record))
+    if (known == nullptr || *known != record)
     {
         if (known != nullptr && known->born_ms != record.born_ms)
             connections_.drop(record.id);
