--- a/src/coordination/entry/placement_planner.cpp
+++ b/src/coordination/entry/placement_planner.cpp
@@ -76,21 +76,49 @@
     return count;
 }
 
-double used_mb(engine_traits const& engine, backend_record const& record)
+double adapter_size(engine_traits const& engine, std::string const& model)
 {
-    double used = 0;
-    for (auto const& held : record.models)
+    auto const* const known = engine.find(model);
+    return known == nullptr ? 0 : known->adapter_mb;
+}
+
+/// The models of a report with the adapters that are on their way to the runner, which
+/// take places already.
+std::vector<held_model> models_with_pending(runner_report const& report)
+{
+    auto models = report.models;
+    for (auto const& pending : report.pending_adapters)
     {
-        auto const* const known = engine.find(held.name);
-        used += weights_of(engine, held.name);
-        if (known != nullptr)
-            used += known->adapter_mb * static_cast<double>(held.adapters.size());
+        auto const key = model_key::parse(pending.substr(0, pending.find('@')));
+        for (auto& held : models)
+            if (held.name == key.model && !contains(held.adapters, key.adapter))
+                held.adapters.push_back(key.adapter);
     }
-    return used;
+    return models;
+}
+
+bool same_models(std::vector<held_model> const& some, std::vector<held_model> const& others)
+{
+    return std::is_permutation(some.begin(), some.end(), others.begin(), others.end(),
+                               [](held_model const& a, held_model const& b)
+                               { return a.name == b.name; });
 }
 
 } // namespace
 
+double placement_planner::used_mb(engine_traits const& engine, runner_state const& runner)
+{
+    double used = 0;
+    for (auto const& held : runner.record.models)
+        used += weights_of(engine, held.name) +
+                adapter_size(engine, held.name) * static_cast<double>(held.adapters.size());
+    for (auto const& [key, ready] : runner.arriving)
+        used += adapter_size(engine, key.model);
+    if (runner.loading)
+        used += weights_of(engine, runner.loading->target.model);
+    return used;
+}
+
 void placement_planner::reset()
 {
     runners_.clear();
@@ -111,19 +139,24 @@
         return;
     }
     auto next = record;
-    if (runner.order_out || runner.loading || now < runner.records_old_until)
+    // Records are written at heartbeats and may arrive late, so they never replace what
+    // reports and answers told; one that differs for long calls for a report.
+    next.models = runner.record.models;
+    if (runner.loading || now < runner.records_old_until)
     {
-        next.models = runner.record.models;
         next.cached_in_memory = runner.record.cached_in_memory;
         next.cached_on_disk = runner.record.cached_on_disk;
     }
-    bool const changed = runner.record != next;
-    auto models = std::move(next.models);
-    next.models = runner.record.models;
+    else if (!runner.order_out && !same_models(record.models, runner.record.models))
+    {
+        runner.unsure = true;
+        runner.next_report = now;
+        runner.records_old_until = now + record_lag;
+    }
+    if (runner.record == next)
+        return;
     runner.record = std::move(next);
-    adopt(runner, std::move(models), now);
-    if (changed)
-        changed_.insert(record.id);
+    changed_.insert(record.id);
 }
 
 void placement_planner::adopt(runner_state& runner, std::vector<held_model> models,
@@ -297,7 +330,7 @@
                                        plan_option& option)
 {
     auto const& engine = *service.engine;
-    double room = engine.weights_mb - used_mb(engine, runner.record);
+    double room = engine.weights_mb - used_mb(engine, runner);
     struct victim
     {
         std::string name;
@@ -445,6 +478,19 @@
 {
     if (!runner.free_for_orders(now) || runner.loading || !runner.goal)
         return std::nullopt;
+    auto const* const service = config_->find_service(runner.record.service);
+    if (service == nullptr || !service->engine)
+        return std::nullopt;
+    auto const& engine = *service->engine;
+    bool const fits = used_mb(engine, runner) +
+                          weights_of(engine, runner.goal->target.model) <=
+                      engine.weights_mb;
+    if (runner.victims.empty() && !fits)
+    {
+        // Adapters took the room since the goal was set.
+        runner.goal.reset();
+        return std::nullopt;
+    }
     runner_order order;
     order.runner = runner.record.id;
     order.address = runner.record.address;
@@ -473,7 +519,9 @@
     order.address = runner.record.address;
     order.expected_count = runner.order_count;
     order.target = target;
-    if (adapter_count(runner.record) + runner.arriving.size() < engine.adapter_slots)
+    bool const fits = used_mb(engine, runner) + adapter_size(engine, target.model) <=
+                      engine.weights_mb;
+    if (fits && adapter_count(runner.record) + runner.arriving.size() < engine.adapter_slots)
         return order;
     std::optional<model_key> oldest;
     time_point oldest_use = time_point::max();
@@ -633,7 +681,14 @@
     case order_outcome::done:
         runner.order_count = order.expected_count + 1;
         runner.records_old_until = now + record_lag;
-        if (order.what == runner_order::action::unload)
+        if (order.what == runner_order::action::unload && !order.target.adapter.empty() &&
+            outcome == order_outcome::accepted)
+        {
+            // A request uses the adapter; it keeps its place until a report lacks it.
+            runner.unsure = true;
+            runner.next_report = now + report_lag;
+        }
+        else if (order.what == runner_order::action::unload)
             unload_done(runner, order.target);
         else
             load_accepted(runner, order, now);
@@ -720,7 +775,8 @@
         runner.unsure = false;
         runner.order_count = report.order_count;
         runner.confirmed.clear();
-        adopt(runner, report.models, now);
+        runner.arriving.clear();
+        adopt(runner, models_with_pending(report), now);
         if (runner.goal && holds(runner.record, runner.goal->target.model))
             runner.goal.reset();
         if (!runner.goal)
--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -168,6 +168,9 @@
     void plan_adapters(served_service const& service, time_point now,
                        std::vector<runner_order>& orders);
     void take_arrived(time_point now);
+    /// Memory of everything that the runner holds or was ordered to load.
+    [[nodiscard]] static double used_mb(engine_traits const& engine,
+                                        runner_state const& runner);
     [[nodiscard]] std::optional<runner_order> adapter_order(engine_traits const& engine,
                                                             runner_state& runner,
                                                             model_key const& target);
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -37,6 +37,7 @@
 /// Part of the rate that an instance asks for in advance, in seconds over all instances.
 constexpr double quota_reserve_s = 0.2;
 /// Times to come back after refusals whose cause passes by itself.
+constexpr duration now_elsewhere = std::chrono::milliseconds(20);
 constexpr duration soon = std::chrono::milliseconds(300);
 constexpr duration later = std::chrono::milliseconds(1000);
 
@@ -226,6 +227,9 @@
 {
     if (now >= start_deadline_)
         return refusal{503, "deadline_unreachable", later};
+    // Another instance can wait for it longer than this one lives.
+    if (services_.draining)
+        return refusal{503, "draining", now_elsewhere};
     if (outcome == choice_outcome::full)
         return refusal{503, "backends_full", later};
     if (outcome == choice_outcome::no_backend)
