Close idle callers on shutdown and leave time for the last bytes

A stopping instance kept its idle connections, took a request on one 7.2 s after SIGTERM and ended with it open; another ended in the moment in which the last bytes had been written. Ruled out: a crash, since the exit is the one of the drain.

--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 
@@ -54,5 +55,6 @@
     entry::entry_node node(std::get<entry::node_settings>(std::move(settings)),
                            read_settings, new_incarnation());
     auto const ended = node.run();
-    return succeeded(ended) ? 0 : fail(std::get<error>(ended));
+    // Ends without destructors: suspended requests refer to the node and to each other.
+    std::_Exit(succeeded(ended) ? 0 : fail(std::get<error>(ended)));
 }
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -82,8 +82,10 @@
     // An idle connection holds no buffer.
     buffer_.shrink_to_fit();
     socket_->set_deadline(boot_now() + limits().idle_timeout);
+    services_.idle_callers.insert(socket_.get());
     auto const [failure] =
         co_await socket_->socket().async_wait(tcp_socket::wait_read, use_task);
+    services_.idle_callers.erase(socket_.get());
     co_return !failure;
 }
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -32,6 +32,8 @@
 constexpr duration notice_time = std::chrono::milliseconds(2600);
 /// What is left of the grace time when the process ends whatever is still running.
 constexpr duration grace_margin = std::chrono::milliseconds(600);
+/// The last bytes to callers leave in this time before the process ends.
+constexpr duration linger_time = std::chrono::milliseconds(300);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// A confirmation this old ends the trust in the hub's reading; the instance reads
 /// itself.
@@ -85,7 +87,7 @@
                                    board_,        connections_, quota_,     retries_,
                                    demand_,       changes_,     link_,      log_,
                                    metrics_,      random_,      in_flight_, draining_,
-                                   open_requests_},
+                                   open_requests_, idle_callers_},
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this), keeper_(services_, store_, lease_),
       callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_)
@@ -503,6 +505,14 @@
                {{"store", settings_.store_address}, {"moved", std::int64_t{moved}}});
 }
 
+void entry_node::refuse_new_callers()
+{
+    boost::system::error_code ignored;
+    callers_.close(ignored);
+    for (auto* const idle : idle_callers_)
+        idle->close();
+}
+
 task<void> entry_node::drain()
 {
     auto const began = boot_now();
@@ -513,11 +523,17 @@
     co_await keeper_.release();
     follow_hub_role();
     steady_timer timer(io_);
-    while (boot_now() < last && (open_requests_ > 0 || boot_now() - began < notice_time))
+    while (boot_now() < last &&
+           (open_requests_ > 0 || boot_now() - began < notice_time))
     {
+        if (boot_now() - began >= notice_time)
+            refuse_new_callers();
         timer.expires_after(drain_poll);
         co_await timer.async_wait(use_task);
     }
+    refuse_new_callers();
+    timer.expires_after(linger_time);
+    co_await timer.async_wait(use_task);
     io_.stop();
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -53,6 +53,7 @@
     [[nodiscard]] task<void> serve_metrics();
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
+    void refuse_new_callers();
     void reload();
     [[nodiscard]] bool ready() const;
     void follow_readiness();
@@ -81,6 +82,7 @@
     std::map<std::pair<std::string, std::string>, std::uint32_t> in_flight_;
     bool draining_ = false;
     std::uint32_t open_requests_ = 0;
+    std::set<watched_socket*> idle_callers_;
     order_lease lease_;
     hub_state hub_;
     bool hub_active_ = false;
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -15,6 +15,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace carawayturn::entry
@@ -62,6 +63,8 @@
     /// Set once the instance shuts down.
     bool const& draining;
     std::uint32_t& open_requests;
+    /// Callers' connections with no request on them.
+    std::set<watched_socket*>& idle_callers;
 };
 
 } // namespace carawayturn::entry
