Let plain servers follow their records at the hub; tests of the decisions

Servers that were read before the first configuration were put to the planner whatever their service, and the directory kept the planner's copy of that moment, so a later 'draining' reached nobody. Seen in the log: no instance changed its belief from 24.4 s until the hub died at 28.4 s. Ruled out: a slow feed, since the hub took changes of other servers. Test: hub_state_test.server_listed_before_the_configuration_is_told_as_leaving.

--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -23,13 +23,33 @@
     ledger_.reset(first ? 1.0 : inherited_fill);
 }
 
-void hub_state::put_server(backend_record const& record, time_point now)
+bool hub_state::is_runner(backend_record const& record) const
 {
     auto const* const service = config_ ? config_->find_service(record.service) : nullptr;
-    if (service == nullptr || service->engine)
-        planner_.put_runner(record, now);
-    auto const* const view = planner_.view(record.id);
-    directory_.put(view != nullptr ? *view : record);
+    return service != nullptr && service->engine.has_value();
+}
+
+void hub_state::put_server(backend_record const& record, time_point now)
+{
+    if (!is_runner(record))
+    {
+        directory_.put(record);
+        return;
+    }
+    planner_.put_runner(record, now);
+    directory_.put(*planner_.view(record.id));
+}
+
+void hub_state::follow_config(config_authority const& authority, time_point now)
+{
+    if (config_ == authority.current())
+        return;
+    config_ = authority.current();
+    planner_.set_config(config_.get());
+    // Runners whose service was not known as one when they were recorded.
+    for (auto const& [id, record] : directory_.records())
+        if (is_runner(record) && planner_.view(id) == nullptr)
+            planner_.put_runner(record, now);
 }
 
 void hub_state::remove_server(std::string const& id)
@@ -101,8 +121,7 @@
 std::vector<runner_order> hub_state::plan(config_authority const& authority,
                                           time_point now)
 {
-    config_ = authority.current();
-    planner_.set_config(config_.get());
+    follow_config(authority, now);
     for (auto& [service, demand] : fleet_.demand(now))
         planner_.set_demand(service, demand);
     planner_.set_in_flight(fleet_.in_flight(now));
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -49,6 +49,8 @@
     void add_directory(node_status const& known, node_update& update) const;
 
 private:
+    [[nodiscard]] bool is_runner(backend_record const& record) const;
+    void follow_config(config_authority const& authority, time_point now);
     [[nodiscard]] quota_reply grant(quota_ask const& ask, serving_config const& config,
                                     time_point now);
 
--- a/src/coordination/entry/placement_planner.cpp
+++ b/src/coordination/entry/placement_planner.cpp
@@ -97,7 +97,8 @@
     return models;
 }
 
-bool same_models(std::vector<held_model> const& some, std::vector<held_model> const& others)
+bool same_models(std::vector<held_model> const& some,
+                 std::vector<held_model> const& others)
 {
     return std::is_permutation(some.begin(), some.end(), others.begin(), others.end(),
                                [](held_model const& a, held_model const& b)
@@ -110,8 +111,9 @@
 {
     double used = 0;
     for (auto const& held : runner.record.models)
-        used += weights_of(engine, held.name) +
-                adapter_size(engine, held.name) * static_cast<double>(held.adapters.size());
+        used +=
+            weights_of(engine, held.name) +
+            adapter_size(engine, held.name) * static_cast<double>(held.adapters.size());
     for (auto const& [key, ready] : runner.arriving)
         used += adapter_size(engine, key.model);
     if (runner.loading)
@@ -482,9 +484,9 @@
     if (service == nullptr || !service->engine)
         return std::nullopt;
     auto const& engine = *service->engine;
-    bool const fits = used_mb(engine, runner) +
-                          weights_of(engine, runner.goal->target.model) <=
-                      engine.weights_mb;
+    bool const fits =
+        used_mb(engine, runner) + weights_of(engine, runner.goal->target.model) <=
+        engine.weights_mb;
     if (runner.victims.empty() && !fits)
     {
         // Adapters took the room since the goal was set.
@@ -519,9 +521,10 @@
     order.address = runner.record.address;
     order.expected_count = runner.order_count;
     order.target = target;
-    bool const fits = used_mb(engine, runner) + adapter_size(engine, target.model) <=
-                      engine.weights_mb;
-    if (fits && adapter_count(runner.record) + runner.arriving.size() < engine.adapter_slots)
+    bool const fits =
+        used_mb(engine, runner) + adapter_size(engine, target.model) <= engine.weights_mb;
+    if (fits &&
+        adapter_count(runner.record) + runner.arriving.size() < engine.adapter_slots)
         return order;
     std::optional<model_key> oldest;
     time_point oldest_use = time_point::max();
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -79,6 +79,8 @@
         auto const [failure, size] =
             co_await http::async_write(socket_->socket(), upload_->request, use_task);
         upload_->finished = !failure;
+        if (failure)
+            note_failure(failure);
         co_return upload_->finished;
     }
     auto write = [](std::shared_ptr<watched_socket> socket,
@@ -117,9 +119,11 @@
         begin_answer();
         auto const [failure, size] = co_await http::async_read_header(
             socket_->socket(), buffer_, *parser_, use_task);
-        answer_begun_ = answer_begun_ || size > 0;
         if (failure)
+        {
+            note_failure(failure);
             co_return read_outcome::failed;
+        }
         if (parser_->get().result_int() < 200)
             continue;
         if (platform::decode_facts(parser_->get()).request_id == request_id_)
@@ -127,9 +131,15 @@
         if (!co_await skip_answer())
             co_return read_outcome::failed;
     }
+    failure_ = "answers to other requests only";
     co_return read_outcome::failed;
 }
 
+void backend_exchange::note_failure(boost::system::error_code failure)
+{
+    failure_ = socket_->expired() ? "deadline passed" : failure.message();
+}
+
 task<read_outcome> backend_exchange::read_body()
 {
     piece_size_ = 0;
@@ -145,7 +155,10 @@
         co_await http::async_read_some(socket_->socket(), buffer_, *parser_, use_task);
     piece_size_ = piece_.size() - body.size;
     if (failure && failure != http::error::need_buffer)
+    {
+        note_failure(failure);
         co_return read_outcome::failed;
+    }
     co_return read_outcome::more;
 }
 
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -45,9 +45,8 @@
     [[nodiscard]] task<read_outcome> read_body();
     [[nodiscard]] std::string_view body() const { return {piece_.data(), piece_size_}; }
 
-    /// Whether any byte of an answer arrived.
-    [[nodiscard]] bool answer_begun() const { return answer_begun_; }
-    [[nodiscard]] bool expired() const { return socket_->expired(); }
+    /// Why reading or writing failed, for the log; empty if it did not.
+    [[nodiscard]] std::string const& failure() const { return failure_; }
     void set_deadline(time_point deadline) { socket_->set_deadline(deadline); }
     void close() { socket_->close(); }
 
@@ -59,6 +58,7 @@
     struct upload;
     [[nodiscard]] task<bool> skip_answer();
     void begin_answer();
+    void note_failure(boost::system::error_code failure);
 
     std::shared_ptr<watched_socket> socket_;
     std::string request_id_;
@@ -68,7 +68,7 @@
     std::size_t piece_size_ = 0;
     std::shared_ptr<upload> upload_;
     bool head_request_ = false;
-    bool answer_begun_ = false;
+    std::string failure_;
     bool complete_ = false;
 };
 
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -48,6 +48,14 @@
 
 } // namespace
 
+std::string_view request_flow::name_of(attempt_end end)
+{
+    static constexpr std::array<std::string_view, 7> names{
+        "delivered",      "caller_gone",   "not_run", "unknown",
+        "server_failure", "stream_broken", "late"};
+    return names.at(static_cast<std::size_t>(end));
+}
+
 request_flow::request_flow(entry_services& services,
                            http::request<http::string_body>& request,
                            answer_writer& writer, time_point arrival)
@@ -313,6 +321,7 @@
         services_.board.failed(server_.id, boot_now());
         excluded_.insert(server_.id);
     }
+    std::string const detail = exchange_ ? exchange_->failure() : "no connection";
     exchange_.reset();
     services_.board.finished(server_.id);
     auto const found = services_.in_flight.find(key);
@@ -321,7 +330,8 @@
     services_.log.write(1101, {{"request", head_.id},
                                {"server", server_.id},
                                {"send", std::uint64_t{sends_}},
-                               {"end", static_cast<std::int64_t>(end)},
+                               {"end", name_of(end)},
+                               {"detail", detail},
                                {"elapsed_ms", to_ms(boot_now() - arrival_)}});
     co_return end;
 }
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -78,6 +78,7 @@
         duration retry_after{};
     };
 
+    [[nodiscard]] static std::string_view name_of(attempt_end end);
     [[nodiscard]] std::optional<refusal> admit();
     [[nodiscard]] task<std::optional<refusal>> charge_quota();
     void refund_quota();
--- /dev/null
+++ b/tests/entry/backend_board_test.cpp
@@ -0,0 +1,200 @@
+#include "coordination/entry/backend_board.hpp"
+#include "coordination/entry/fleet_status.hpp"
+#include "protocol/entry/event_splitter.hpp"
+#include "protocol/entry/node_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+time_point at(int ms)
+{
+    return time_point{} + milliseconds(1000000 + ms);
+}
+
+class backend_board_test : public testing::Test
+{
+protected:
+    void add(std::string const& id, std::vector<held_model> models = {},
+             bool draining = false)
+    {
+        backend_record record;
+        record.id = id;
+        record.service = "s";
+        record.failure_domain = "a";
+        record.slots = 6;
+        record.models = std::move(models);
+        record.draining = draining;
+        board_.put(record);
+    }
+
+    backend_choice choose(model_key model = {}, std::set<std::string> excluded = {})
+    {
+        return board_.choose({"s", std::move(model), 0, std::move(excluded)}, at(0));
+    }
+
+    backend_board board_{"a", 7};
+};
+
+// Guards against new work for a server that leaves.
+TEST_F(backend_board_test, draining_server_is_not_chosen)
+{
+    add("b1", {}, true);
+    EXPECT_EQ(choose().outcome, choice_outcome::no_backend);
+    add("b2");
+    EXPECT_EQ(choose().backend->id, "b2");
+}
+
+// Guards against requests that pile up at one server.
+TEST_F(backend_board_test, equal_servers_share_the_load)
+{
+    for (auto const* const id : {"b1", "b2", "b3"})
+        add(id);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 30; ++i)
+    {
+        auto const chosen = choose();
+        ++counts[chosen.backend->id];
+        board_.sent(chosen.backend->id);
+    }
+    for (auto const& [id, count] : counts)
+        EXPECT_NEAR(count, 10, 1) << id;
+}
+
+// Guards against a server that fails part of its requests while its health check is good.
+TEST_F(backend_board_test, failing_server_gets_less)
+{
+    add("b1");
+    add("b2");
+    for (int i = 0; i < 3; ++i)
+        board_.failed("b1", at(0));
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(choose().backend->id, "b2");
+}
+
+// Guards against a request sent to a runner that lacks its adapter.
+TEST_F(backend_board_test, missing_adapter_is_told_apart_from_missing_model)
+{
+    add("b1", {{"m", 1, {"a1"}}});
+    EXPECT_EQ(choose({"x", ""}).outcome, choice_outcome::model_absent);
+    EXPECT_EQ(choose({"m", "a2"}).outcome, choice_outcome::adapter_absent);
+    EXPECT_EQ(choose({"m", "a1"}).outcome, choice_outcome::chosen);
+}
+
+// Guards against a request that comes back to the server that denied its model.
+TEST_F(backend_board_test, denied_model_is_avoided_for_a_while)
+{
+    add("b1", {{"m", 1, {}}});
+    board_.avoid_model("b1", "m", at(60));
+    EXPECT_EQ(choose({"m", ""}).outcome, choice_outcome::full);
+    EXPECT_EQ(board_.choose({"s", {"m", ""}, 0, {}}, at(61)).outcome,
+              choice_outcome::chosen);
+}
+
+// Guards against load of a former incarnation that keeps requests away from the next one.
+TEST_F(backend_board_test, reborn_server_starts_without_failures)
+{
+    add("b1");
+    for (int i = 0; i < 10; ++i)
+        board_.failed("b1", at(0));
+    backend_record record = *board_.find("b1");
+    record.born_ms = 99;
+    board_.put(record);
+    EXPECT_EQ(board_.load("b1").failures, 0);
+}
+
+class fleet_status_test : public testing::Test
+{
+protected:
+    static node_status status(std::string node, std::int64_t sent, std::uint64_t arrivals)
+    {
+        node_status made;
+        made.node = std::move(node);
+        made.incarnation = 1;
+        made.sent_at_us = sent;
+        made.demand.push_back({"s", "m", arrivals, 1});
+        made.in_flight.push_back({"b1", "m", 2});
+        return made;
+    }
+
+    fleet_status fleet_;
+};
+
+// Guards against demand of a dead instance that holds models in place.
+TEST_F(fleet_status_test, silent_instance_counts_no_longer)
+{
+    fleet_.put(status("n1", 1, 0), at(0));
+    EXPECT_EQ(fleet_.demand(at(100))["s"]["m"].waiting, 1U);
+    EXPECT_EQ(fleet_.demand(at(3000))["s"]["m"].waiting, 0U);
+    EXPECT_EQ(fleet_.connected(at(3000)), 0U);
+}
+
+// Guards against a burst of arrivals that never happened when an instance finds a new
+// hub.
+TEST_F(fleet_status_test, first_status_is_no_burst)
+{
+    fleet_.put(status("n1", 1, 1000), at(0));
+    EXPECT_EQ(fleet_.demand(at(0))["s"]["m"].rate, 0);
+}
+
+// Guards against an instance that counts its own requests as those of others.
+TEST_F(fleet_status_test, totals_leave_out_the_asking_instance)
+{
+    fleet_.put(status("n1", 1, 0), at(0));
+    fleet_.put(status("n2", 1, 0), at(0));
+    auto const totals = fleet_.totals_without("n1", at(0));
+    ASSERT_EQ(totals.size(), 1U);
+    EXPECT_EQ(totals[0].others, 2U);
+}
+
+// Guards against a stream that goes on in the middle of an event.
+TEST(event_splitter_test, broken_event_is_held_back)
+{
+    event_splitter events;
+    events.append("id: 1\ndata: a\n\nid: 2\nda");
+    EXPECT_EQ(events.take_events(), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events.last_id(), "1");
+    events.append("ta: b\n\n");
+    EXPECT_EQ(events.take_events(), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.last_id(), "2");
+}
+
+// Guards against an id inside the data that is taken for the event's id.
+TEST(event_splitter_test, id_in_data_is_not_the_event_id)
+{
+    event_splitter events;
+    events.append("id: 7\ndata: id: 9\n\n");
+    static_cast<void>(events.take_events());
+    EXPECT_EQ(events.last_id(), "7");
+}
+
+// Guards against messages between instances that change on the way through the codec.
+TEST(node_codec_test, update_is_read_back)
+{
+    node_update update;
+    update.echo_us = 5;
+    update.records.push_back({"b1", "s", "10.0.0.1:1", "a", 6, true, 9, {}, {}, {"m"}});
+    update.quota.push_back({3, 10.5, 7});
+    auto const read = decode_update(encode(update));
+    ASSERT_TRUE(succeeded(read));
+    auto const& copy = std::get<node_update>(read);
+    EXPECT_EQ(copy.records, update.records);
+    EXPECT_EQ(copy.quota[0].units, 10.5);
+}
+
+// Guards against a peer's garbage that ends the process.
+TEST(node_codec_test, garbage_is_an_error)
+{
+    EXPECT_FALSE(succeeded(decode_status("garbage")));
+    EXPECT_FALSE(succeeded(decode_update(std::string(64, '\xff'))));
+}
+
+} // namespace
+} // namespace carawayturn::entry
--- /dev/null
+++ b/tests/entry/order_lease_test.cpp
@@ -0,0 +1,95 @@
+#include "coordination/entry/order_lease.hpp"
+
+#include <gtest/gtest.h>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr duration term = milliseconds(2400);
+
+class order_lease_test : public testing::Test
+{
+protected:
+    static time_point at(int ms) { return time_point{} + milliseconds(100000 + ms); }
+
+    order_lease first_{"10.0.0.1:7600", "first", 11, term};
+    order_lease second_{"10.0.0.2:7600", "second", 22, term};
+};
+
+// Guards against a claim before it is known whether anybody holds the lease.
+TEST_F(order_lease_test, unknown_row_is_not_claimed)
+{
+    EXPECT_FALSE(first_.may_claim(at(0)));
+    first_.observe_absent();
+    EXPECT_TRUE(first_.may_claim(at(0)));
+}
+
+// Guards against two holders at one moment: the holder's right ends before anybody else,
+// who counts from when the renewal was seen, may claim.
+TEST_F(order_lease_test, silent_holder_right_ends_before_the_next_claim)
+{
+    first_.observe_absent();
+    auto const row = first_.next_row(at(0));
+    first_.written(row, 7, at(0));
+    second_.observe(row, 7, at(5), duration::max());
+    for (int ms = 0; ms < 6000; ms += 10)
+        EXPECT_FALSE(first_.held(at(ms)) && second_.may_claim(at(ms))) << ms;
+    EXPECT_TRUE(second_.may_claim(at(3000)));
+    EXPECT_FALSE(first_.held(at(2100)));
+}
+
+// Guards against orders after a pause: the lease is measured from when the renewal was
+// sent, whatever happened until its answer.
+TEST_F(order_lease_test, answer_after_a_pause_gives_no_right)
+{
+    first_.observe_absent();
+    first_.written(first_.next_row(at(0)), 7, at(0));
+    EXPECT_FALSE(first_.held(at(5000)));
+}
+
+// Guards against two holders under one fencing number.
+TEST_F(order_lease_test, change_of_holder_raises_fence)
+{
+    first_.observe_absent();
+    auto const row = first_.next_row(at(0));
+    first_.written(row, 7, at(0));
+    EXPECT_EQ(first_.next_row(at(800)).fence, row.fence);
+    second_.observe(row, 7, at(0), duration::max());
+    EXPECT_EQ(second_.next_row(at(3000)).fence, row.fence + 1);
+}
+
+// Guards against a successor that waits a whole term after a clean shutdown.
+TEST_F(order_lease_test, released_lease_is_claimed_at_once)
+{
+    first_.observe_absent();
+    first_.written(first_.next_row(at(0)), 7, at(0));
+    second_.observe(first_.released_row(), 8, at(100), duration::max());
+    EXPECT_TRUE(second_.may_claim(at(100)));
+}
+
+// Guards against a claim while the holder renews and only the row's number is known.
+TEST_F(order_lease_test, word_of_the_holder_extends_the_wait)
+{
+    first_.observe_absent();
+    auto const row = first_.next_row(at(0));
+    second_.observe(row, 7, at(0), duration::max());
+    second_.observe(row, 8, at(1000), milliseconds(2000));
+    EXPECT_FALSE(second_.may_claim(at(2900)));
+    EXPECT_TRUE(second_.may_claim(at(3400)));
+}
+
+// Guards against a renewal that comes too late to be tried twice.
+TEST_F(order_lease_test, renewal_is_due_after_a_third_of_the_term)
+{
+    first_.observe_absent();
+    first_.written(first_.next_row(at(0)), 7, at(0));
+    EXPECT_FALSE(first_.renewal_due(at(700)));
+    EXPECT_TRUE(first_.renewal_due(at(900)));
+}
+
+} // namespace
+} // namespace carawayturn::entry
--- /dev/null
+++ b/tests/entry/placement_planner_test.cpp
@@ -0,0 +1,299 @@
+#include "coordination/entry/hub_state.hpp"
+#include "coordination/entry/placement_planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point at(int ms)
+{
+    return time_point{} + milliseconds(1000000 + ms);
+}
+
+/// Runners with room for two models and two adapters that carry out orders at once.
+class placement_planner_test : public testing::Test
+{
+protected:
+    placement_planner_test()
+    {
+        served_service service;
+        service.name = "chat";
+        service.engine.emplace();
+        auto& engine = *service.engine;
+        engine.weights_mb = 2000;
+        engine.adapter_slots = 2;
+        engine.loads_per_s = 4;
+        engine.slots = 8;
+        for (int i = 0; i < 12; ++i)
+            engine.models.push_back(
+                {"m" + std::to_string(i), 900, seconds(9), seconds(2), seconds(1), 50});
+        config_.services.push_back(service);
+        config_.index();
+        planner_.set_config(&config_);
+    }
+
+    void add_runner(std::string const& id, std::vector<std::string> const& models,
+                    std::vector<std::string> const& cached = {}, int now_ms = 0)
+    {
+        backend_record record;
+        record.id = id;
+        record.service = "chat";
+        record.address = "10.0.0.1:80";
+        record.slots = 8;
+        record.born_ms = 1;
+        for (auto const& model : models)
+            record.models.push_back({model, 1, {}});
+        record.cached_on_disk = cached;
+        planner_.put_runner(record, at(now_ms));
+        report(id, now_ms);
+    }
+
+    /// Answers the report that a runner with an unknown order count is asked for.
+    void report(std::string const& id, int now_ms, std::int64_t orders = 0)
+    {
+        static_cast<void>(planner_.wanted_reports(at(now_ms)));
+        runner_report answer;
+        answer.models = planner_.view(id)->models;
+        answer.order_count = orders;
+        planner_.reported(id, answer, at(now_ms));
+    }
+
+    void wait_for(std::string const& key, std::uint32_t waiting = 1)
+    {
+        demand_[key].waiting = waiting;
+        planner_.set_demand("chat", demand_);
+    }
+
+    std::vector<runner_order> plan(int now_ms) { return planner_.plan(at(now_ms)); }
+
+    /// Plans and accepts all orders; returns them.
+    std::vector<runner_order> plan_and_accept(int now_ms)
+    {
+        auto orders = plan(now_ms);
+        for (auto const& order : orders)
+            planner_.order_answered(order, order_outcome::accepted, at(now_ms));
+        return orders;
+    }
+
+    serving_config config_;
+    placement_planner planner_;
+    std::map<std::string, model_demand> demand_;
+};
+
+// Guards against a cold start from the weight store while another runner has the weights
+// on its disk.
+TEST_F(placement_planner_test, waiting_request_loads_from_disk_first)
+{
+    add_runner("r1", {}, {});
+    add_runner("r2", {}, {"m0"});
+    wait_for("m0");
+    auto const orders = plan(0);
+    auto const found =
+        std::find_if(orders.begin(), orders.end(),
+                     [](runner_order const& o) { return o.target.model == "m0"; });
+    ASSERT_NE(found, orders.end());
+    EXPECT_EQ(found->runner, "r2");
+}
+
+// Guards against orders that build on the heartbeat number of a record: nothing is
+// ordered before a report told the order count.
+TEST_F(placement_planner_test, unreported_runner_gets_no_order)
+{
+    backend_record record;
+    record.id = "r1";
+    record.service = "chat";
+    record.born_ms = 1;
+    planner_.put_runner(record, at(0));
+    wait_for("m0");
+    EXPECT_TRUE(plan(0).empty());
+    EXPECT_EQ(planner_.wanted_reports(at(0)), std::vector<std::string>{"r1"});
+}
+
+// Guards against overcommitted memory: one unload for each load beyond the room, and the
+// load only after the unload was accepted.
+TEST_F(placement_planner_test, full_runner_unloads_before_it_loads)
+{
+    add_runner("r1", {"m1", "m2"}, {"m0"});
+    wait_for("m0");
+    auto const first = plan(0);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].what, runner_order::action::unload);
+    EXPECT_TRUE(plan(10).empty());
+    planner_.order_answered(first[0], order_outcome::accepted, at(20));
+    auto const second = plan(20);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].what, runner_order::action::load);
+    EXPECT_EQ(second[0].expected_count, 1);
+}
+
+// Guards against a second order on top of one whose answer was lost and that may be
+// carried out later.
+TEST_F(placement_planner_test, unanswered_order_waits_for_a_report)
+{
+    add_runner("r1", {}, {"m0"});
+    wait_for("m0");
+    auto const orders = plan(0);
+    ASSERT_EQ(orders.size(), 1U);
+    planner_.order_answered(orders[0], order_outcome::unknown, at(1000));
+    EXPECT_TRUE(plan(1100).empty());
+    EXPECT_TRUE(planner_.wanted_reports(at(1100)).empty());
+    report("r1", 1500, 0);
+    auto const again = plan(1500);
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].expected_count, 0);
+}
+
+// Guards against adapters beyond the runner's places: one that is still in use keeps its
+// place after an accepted unload.
+TEST_F(placement_planner_test, adapter_in_use_keeps_its_place)
+{
+    // Two models fill the memory, so that nothing is loaded in advance.
+    add_runner("r1", {"m0", "m1"});
+    int now_ms = 0;
+    for (auto const* const key : {"m0/a1", "m0/a2"})
+    {
+        wait_for(key);
+        plan_and_accept(now_ms);
+        now_ms += 100;
+        demand_.erase(key);
+        wait_for("m0", 0);
+        plan_and_accept(now_ms);
+    }
+    wait_for("m0/a3");
+    auto const unload = plan(now_ms);
+    ASSERT_EQ(unload.size(), 1U);
+    EXPECT_EQ(unload[0].what, runner_order::action::unload);
+    planner_.order_answered(unload[0], order_outcome::accepted, at(now_ms));
+    EXPECT_TRUE(plan(now_ms + 100).empty());
+}
+
+// Guards against a rush on rare models that makes every load from the weight store slow:
+// only as many run together as the store serves at full speed.
+TEST_F(placement_planner_test, rush_on_rare_models_limits_store_loads)
+{
+    for (int i = 0; i < 10; ++i)
+        add_runner("r" + std::to_string(i), {});
+    for (int i = 0; i < 10; ++i)
+        wait_for("m" + std::to_string(i));
+    EXPECT_EQ(plan(0).size(), 4U);
+}
+
+// Guards against a rush that is refused although the weights lie on the runners' disks:
+// loads from disk do not wait for the weight store.
+TEST_F(placement_planner_test, rush_on_cached_models_loads_everywhere_at_once)
+{
+    for (int i = 0; i < 10; ++i)
+        add_runner("r" + std::to_string(i), {}, {"m" + std::to_string(i)});
+    for (int i = 0; i < 10; ++i)
+        wait_for("m" + std::to_string(i));
+    EXPECT_EQ(plan(0).size(), 10U);
+}
+
+// Guards against a record that was written before the last order and shows an unloaded
+// model: requests would be sent to a runner that denies it.
+TEST_F(placement_planner_test, older_record_does_not_bring_back_an_unloaded_model)
+{
+    add_runner("r1", {"m1", "m2"}, {"m0"});
+    wait_for("m0");
+    auto const record = *planner_.view("r1");
+    auto const unload = plan_and_accept(0);
+    ASSERT_EQ(unload.size(), 1U);
+    planner_.put_runner(record, at(100));
+    for (auto const& held : planner_.view("r1")->models)
+        EXPECT_NE(held.name, unload[0].target.model);
+}
+
+// Guards against counts of a former incarnation that are used for orders to the next one.
+TEST_F(placement_planner_test, reborn_runner_is_asked_before_it_is_ordered)
+{
+    add_runner("r1", {"m1"});
+    auto record = *planner_.view("r1");
+    record.born_ms = 2;
+    record.models.clear();
+    planner_.put_runner(record, at(100));
+    wait_for("m0");
+    EXPECT_TRUE(plan(100).empty());
+}
+
+// Guards against callers who wait for a model that cannot be there in time: the estimate
+// counts the loads before it.
+TEST_F(placement_planner_test, estimates_grow_with_the_loads_ahead)
+{
+    add_runner("r1", {});
+    for (int i = 0; i < 12; ++i)
+        wait_for("m" + std::to_string(i));
+    plan_and_accept(0);
+    auto const found = planner_.estimates(at(0));
+    ASSERT_FALSE(found.empty());
+    auto const longest =
+        std::max_element(found.begin(), found.end(),
+                         [](load_estimate const& a, load_estimate const& b)
+                         { return a.ready_in < b.ready_in; });
+    EXPECT_GE(longest->ready_in, seconds(18));
+}
+
+class hub_state_test : public testing::Test
+{
+protected:
+    hub_state_test()
+    {
+        auto config = std::make_shared<serving_config>();
+        config->version = 1;
+        config->services.push_back({"booking", "", std::nullopt});
+        config->index();
+        config_ = std::move(config);
+    }
+
+    static backend_record plain_server(bool draining)
+    {
+        backend_record record;
+        record.id = "p1";
+        record.service = "booking";
+        record.draining = draining;
+        return record;
+    }
+
+    std::shared_ptr<serving_config const> config_;
+    config_authority authority_{seconds(4)};
+    hub_state hub_{1};
+};
+
+// Guards against work for a leaving server: one that was listed before the first
+// configuration kept the state of that moment at the hub (hunt-ced9-3, DRAIN).
+TEST_F(hub_state_test, server_listed_before_the_configuration_is_told_as_leaving)
+{
+    hub_.start(true);
+    hub_.put_server(plain_server(false), at(0));
+    authority_.accept(config_);
+    static_cast<void>(hub_.plan(authority_, at(10)));
+    hub_.put_server(plain_server(true), at(20));
+    EXPECT_TRUE(hub_.servers().at("p1").draining);
+}
+
+// Guards against an instance that misses a change because the hub answered it before.
+TEST_F(hub_state_test, instance_is_sent_what_it_lacks)
+{
+    hub_.put_server(plain_server(false), at(0));
+    node_status status;
+    status.node = "n1";
+    auto const first = hub_.answer(status, authority_, at(10));
+    EXPECT_TRUE(first.whole_directory);
+    ASSERT_EQ(first.records.size(), 1U);
+    status.directory_hub = first.directory_hub;
+    status.directory_revision = first.directory_revision;
+    hub_.put_server(plain_server(true), at(20));
+    auto const second = hub_.answer(status, authority_, at(30));
+    ASSERT_EQ(second.records.size(), 1U);
+    EXPECT_TRUE(second.records[0].draining);
+}
+
+} // namespace
+} // namespace carawayturn::entry
--- /dev/null
+++ b/tests/entry/platform_codec_test.cpp
@@ -0,0 +1,239 @@
+#include "platform/config_codec.hpp"
+#include "platform/order_codec.hpp"
+#include "platform/request_codec.hpp"
+#include "platform/server_codec.hpp"
+#include "platform/settings_file.hpp"
+#include "platform/store_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace carawayturn::platform
+{
+namespace
+{
+
+std::string const settings_text = "node_name=front-1\nip=10.1.0.25\nzone=a\n"
+                                  "listen.front=10.1.0.25:8221\n"
+                                  "listen.ready=10.1.0.25:8224\n"
+                                  "internal_ports=7600,7615\n"
+                                  "platform.address=10.200.1.7:8225\n"
+                                  "bounds.revoke_ms=5000\nnew.field=1\n";
+
+// Guards against a start with settings that nobody meant.
+TEST(settings_file_test, known_fields_are_decoded_and_unknown_ones_ignored)
+{
+    auto const read = decode_settings(settings_text);
+    ASSERT_TRUE(succeeded(read));
+    auto const& settings = std::get<entry::node_settings>(read);
+    EXPECT_EQ(settings.peer_port, 7600);
+    EXPECT_EQ(settings.bounds.key_withdrawal, std::chrono::seconds(5));
+}
+
+TEST(settings_file_test, missing_field_is_named)
+{
+    auto const read = decode_settings("node_name=front-1\n");
+    ASSERT_FALSE(succeeded(read));
+    EXPECT_EQ(std::get<error>(read).step, "settings.ip");
+}
+
+TEST(settings_file_test, malformed_number_is_named)
+{
+    auto const read = decode_settings(settings_text + "bounds.lease_ms=soon\n");
+    ASSERT_FALSE(succeeded(read));
+    EXPECT_EQ(std::get<error>(read).step, "settings.bounds.lease_ms");
+}
+
+constexpr std::string_view config_text = R"({"version":7,"routes":[
+ {"name":"long","host":"h.example","path_prefix":"/a/b/","kind":"streaming",
+  "timeout_ms":15000,"target_latency_ms":1000,"priority":1,"service":"llm",
+  "max_attempts":2,"public":false,"resumable":true,"gap_target_ms":300},
+ {"name":"short","host":"h.example","path_prefix":"/a/","kind":"non_idempotent",
+  "timeout_ms":1500,"target_latency_ms":300,"priority":2,
+  "traffic_split":[{"service":"x","weight":90},{"service":"y","weight":10}],
+  "max_attempts":1,"public":true}],
+ "services":[{"name":"llm","engine":{"slots":48,"weights_mb":230000,"adapter_slots":8,
+  "loads_per_s":4.2,"models":[{"name":"m","weights_mb":72700,"load_time_s":9.0,
+  "adapters":3,"adapter_size_mb":66,"warm_s":1.2,"disk_s":2.0}]}},{"name":"x"}],
+ "tenants":[{"name":"t","api_keys":["k1"],"rate_per_s":100,"burst":50,"unit":"tokens",
+  "plain_tokens":200}]})";
+
+class config_codec_test : public testing::Test
+{
+protected:
+    config_codec_test()
+    {
+        auto read = decode_config(config_text);
+        if (succeeded(read))
+            config_ = std::get<0>(std::move(read));
+    }
+    std::shared_ptr<entry::serving_config const> config_;
+};
+
+// Guards against requests on the wrong route: the longest prefix of the host wins.
+TEST_F(config_codec_test, longest_prefix_of_the_host_is_found)
+{
+    ASSERT_NE(config_, nullptr);
+    EXPECT_EQ(config_->find_route("h.example", "/a/b/c")->name, "long");
+    EXPECT_EQ(config_->find_route("h.example", "/a/x")->name, "short");
+    EXPECT_EQ(config_->find_route("h.example", "/a"), nullptr);
+    EXPECT_EQ(config_->find_route("other", "/a/x"), nullptr);
+}
+
+// Guards against a request that may not be repeated and is.
+TEST_F(config_codec_test, only_idempotent_and_resumable_routes_are_repeatable)
+{
+    EXPECT_TRUE(config_->routes[0].repeatable());
+    EXPECT_FALSE(config_->routes[1].repeatable());
+}
+
+TEST_F(config_codec_test, organisation_is_found_by_its_key_alone)
+{
+    EXPECT_EQ(config_->find_organisation("k1")->name, "t");
+    EXPECT_EQ(config_->find_organisation("k"), nullptr);
+}
+
+// Guards against a configuration that is half read and put in force.
+TEST_F(config_codec_test, incomplete_configuration_is_an_error)
+{
+    EXPECT_FALSE(succeeded(decode_config("{}")));
+    EXPECT_FALSE(succeeded(decode_config(R"({"version":1,"routes":[{"name":"r"}]})")));
+    EXPECT_FALSE(succeeded(decode_config("no json")));
+}
+
+constexpr std::string_view good_server =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"a","slots":48,"state":"ready",
+        "models":[{"name":"m","version":1,"adapters":["a1"]}],"seq":4,"born":17,
+        "resident":{"in_memory":["m"],"on_disk":["n"]}})";
+
+// Guards against rows of other writers that would be used as servers.
+TEST(server_codec_test, rows_of_other_writers_name_no_server)
+{
+    EXPECT_TRUE(succeeded(decode_server("i-1", good_server)));
+    for (
+        std::string_view const row :
+        {"", "[]", R"({"service":"s"})",
+         R"({"service":"s","address":"x","zone":"a","slots":1,"state":"ready"})",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":1,"state":"odd"})",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":"1","state":"ready"})",
+         R"({"service":7,"address":"10.0.0.9:80","zone":"a","slots":1,"state":"ready"})"})
+        EXPECT_FALSE(succeeded(decode_server("i-1", row))) << row;
+}
+
+// Guards against a number of heartbeats that is taken for a number of orders.
+TEST(server_codec_test, report_tells_the_order_count)
+{
+    auto const read =
+        decode_report("i-1", R"({"busy":true,"seq":5,"models":[],"pending":["m/a1@1"]})");
+    ASSERT_TRUE(succeeded(read));
+    EXPECT_EQ(std::get<entry::runner_report>(read).order_count, 5);
+    EXPECT_TRUE(std::get<entry::runner_report>(read).busy);
+    EXPECT_FALSE(succeeded(decode_report("i-1", R"({"busy":true})")));
+}
+
+class request_codec_test : public testing::Test
+{
+protected:
+    request_codec_test()
+    {
+        request_.method(http::verb::post);
+        request_.target("/a/b?c=d");
+        request_.set("Host", "h.example:80");
+        request_.set("X-Request-Id", "id1");
+        request_.set("Authorization", "Token k1");
+        request_.set("X-Deadline-Ms", "15000");
+        request_.set("X-Model", "m/a3");
+        request_.set("X-Token-Count", "1460,80");
+        request_.set("X-Prompt-Prefix", "5c:800,91:410,e4:250");
+        request_.set("X-Tenant", "forged");
+        request_.set("X-Hold", "forged");
+        request_.set("Kv-From", "forged");
+        request_.set("Connection", "keep-alive, X-Private");
+        request_.set("X-Private", "1");
+        request_.set("X-Other", "kept");
+    }
+    http::request_header<> request_;
+};
+
+TEST_F(request_codec_test, request_is_decoded_into_own_terms)
+{
+    auto const head = decode_request(request_);
+    EXPECT_EQ(head.host, "h.example");
+    EXPECT_EQ(head.path, "/a/b");
+    EXPECT_EQ(head.key, "k1");
+    EXPECT_EQ(head.model.model, "m");
+    EXPECT_EQ(head.model.adapter, "a3");
+    EXPECT_EQ(head.tokens, 1540);
+    EXPECT_NE(head.affinity, 0U);
+}
+
+// Guards against a key, or a header that only carawayturn may set, at a backend server.
+TEST_F(request_codec_test, attempt_carries_neither_key_nor_forged_headers)
+{
+    attempt_terms terms;
+    terms.server_id = "i-1";
+    terms.organisation = "t";
+    terms.time_left = std::chrono::milliseconds(900);
+    auto const attempt = encode_attempt(request_, terms);
+    for (auto const* const name : {"Authorization", "X-Hold", "Kv-From", "X-Private"})
+        EXPECT_EQ(attempt.find(name), attempt.end()) << name;
+    EXPECT_EQ(attempt["X-Tenant"], "t");
+    EXPECT_EQ(attempt["X-Expect-Instance"], "i-1");
+    EXPECT_EQ(attempt["X-Deadline-Ms"], "900");
+    EXPECT_EQ(attempt["X-Other"], "kept");
+    EXPECT_EQ(attempt["X-Model"], "m/a3");
+    EXPECT_EQ(attempt.target(), "/a/b?c=d");
+}
+
+TEST_F(request_codec_test, open_request_names_no_organisation)
+{
+    auto const attempt = encode_attempt(request_, {});
+    EXPECT_EQ(attempt.find("X-Tenant"), attempt.end());
+}
+
+// Guards against a denial that is taken for an outcome that is unknown, or the reverse.
+TEST_F(request_codec_test, only_proofs_count_as_not_run)
+{
+    http::response_header<> answer;
+    answer.result(503);
+    EXPECT_FALSE(decode_facts(answer).not_run);
+    answer.set("X-Not-Executed", "1");
+    EXPECT_TRUE(decode_facts(answer).not_run);
+    http::response_header<> other;
+    other.result(421);
+    EXPECT_TRUE(decode_facts(other).not_run);
+}
+
+// Guards against a write that overwrites another holder's lease.
+TEST(store_codec_test, lease_write_expects_the_known_version)
+{
+    auto const call = write_lease({"10.0.0.1:7600", "n", 5, 3}, 412);
+    EXPECT_NE(call.body.find("\"row_version\":412"), std::string::npos);
+    EXPECT_NE(call.body.find("\"expected\""), std::string::npos);
+}
+
+TEST(store_codec_test, lease_is_read_back_from_a_row)
+{
+    auto const call = write_lease({"10.0.0.1:7600", "n", 5, 3}, 0);
+    auto const begin = call.body.find("\"value\":\"") + 9;
+    auto const value = call.body.substr(begin, call.body.find('"', begin) - begin);
+    auto const answer =
+        decode_answer(R"({"rows":[{"key":"hub","value":")" + value +
+                      R"(","row_version":9}],"truncated":false,"row_version":12})");
+    ASSERT_TRUE(succeeded(answer));
+    auto const& rows = std::get<store_answer>(answer).rows;
+    ASSERT_EQ(rows.size(), 1U);
+    auto const lease = decode_lease(rows[0].value);
+    ASSERT_TRUE(succeeded(lease));
+    EXPECT_EQ(std::get<entry::lease_row>(lease).fence, 3U);
+}
+
+TEST(order_codec_test, statuses_are_translated)
+{
+    EXPECT_EQ(decode_order_status(202), entry::order_outcome::accepted);
+    EXPECT_EQ(decode_order_status(409), entry::order_outcome::conflict);
+    EXPECT_EQ(decode_order_status(421), entry::order_outcome::rejected);
+    EXPECT_EQ(decode_order_status(500), entry::order_outcome::unknown);
+}
+
+} // namespace
+} // namespace carawayturn::platform
--- /dev/null
+++ b/tests/entry/quota_test.cpp
@@ -0,0 +1,141 @@
+#include "coordination/entry/quota.hpp"
+#include "coordination/entry/retry_budget.hpp"
+
+#include <gtest/gtest.h>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr quota_terms terms{1000, 1000};
+
+time_point at(int ms)
+{
+    return time_point{} + milliseconds(100000 + ms);
+}
+
+class quota_ledger_test : public testing::Test
+{
+protected:
+    quota_ledger ledger_;
+};
+
+// Guards against an organisation that gets more than its rate and burst by asking through
+// many instances, several times its rate.
+TEST_F(quota_ledger_test, several_times_the_rate_is_granted_rate_and_burst)
+{
+    ledger_.reset(1.0);
+    double granted = 0;
+    for (int ms = 0; ms < 8000; ms += 5)
+        granted += ledger_.ask("org", terms, 50, 20, at(ms)).units;
+    EXPECT_LE(granted, 8 * terms.rate + terms.burst);
+    EXPECT_GE(granted, 8 * terms.rate * 0.95);
+}
+
+// Guards against a burst that is granted twice when the hub changes.
+TEST_F(quota_ledger_test, new_hub_starts_below_the_burst)
+{
+    ledger_.reset(0.3);
+    EXPECT_EQ(ledger_.ask("org", terms, 500, 0, at(0)).units, 0);
+    EXPECT_EQ(ledger_.ask("org", terms, 300, 0, at(0)).units, 300);
+}
+
+// Guards against callers that are told to come back before anything has accrued.
+TEST_F(quota_ledger_test, denial_tells_when_the_units_will_have_accrued)
+{
+    ledger_.reset(0);
+    auto const denied = ledger_.ask("org", terms, 500, 0, at(0));
+    EXPECT_EQ(denied.units, 0);
+    EXPECT_EQ(denied.retry_after, milliseconds(500));
+    EXPECT_EQ(ledger_.ask("org", terms, 500, 0, at(500)).units, 500);
+}
+
+// Guards against a request that is larger than the burst and would never run.
+TEST_F(quota_ledger_test, request_above_the_burst_passes_with_a_debt)
+{
+    ledger_.reset(1.0);
+    EXPECT_EQ(ledger_.ask("org", terms, 3000, 0, at(0)).units, 3000);
+    EXPECT_EQ(ledger_.ask("org", terms, 1, 0, at(1900)).units, 0);
+    EXPECT_EQ(ledger_.ask("org", terms, 1, 0, at(2100)).units, 1);
+}
+
+// Guards against two parts of one rate while some instances accrue their own.
+TEST_F(quota_ledger_test, silent_instances_take_their_part_of_the_rate)
+{
+    ledger_.reset(0);
+    ledger_.set_connected_share(0.5);
+    static_cast<void>(ledger_.ask("org", terms, 1, 0, at(0)));
+    EXPECT_EQ(ledger_.ask("org", terms, 501, 0, at(1000)).units, 0);
+    EXPECT_EQ(ledger_.ask("org", terms, 500, 0, at(1000)).units, 500);
+}
+
+// Guards against a sum over separated instances that exceeds the rate.
+TEST(quota_account_test, separated_instances_spend_the_rate_together)
+{
+    constexpr std::size_t instances = 15;
+    double spent = 0;
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        quota_account account;
+        for (int ms = 0; ms < 8000; ms += 3)
+            if (account.spend_alone("org", terms, 10, instances, at(ms)))
+                spent += 10;
+    }
+    EXPECT_LE(spent, 8 * terms.rate + terms.burst);
+}
+
+// Guards against an ask to the hub for each request of an organisation that is over its
+// rate.
+TEST(quota_account_test, blocked_organisation_is_not_asked_for_again)
+{
+    quota_account account;
+    account.block("org", 100, at(500));
+    EXPECT_EQ(account.blocked_for("org", 200, at(100)), milliseconds(400));
+    EXPECT_EQ(account.blocked_for("org", 50, at(100)), duration::zero());
+    EXPECT_EQ(account.blocked_for("org", 200, at(600)), duration::zero());
+}
+
+class retry_budget_test : public testing::Test
+{
+protected:
+    service_bounds const bounds_;
+};
+
+// Guards against instances whose repeats together exceed the bound when every backend
+// server fails.
+TEST_F(retry_budget_test, all_requests_fail_repeats_stay_inside_the_bound)
+{
+    constexpr std::size_t instances = 15;
+    constexpr int requests_each = 200;
+    double repeats = 0;
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        retry_budget budget(bounds_);
+        budget.set_instances(instances);
+        for (int n = 0; n < requests_each; ++n)
+        {
+            auto const now = at(n * 50);
+            budget.count_request("service", now);
+            while (budget.take("service", now))
+                ++repeats;
+        }
+    }
+    EXPECT_LE(repeats,
+              bounds_.retry_ratio * instances * requests_each + bounds_.retry_slack);
+}
+
+// Guards against an instance that may not repeat anything while its servers fail rarely.
+TEST_F(retry_budget_test, rare_failure_is_repeated)
+{
+    retry_budget budget(bounds_);
+    budget.set_instances(15);
+    for (int n = 0; n < 20; ++n)
+        budget.count_request("service", at(n * 100));
+    EXPECT_TRUE(budget.take("service", at(2000)));
+}
+
+} // namespace
+} // namespace carawayturn::entry
