Go on granting quotas without the lease; count the running attempt

The last holder now serves as hub until another instance has the lease; orders still end with the lease. Cause 2: requests with one allowed attempt were cut off at half of their time, as if another attempt could follow ('deadline passed' after 232 ms in the log).

--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -83,11 +83,12 @@
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
       lease_(settings_.ip + ":" + std::to_string(settings_.peer_port), settings_.name,
              incarnation, lease_term),
-      hub_(incarnation), services_{io_,           settings_,    watch_,     authority_,
-                                   board_,        connections_, quota_,     retries_,
-                                   demand_,       changes_,     link_,      log_,
-                                   metrics_,      random_,      in_flight_, draining_,
-                                   open_requests_, idle_callers_},
+      hub_(incarnation), services_{io_,        settings_,      watch_,
+                                   authority_, board_,         connections_,
+                                   quota_,     retries_,       demand_,
+                                   changes_,   link_,          log_,
+                                   metrics_,   random_,        in_flight_,
+                                   draining_,  open_requests_, idle_callers_},
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this), keeper_(services_, store_, lease_),
       callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_)
@@ -277,7 +278,9 @@
 {
     for (;;)
     {
-        auto const pause = co_await keeper_.step(link_.connected());
+        bool const hub_holds =
+            link_.connected() && lease_.remaining(boot_now()) > duration::zero();
+        auto const pause = co_await keeper_.step(hub_holds);
         follow_hub_role();
         steady_timer timer(io_);
         timer.expires_after(pause);
@@ -287,12 +290,14 @@
 
 void entry_node::follow_hub_role()
 {
-    bool const held = lease_.held(boot_now()) && !draining_;
-    if (held == hub_active_)
+    // Without the store nobody can claim the lease, and the last holder goes on granting
+    // quotas and telling what it knows; its orders end with the lease.
+    bool const own = lease_.own_row() && !draining_;
+    if (own == hub_active_)
         return;
-    hub_active_ = held;
-    metrics_.set_gauge("hub", held ? 1 : 0);
-    if (!held)
+    hub_active_ = own;
+    metrics_.set_gauge("hub", own ? 1 : 0);
+    if (!own)
     {
         log_.write(1153, {{"fence", lease_.fence()}});
         return;
@@ -523,8 +528,7 @@
     co_await keeper_.release();
     follow_hub_role();
     steady_timer timer(io_);
-    while (boot_now() < last &&
-           (open_requests_ > 0 || boot_now() - began < notice_time))
+    while (boot_now() < last && (open_requests_ > 0 || boot_now() - began < notice_time))
     {
         if (boot_now() - began >= notice_time)
             refuse_new_callers();
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -163,7 +163,7 @@
         to_hub_ = connection;
         last_update_ = boot_now();
         asio::co_spawn(services_.io, read_updates(connection), asio::detached);
-        co_await send_statuses(connection);
+        co_await send_statuses(connection, address);
         connection->close();
         to_hub_.reset();
         services_.log.write(1143,
@@ -173,9 +173,11 @@
     }
 }
 
-task<void> peer_link::send_statuses(std::shared_ptr<peer_connection> connection)
+task<void> peer_link::send_statuses(std::shared_ptr<peer_connection> connection,
+                                    std::string address)
 {
-    while (!closed_ && connection->open() && !hub_.serving())
+    // Ends when the connection does, or when another instance has become the hub.
+    while (!closed_ && connection->open() && lease_.row().holder_address == address)
     {
         if (boot_now() - last_update_ > silent_periods * period())
             co_return;
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -87,7 +87,8 @@
     [[nodiscard]] task<void> follow_hub();
     [[nodiscard]] task<void> read_updates(std::shared_ptr<peer_connection> connection);
     [[nodiscard]] task<std::shared_ptr<peer_connection>> connect(std::string address);
-    [[nodiscard]] task<void> send_statuses(std::shared_ptr<peer_connection> connection);
+    [[nodiscard]] task<void> send_statuses(std::shared_ptr<peer_connection> connection,
+                                           std::string address);
     void exchange(node_status const& status);
     void take_update(node_update const& update);
     [[nodiscard]] duration period() const;
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -350,9 +350,9 @@
         terms.priority = *organisation_->priority;
     if (stream_begun_)
         terms.resume_after = events_.last_id();
-    exchange_->set_deadline(first_byte_deadline());
     ++sends_;
     ++runs_;
+    exchange_->set_deadline(first_byte_deadline());
     bool const sent = co_await exchange_->send(platform::encode_attempt(request_, terms),
                                                request_.body());
     // A server may answer and close before it has read everything.
