Bound the hub's work by sums and one plan at a time; prefer a faster hub

Sums are now kept as statuses come in, counts of models once for each plan, plans are at least 5 ms + 0.4 ms an instance apart, loads of others go by number, estimates only to who waits. A lease is claimed after a delay that falls with the processor share, so the hub sits on a fast machine. An instance that begins to read itself lists the servers anew, because the feed replays every old change.

--- a/src/coordination/entry/directory_log.cpp
+++ b/src/coordination/entry/directory_log.cpp
@@ -3,16 +3,25 @@
 namespace carawayturn::entry
 {
 
-bool directory_log::put(backend_record const& record)
+bool directory_log::put(backend_record record)
 {
     auto const found = entries_.find(record.id);
+    record.number =
+        found != entries_.end() ? found->second.record.number : ++last_number_;
     if (found != entries_.end() && !found->second.removed &&
         found->second.record == record)
         return false;
-    entries_[record.id] = {record, ++revision_, false};
+    auto const id = record.id;
+    entries_[id] = {std::move(record), ++revision_, false};
     return true;
 }
 
+std::uint16_t directory_log::number_of(std::string const& id) const
+{
+    auto const found = entries_.find(id);
+    return found == entries_.end() ? 0 : found->second.record.number;
+}
+
 void directory_log::remove(std::string const& id)
 {
     auto const found = entries_.find(id);
--- a/src/coordination/entry/directory_log.hpp
+++ b/src/coordination/entry/directory_log.hpp
@@ -17,8 +17,10 @@
 public:
     explicit directory_log(std::uint64_t hub_incarnation) : hub_(hub_incarnation) {}
 
-    /// Returns whether anything changed.
-    bool put(backend_record const& record);
+    /// Gives the record a number. Returns whether anything changed.
+    bool put(backend_record record);
+    /// The server's number, or 0.
+    [[nodiscard]] std::uint16_t number_of(std::string const& id) const;
     void remove(std::string const& id);
 
     /// Adds what changed after the revision that the instance has; everything if it knows
@@ -38,6 +40,7 @@
     };
     std::uint64_t hub_;
     std::uint64_t revision_ = 0;
+    std::uint16_t last_number_ = 0;
     std::map<std::string, entry> entries_;
 };
 
--- a/src/coordination/entry/fleet_status.cpp
+++ b/src/coordination/entry/fleet_status.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/fleet_status.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace carawayturn::entry
@@ -9,35 +10,82 @@
 {
 
 /// An instance that was silent for longer no longer counts as connected.
-constexpr duration connected_time = std::chrono::milliseconds(1500);
+constexpr duration connected_time = std::chrono::milliseconds(2000);
 /// An instance that was silent for longer is forgotten.
 constexpr duration known_time = std::chrono::seconds(10);
 /// Time constant of the arrival rates.
 constexpr double rate_memory_s = 4.0;
 
+template <class Key>
+void take_from(std::map<Key, std::uint32_t>& sums, Key const& key, std::uint32_t count)
+{
+    auto const found = sums.find(key);
+    if (found == sums.end())
+        return;
+    found->second -= std::min(found->second, count);
+    if (found->second == 0)
+        sums.erase(found);
+}
+
 } // namespace
 
-bool fleet_status::recent(node_state const& node, time_point now)
+double fleet_status::decayed_rate(model_state const& model, time_point now)
 {
-    return now - node.received <= connected_time;
+    double const age = std::chrono::duration<double>(now - model.rated_at).count();
+    return model.rate * std::exp(-age / rate_memory_s);
+}
+
+void fleet_status::add(node_state& node)
+{
+    node.counted = true;
+    ++connected_;
+    for (auto const& entry : node.last.in_flight)
+    {
+        totals_[entry.backend] += entry.count;
+        if (!entry.model.empty())
+            in_flight_[{entry.backend, entry.model}] += entry.count;
+    }
+    for (auto const& entry : node.last.demand)
+        models_[{entry.service, entry.model}].waiting += entry.waiting;
+}
+
+void fleet_status::subtract(node_state& node)
+{
+    if (!node.counted)
+        return;
+    node.counted = false;
+    --connected_;
+    for (auto const& entry : node.last.in_flight)
+    {
+        take_from(totals_, entry.backend, entry.count);
+        if (!entry.model.empty())
+            take_from(in_flight_, model_place(entry.backend, entry.model), entry.count);
+    }
+    for (auto const& entry : node.last.demand)
+    {
+        auto& model = models_[{entry.service, entry.model}];
+        model.waiting -= std::min(model.waiting, entry.waiting);
+    }
 }
 
 void fleet_status::follow_arrivals(node_state& node, node_status const& status,
                                    time_point now, bool restarted)
 {
-    double const passed = std::chrono::duration<double>(now - node.received).count();
-    double const keep = restarted ? 0 : std::exp(-passed / rate_memory_s);
-    for (auto& [key, arrivals] : node.arrivals)
-        arrivals.rate *= keep;
+    if (restarted)
+        node.arrivals.clear();
     for (auto const& demand : status.demand)
     {
-        auto& arrivals = node.arrivals[{demand.service, demand.model}];
+        model_place const place(demand.service, demand.model);
+        auto& count = node.arrivals[place];
         // Nothing is known of when the arrivals before the first status happened.
         if (restarted)
-            arrivals.count = demand.arrivals;
-        auto const fresh = static_cast<double>(demand.arrivals - arrivals.count);
-        arrivals.rate += fresh / rate_memory_s;
-        arrivals.count = demand.arrivals;
+            count = demand.arrivals;
+        auto& model = models_[place];
+        auto const fresh = static_cast<double>(demand.arrivals - count);
+        model.rate = decayed_rate(model, now) + fresh / rate_memory_s;
+        model.rated_at = now;
+        count = demand.arrivals;
+        service_of_model_[demand.model] = demand.service;
     }
 }
 
@@ -48,86 +96,51 @@
         node.received == time_point{} || node.last.incarnation != status.incarnation;
     if (!restarted && status.sent_at_us <= node.last.sent_at_us)
         return;
-    if (restarted)
-        node.arrivals.clear();
+    subtract(node);
     follow_arrivals(node, status, now, restarted);
     node.last = status;
     node.received = now;
+    add(node);
 }
 
 void fleet_status::expire(time_point now)
 {
+    for (auto& [name, node] : nodes_)
+        if (now - node.received > connected_time)
+            subtract(node);
     std::erase_if(nodes_, [&](auto const& entry)
                   { return now - entry.second.received > known_time; });
 }
 
 void fleet_status::clear()
 {
-    nodes_.clear();
+    *this = {};
 }
 
-std::size_t fleet_status::connected(time_point now) const
+std::map<std::string, std::uint32_t>
+fleet_status::totals_without(std::string const& node) const
 {
-    std::size_t count = 0;
-    for (auto const& [name, node] : nodes_)
-        count += recent(node, now) ? 1 : 0;
-    return count;
-}
-
-std::vector<backend_total> fleet_status::totals_without(std::string const& node,
-                                                        time_point now) const
-{
-    std::map<std::string, std::uint32_t> totals;
-    for (auto const& [name, state] : nodes_)
-    {
-        if (name == node || !recent(state, now))
-            continue;
-        for (auto const& entry : state.last.in_flight)
-            totals[entry.backend] += entry.count;
-    }
-    std::vector<backend_total> found;
-    found.reserve(totals.size());
-    for (auto const& [backend, count] : totals)
-        found.push_back({backend, count});
-    return found;
+    auto totals = totals_;
+    auto const own = nodes_.find(node);
+    if (own != nodes_.end() && own->second.counted)
+        for (auto const& entry : own->second.last.in_flight)
+            take_from(totals, entry.backend, entry.count);
+    return totals;
 }
 
 std::map<std::string, std::map<std::string, model_demand>>
 fleet_status::demand(time_point now) const
 {
     std::map<std::string, std::map<std::string, model_demand>> found;
-    for (auto const& [name, node] : nodes_)
+    for (auto const& [place, model] : models_)
+        found[place.first][place.second] = {model.waiting, 0, decayed_rate(model, now)};
+    for (auto const& [place, count] : in_flight_)
     {
-        if (!recent(node, now))
-            continue;
-        std::map<std::string, std::string> service_of_model;
-        for (auto const& [key, arrivals] : node.arrivals)
-        {
-            found[key.first][key.second].rate += arrivals.rate;
-            service_of_model[key.second] = key.first;
-        }
-        for (auto const& entry : node.last.demand)
-            found[entry.service][entry.model].waiting += entry.waiting;
-        for (auto const& entry : node.last.in_flight)
-        {
-            auto const service = service_of_model.find(entry.model);
-            if (!entry.model.empty() && service != service_of_model.end())
-                found[service->second][entry.model].in_flight += entry.count;
-        }
+        auto const service = service_of_model_.find(place.second);
+        if (service != service_of_model_.end())
+            found[service->second][place.second].in_flight += count;
     }
     return found;
 }
 
-std::map<std::pair<std::string, std::string>, std::uint32_t>
-fleet_status::in_flight(time_point now) const
-{
-    std::map<std::pair<std::string, std::string>, std::uint32_t> found;
-    for (auto const& [name, node] : nodes_)
-        if (recent(node, now))
-            for (auto const& entry : node.last.in_flight)
-                if (!entry.model.empty())
-                    found[{entry.backend, entry.model}] += entry.count;
-    return found;
-}
-
 } // namespace carawayturn::entry
--- a/src/coordination/entry/fleet_status.hpp
+++ b/src/coordination/entry/fleet_status.hpp
@@ -11,46 +11,64 @@
 namespace carawayturn::entry
 {
 
-/// What the hub knows from the statuses of all instances.
+/// What the hub knows from the statuses of all instances. Sums are kept as statuses come
+/// in, so that the work for one does not grow with the number of instances.
 class fleet_status
 {
 public:
     /// Takes a complete status. An instance that started anew replaces its former self.
     void put(node_status const& status, time_point now);
-    /// Forgets instances that were silent for too long.
+    /// Stops counting instances that are silent and forgets those that are so for long.
     void expire(time_point now);
     void clear();
 
     /// Instances that reported recently, and all that did within a longer time.
-    [[nodiscard]] std::size_t connected(time_point now) const;
+    [[nodiscard]] std::size_t connected() const { return connected_; }
     [[nodiscard]] std::size_t known() const { return nodes_.size(); }
 
     /// Requests at each backend server from all instances but one.
-    [[nodiscard]] std::vector<backend_total> totals_without(std::string const& node,
-                                                            time_point now) const;
+    [[nodiscard]] std::map<std::string, std::uint32_t>
+    totals_without(std::string const& node) const;
     /// Demand of all instances, by service and model.
     [[nodiscard]] std::map<std::string, std::map<std::string, model_demand>>
     demand(time_point now) const;
-    [[nodiscard]] std::map<std::pair<std::string, std::string>, std::uint32_t>
-    in_flight(time_point now) const;
+    /// Requests in flight by backend server and model.
+    [[nodiscard]] std::map<std::pair<std::string, std::string>, std::uint32_t> const&
+    in_flight() const
+    {
+        return in_flight_;
+    }
 
 private:
-    struct arrivals_state
+    using model_place = std::pair<std::string, std::string>;
+    struct model_state
     {
-        std::uint64_t count = 0;
+        std::uint32_t waiting = 0;
         double rate = 0;
+        time_point rated_at{};
     };
     struct node_state
     {
         node_status last;
         time_point received{};
-        std::map<std::pair<std::string, std::string>, arrivals_state> arrivals;
+        /// Its requests are part of the sums.
+        bool counted = false;
+        std::map<model_place, std::uint64_t> arrivals;
     };
+    void add(node_state& node);
+    void subtract(node_state& node);
     void follow_arrivals(node_state& node, node_status const& status, time_point now,
                          bool restarted);
-    [[nodiscard]] static bool recent(node_state const& node, time_point now);
+    [[nodiscard]] static double decayed_rate(model_state const& model, time_point now);
 
     std::map<std::string, node_state> nodes_;
+    std::size_t connected_ = 0;
+    /// By service and model.
+    std::map<model_place, model_state> models_;
+    /// By backend server and model.
+    std::map<model_place, std::uint32_t> in_flight_;
+    std::map<std::string, std::uint32_t> totals_;
+    std::map<std::string, std::string> service_of_model_;
 };
 
 } // namespace carawayturn::entry
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -58,9 +58,9 @@
     directory_.remove(id);
 }
 
-std::size_t hub_state::instances(time_point now) const
+std::size_t hub_state::instances() const
 {
-    return std::max<std::size_t>(fleet_.connected(now), 1);
+    return std::max<std::size_t>(fleet_.connected(), 1);
 }
 
 quota_reply hub_state::grant(quota_ask const& ask, serving_config const& config,
@@ -92,7 +92,7 @@
     if (status.complete)
         fleet_.put(status, now);
     fleet_.expire(now);
-    auto const connected = static_cast<double>(instances(now));
+    auto const connected = static_cast<double>(instances());
     ledger_.set_connected_share(
         connected / static_cast<double>(std::max<std::size_t>(fleet_.known(), 1)));
     for (auto const& returned : status.returns)
@@ -101,7 +101,7 @@
     update.echo_us = status.sent_at_us;
     update.confirmation_age_us = authority.age(now).count();
     update.config_version = authority.version();
-    update.instances = static_cast<std::uint32_t>(instances(now));
+    update.instances = static_cast<std::uint32_t>(instances());
     if (authority.current())
         for (auto const& ask : status.asks)
             update.quota.push_back(grant(ask, *authority.current(), now));
@@ -109,10 +109,18 @@
     update.complete = status.complete;
     if (!status.complete)
         return update;
-    update.totals = fleet_.totals_without(status.node, now);
-    for (auto const& estimate : planner_.estimates(now))
-        update.estimates.push_back(
-            {estimate.service, estimate.target.str(), estimate.ready_in.count()});
+    for (auto const& [backend, count] : fleet_.totals_without(status.node))
+        if (auto const number = directory_.number_of(backend))
+            update.totals.push_back(
+                {number, static_cast<std::uint16_t>(std::min(count, 0xffffU))});
+    for (auto const& demand : status.demand)
+    {
+        auto const found =
+            estimates_.find({demand.service, model_key::parse(demand.model).model});
+        if (demand.waiting > 0 && found != estimates_.end())
+            update.estimates.push_back(
+                {found->first.first, found->first.second, found->second.count()});
+    }
     for (auto const& [backend, model] : planner_.retiring())
         update.retiring.push_back({backend, model});
     return update;
@@ -122,10 +130,18 @@
                                           time_point now)
 {
     follow_config(authority, now);
+    fleet_.expire(now);
+    ledger_.set_connected_share(
+        static_cast<double>(instances()) /
+        static_cast<double>(std::max<std::size_t>(fleet_.known(), 1)));
     for (auto& [service, demand] : fleet_.demand(now))
-        planner_.set_demand(service, demand);
-    planner_.set_in_flight(fleet_.in_flight(now));
-    return planner_.plan(now);
+        planner_.set_demand(service, std::move(demand));
+    planner_.set_in_flight(fleet_.in_flight());
+    auto orders = planner_.plan(now);
+    estimates_.clear();
+    for (auto const& estimate : planner_.estimates(now))
+        estimates_[{estimate.service, estimate.target.model}] = estimate.ready_in;
+    return orders;
 }
 
 bool hub_state::publish()
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -41,7 +41,7 @@
     /// Moves what the planner learned into the directory; true if anything changed.
     bool publish();
     [[nodiscard]] std::uint64_t revision() const { return directory_.revision(); }
-    [[nodiscard]] std::size_t instances(time_point now) const;
+    [[nodiscard]] std::size_t instances() const;
     [[nodiscard]] std::map<std::string, backend_record> servers() const
     {
         return directory_.records();
@@ -59,6 +59,8 @@
     placement_planner planner_;
     quota_ledger ledger_;
     std::shared_ptr<serving_config const> config_;
+    /// As of the last plan, by service and model.
+    std::map<std::pair<std::string, std::string>, duration> estimates_;
 };
 
 } // namespace carawayturn::entry
--- a/src/coordination/entry/placement_planner.cpp
+++ b/src/coordination/entry/placement_planner.cpp
@@ -23,6 +23,8 @@
 /// for this long.
 constexpr duration record_lag = std::chrono::seconds(3);
 constexpr duration report_interval = std::chrono::milliseconds(150);
+/// How often a load in advance is considered.
+constexpr duration prefetch_interval = std::chrono::milliseconds(100);
 /// A load that takes this many times its usual time has failed.
 constexpr int give_up_factor = 4;
 /// An adapter is usable this long after its order was accepted.
@@ -223,7 +225,7 @@
 }
 
 void placement_planner::set_in_flight(
-    std::map<std::pair<std::string, std::string>, std::uint32_t> counts)
+    std::map<std::pair<std::string, std::string>, std::uint32_t> const& counts)
 {
     in_flight_.clear();
     for (auto const& [place, count] : counts)
@@ -245,34 +247,35 @@
     return found == models->second.end() ? model_demand{} : found->second;
 }
 
-std::uint32_t placement_planner::copies(std::string const& service,
-                                        std::string const& model, bool with_planned) const
+void placement_planner::count_models()
 {
-    std::uint32_t count = 0;
+    counts_.clear();
     for (auto const& [id, runner] : runners_)
     {
-        if (runner.record.service != service || runner.record.draining)
+        auto const& record = runner.record;
+        if (record.draining)
             continue;
-        bool const leaving = contains(runner.victims, model);
-        bool const planned = (runner.goal && runner.goal->target.model == model) ||
-                             (runner.loading && runner.loading->target.model == model);
-        if ((holds(runner.record, model) && !leaving) || (with_planned && planned))
-            ++count;
+        auto& models = counts_[record.service];
+        for (auto const& held : record.models)
+            models[held.name].copies += contains(runner.victims, held.name) ? 0 : 1;
+        for (auto const& cached : {record.cached_on_disk, record.cached_in_memory})
+            for (auto const& model : cached)
+                models[model].cached = true;
+        if (runner.goal)
+            ++models[runner.goal->target.model].planned;
+        if (runner.loading)
+            ++models[runner.loading->target.model].planned;
     }
-    return count;
 }
 
-bool placement_planner::cached_anywhere(std::string const& service,
-                                        std::string const& model) const
+placement_planner::model_counts
+placement_planner::counts_of(std::string const& service, std::string const& model) const
 {
-    return std::any_of(runners_.begin(), runners_.end(),
-                       [&](auto const& entry)
-                       {
-                           auto const& record = entry.second.record;
-                           return record.service == service && !record.draining &&
-                                  (contains(record.cached_on_disk, model) ||
-                                   contains(record.cached_in_memory, model));
-                       });
+    auto const models = counts_.find(service);
+    if (models == counts_.end())
+        return {};
+    auto const found = models->second.find(model);
+    return found == models->second.end() ? model_counts{} : found->second;
 }
 
 std::uint32_t placement_planner::in_flight_on(std::string const& runner,
@@ -296,7 +299,7 @@
     auto const* const known = service.engine->find(model);
     double const reload = known == nullptr ? 1.0 : seconds(known->disk_load);
     auto const demand = demand_of(service.name, model);
-    auto const count = std::max(copies(service.name, model, false), 1U);
+    auto const count = std::max(counts_of(service.name, model).copies, 1U);
     double value = (demand.rate + 0.005) * reload / (count * count);
     if (demand.in_flight > 0 && count <= wanted_copies(service, model))
         value += needed_copy_value;
@@ -408,6 +411,13 @@
     auto& runner = *option.runner;
     runner.victims = option.victims;
     runner.goal = job{{model.name, ""}, option.from_store, option.load_time, now, 0};
+    auto& counts = counts_[runner.record.service];
+    ++counts[model.name].planned;
+    for (auto const& victim : option.victims)
+    {
+        auto& copies = counts[victim].copies;
+        copies -= std::min(copies, 1U);
+    }
 }
 
 void placement_planner::plan_models(served_service const& service, time_point now)
@@ -421,7 +431,10 @@
     for (auto const& model : service.engine->models)
     {
         auto const demand = demand_of(service.name, model.name);
-        if (demand.waiting > 0 && copies(service.name, model.name, true) == 0)
+        if (demand.waiting == 0)
+            continue;
+        auto const counts = counts_of(service.name, model.name);
+        if (counts.copies + counts.planned == 0)
             wanted.push_back({&model, demand.waiting});
     }
     std::stable_sort(wanted.begin(), wanted.end(),
@@ -444,7 +457,8 @@
     {
         if (demand_of(service.name, model.name).in_flight == 0)
             continue;
-        if (copies(service.name, model.name, true) >= wanted_copies(service, model.name))
+        auto const counts = counts_of(service.name, model.name);
+        if (counts.copies + counts.planned >= wanted_copies(service, model.name))
             continue;
         bool const store = store_load_allowed(*service.engine, now);
         auto const option = best_option(service, model, now, store, victim_rule::idle);
@@ -455,12 +469,15 @@
 
 void placement_planner::plan_prefetch(served_service const& service, time_point now)
 {
+    if (now < next_prefetch_ || !store_load_allowed(*service.engine, now))
+        return;
+    next_prefetch_ = now + prefetch_interval;
     hosted_model const* next = nullptr;
     double best_rate = -1;
     for (auto const& model : service.engine->models)
     {
-        if (copies(service.name, model.name, true) > 0 ||
-            cached_anywhere(service.name, model.name))
+        auto const counts = counts_of(service.name, model.name);
+        if (counts.copies + counts.planned > 0 || counts.cached)
             continue;
         double const rate = demand_of(service.name, model.name).rate;
         if (rate <= best_rate)
@@ -468,7 +485,7 @@
         best_rate = rate;
         next = &model;
     }
-    if (next == nullptr || !store_load_allowed(*service.engine, now))
+    if (next == nullptr)
         return;
     auto const option = best_option(service, *next, now, true, victim_rule::cheap);
     if (option)
@@ -618,6 +635,7 @@
     if (config_ == nullptr)
         return orders;
     take_arrived(now);
+    count_models();
     for (auto const& service : config_->services)
     {
         if (!service.engine)
@@ -858,9 +876,10 @@
                 if (runner.goal && runner.goal->target.model == key.model)
                     ready = std::min(ready, runner.goal->load_time);
             }
-            if (ready == duration::max() && copies(service, key.model, false) > 0)
+            auto const counts = counts_of(service, key.model);
+            if (ready == duration::max() && counts.copies > 0)
                 continue;
-            if (ready == duration::max() && cached_anywhere(service, key.model))
+            if (ready == duration::max() && counts.cached)
                 ready = model->disk_load;
             if (ready == duration::max())
             {
--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace carawayturn::entry
@@ -79,8 +80,8 @@
     void set_demand(std::string const& service,
                     std::map<std::string, model_demand> demand);
     /// Requests in flight by runner and model.
-    void
-    set_in_flight(std::map<std::pair<std::string, std::string>, std::uint32_t> counts);
+    void set_in_flight(
+        std::map<std::pair<std::string, std::string>, std::uint32_t> const& counts);
 
     /// Orders to send now. Each has to be answered by order_answered().
     [[nodiscard]] std::vector<runner_order> plan(time_point now);
@@ -162,6 +163,16 @@
         bool from_store = false;
     };
 
+    /// Counts of one model over all runners, as of the last plan.
+    struct model_counts
+    {
+        std::uint32_t copies = 0;
+        std::uint32_t planned = 0;
+        bool cached = false;
+    };
+    void count_models();
+    [[nodiscard]] model_counts counts_of(std::string const& service,
+                                         std::string const& model) const;
     void plan_models(served_service const& service, time_point now);
     void plan_copies(served_service const& service, time_point now);
     void plan_prefetch(served_service const& service, time_point now);
@@ -192,10 +203,6 @@
                                     std::string const& model) const;
     [[nodiscard]] std::uint32_t wanted_copies(served_service const& service,
                                               std::string const& model) const;
-    [[nodiscard]] std::uint32_t copies(std::string const& service,
-                                       std::string const& model, bool with_planned) const;
-    [[nodiscard]] bool cached_anywhere(std::string const& service,
-                                       std::string const& model) const;
     [[nodiscard]] std::uint32_t in_flight_on(std::string const& runner,
                                              std::string const& model) const;
     [[nodiscard]] std::uint32_t store_loads() const;
@@ -207,7 +214,9 @@
     std::map<std::string, runner_state> runners_;
     std::map<std::string, std::map<std::string, model_demand>> demand_;
     std::map<std::pair<std::string, std::string>, std::uint32_t> in_flight_;
+    std::map<std::string, std::unordered_map<std::string, model_counts>> counts_;
     std::set<std::string> changed_;
+    time_point next_prefetch_{};
     /// Begin of recent loads from the weight store, newest last.
     std::vector<time_point> store_load_begins_;
     /// Loads from the weight store that go at full speed together.
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -20,9 +20,9 @@
 template <class Archive>
 void serialize(Archive& archive, backend_record& value)
 {
-    archive(value.id, value.service, value.address, value.failure_domain, value.slots,
-            value.draining, value.born_ms, value.models, value.cached_in_memory,
-            value.cached_on_disk);
+    archive(value.id, value.number, value.service, value.address, value.failure_domain,
+            value.slots, value.draining, value.born_ms, value.models,
+            value.cached_in_memory, value.cached_on_disk);
 }
 
 template <class Archive>
@@ -64,7 +64,7 @@
 template <class Archive>
 void serialize(Archive& archive, backend_total& value)
 {
-    archive(value.backend, value.others);
+    archive(value.number, value.others);
 }
 
 template <class Archive>
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -80,8 +80,9 @@
 /// Requests that all other instances have at a backend server.
 struct backend_total
 {
-    std::string backend;
-    std::uint32_t others = 0;
+    /// The server's number in the hub's directory.
+    std::uint16_t number = 0;
+    std::uint16_t others = 0;
 };
 
 struct model_estimate
--- a/src/state/entry/node_settings.hpp
+++ b/src/state/entry/node_settings.hpp
@@ -37,6 +37,8 @@
     std::uint16_t peer_port = 0;
     std::uint16_t metrics_port = 0;
     std::string store_address;
+    /// Part of a core that the process may use.
+    double processor_share = 1;
     service_bounds bounds;
 };
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -25,6 +25,11 @@
 /// The hub sends no order with less of its lease left.
 constexpr duration order_margin = std::chrono::milliseconds(200);
 constexpr duration tick_interval = std::chrono::milliseconds(50);
+/// The hub plans this often without a cause, and waits this long after each plan.
+constexpr duration plan_interval = std::chrono::milliseconds(50);
+constexpr duration idle_plan_interval = std::chrono::milliseconds(500);
+constexpr duration least_plan_pause = std::chrono::milliseconds(5);
+constexpr duration plan_pause_per_instance = std::chrono::microseconds(400);
 constexpr duration order_timeout = std::chrono::milliseconds(1000);
 constexpr duration report_timeout = std::chrono::milliseconds(500);
 /// After SIGTERM new connections are served for this long, until the entry points have
@@ -79,7 +84,7 @@
       log_(settings_.name),
       authority_(settings_.bounds.key_withdrawal - withdrawal_margin),
       board_(settings_.failure_domain, incarnation), connections_(io_, watch_),
-      retries_(settings_.bounds), changes_(io_),
+      retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
       lease_(settings_.ip + ":" + std::to_string(settings_.peer_port), settings_.name,
              incarnation, lease_term),
@@ -90,8 +95,9 @@
                                    metrics_,   random_,        in_flight_,
                                    draining_,  open_requests_, idle_callers_},
       link_(services_, lease_, *this, *this), store_(services_),
-      reader_(services_, store_, *this), keeper_(services_, store_, lease_),
-      callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_)
+      reader_(services_, store_, *this),
+      keeper_(services_, store_, lease_, settings_.processor_share), callers_(io_),
+      readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_)
 {
 }
 
@@ -140,6 +146,7 @@
     asio::co_spawn(io_, serve_metrics(), asio::detached);
     asio::co_spawn(io_, handle_signals(), asio::detached);
     asio::co_spawn(io_, keep_lease(), asio::detached);
+    asio::co_spawn(io_, plan_as_hub(), asio::detached);
     asio::co_spawn(io_, tick(), asio::detached);
     io_.run();
     log_.write(1162, {{"open_requests", std::uint64_t{open_requests_}}});
@@ -216,10 +223,7 @@
                     [](demand_count const& demand) { return demand.waiting > 0; });
     auto update = hub_.answer(status, authority_, now);
     if (waiting)
-    {
-        plan_orders();
-        update = hub_.answer(status, authority_, now);
-    }
+        plan_due_.notify();
     update.lease_version = lease_.row_version();
     update.lease_remaining_us = lease_.remaining(now).count();
     return update;
@@ -264,8 +268,12 @@
     {
         for (auto const& [id, record] : board_.all())
             board_.others_told(id, 0);
+        std::map<std::uint16_t, std::string const*> ids;
+        for (auto const& [id, record] : board_.all())
+            ids[record.number] = &id;
         for (auto const& total : update.totals)
-            board_.others_told(total.backend, total.others);
+            if (auto const found = ids.find(total.number); found != ids.end())
+                board_.others_told(*found->second, total.others);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.retiring)
             board_.avoid_model(retiring.backend, retiring.model,
@@ -357,8 +365,7 @@
                       {"fence", lease_.fence()},
                       {"status", std::uint64_t{status}}});
     hub_.planner().order_answered(order, outcome, boot_now());
-    if (hub_active_ && outcome != order_outcome::unknown)
-        plan_orders();
+    plan_due_.notify();
 }
 
 task<void> entry_node::ask_report(std::string id)
@@ -390,6 +397,34 @@
     hub_.planner().reported(id, std::get<runner_report>(report), now);
 }
 
+void entry_node::push_changes()
+{
+    if (!hub_active_ ||
+        (hub_.revision() == pushed_revision_ && authority_.version() == pushed_config_))
+        return;
+    pushed_revision_ = hub_.revision();
+    pushed_config_ = authority_.version();
+    link_.push_all();
+    updated(reply(status(false)));
+}
+
+task<void> entry_node::plan_as_hub()
+{
+    steady_timer timer(io_);
+    for (;;)
+    {
+        co_await plan_due_.wait(hub_active_ ? plan_interval : idle_plan_interval);
+        if (!hub_active_)
+            continue;
+        plan_orders();
+        push_changes();
+        // Bounds the work of a hub with many instances.
+        timer.expires_after(least_plan_pause +
+                            plan_pause_per_instance * static_cast<int>(hub_.instances()));
+        co_await timer.async_wait(use_task);
+    }
+}
+
 task<void> entry_node::tick()
 {
     steady_timer timer(io_);
@@ -401,17 +436,8 @@
         watch_.sweep(now);
         connections_.close_expired(now);
         follow_hub_role();
-        plan_orders();
         bool const stale = authority_.age(now) > own_reading_age;
         reader_.set_active(hub_active_ || !link_.connected() || stale);
-        if (hub_active_ && (hub_.revision() != pushed_revision_ ||
-                            authority_.version() != pushed_config_))
-        {
-            pushed_revision_ = hub_.revision();
-            pushed_config_ = authority_.version();
-            link_.push_all();
-            updated(reply(status(false)));
-        }
         follow_readiness();
         log_.flush();
     }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -48,6 +48,9 @@
     [[nodiscard]] result<std::monostate> listen(tcp_acceptor& acceptor,
                                                 std::string const& address);
     [[nodiscard]] task<void> tick();
+    [[nodiscard]] task<void> plan_as_hub();
+    /// Tells all instances what they should know at once.
+    void push_changes();
     [[nodiscard]] task<void> keep_lease();
     [[nodiscard]] task<void> serve_ready();
     [[nodiscard]] task<void> serve_metrics();
@@ -78,6 +81,7 @@
     retry_budget retries_;
     demand_book demand_;
     change_signal changes_;
+    change_signal plan_due_;
     std::minstd_rand random_;
     std::map<std::pair<std::string, std::string>, std::uint32_t> in_flight_;
     bool draining_ = false;
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/entry/boot_clock.hpp"
 
+#include <algorithm>
+
 namespace carawayturn::entry
 {
 
@@ -11,14 +13,21 @@
 constexpr duration call_timeout = std::chrono::milliseconds(700);
 constexpr duration step_interval = std::chrono::milliseconds(100);
 constexpr duration retry_interval = std::chrono::milliseconds(200);
+/// An instance with a whole core waits this long before it claims a vacant lease, one
+/// with a part of a core in proportion longer: the hub works for all others.
+constexpr std::chrono::duration<double> claim_delay_of_a_core =
+    std::chrono::milliseconds(60);
+constexpr double least_share = 0.05;
 /// How often an instance without a hub looks for one.
 constexpr duration search_interval = std::chrono::milliseconds(500);
 
 } // namespace
 
 lease_keeper::lease_keeper(entry_services& services, store_client& store,
-                           order_lease& lease)
-    : services_(services), store_(store), lease_(lease), started_at_(boot_now())
+                           order_lease& lease, double processor_share)
+    : services_(services), store_(store), lease_(lease), started_at_(boot_now()),
+      claim_delay_(std::chrono::duration_cast<duration>(
+          claim_delay_of_a_core / std::clamp(processor_share, least_share, 1.0)))
 {
 }
 
@@ -34,7 +43,12 @@
     // A process that has just started may not take turns with the one before it.
     bool const settled =
         absent_ || now - started_at_ >= services_.settings.bounds.order_lease;
-    if (settled && lease_.may_claim(now) && store_.answering())
+    bool const claimable = settled && lease_.may_claim(now) && store_.answering();
+    if (!claimable)
+        claimable_since_ = time_point{};
+    else if (claimable_since_ == time_point{})
+        claimable_since_ = now;
+    if (claimable && (lease_.own_row() || now - claimable_since_ >= claim_delay_))
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
     if (!hub_answers && !lease_.own_row() && now - last_read_ >= search_interval)
         co_await read();
--- a/src/transport/entry/lease_keeper.hpp
+++ b/src/transport/entry/lease_keeper.hpp
@@ -11,7 +11,9 @@
 class lease_keeper
 {
 public:
-    lease_keeper(entry_services& services, store_client& store, order_lease& lease);
+    /// @param processor_share part of a core that this instance has.
+    lease_keeper(entry_services& services, store_client& store, order_lease& lease,
+                 double processor_share);
 
     /// Runs one step, at most one call to the store; returns when the next is due.
     /// @param hub_answers whether the present hub answers this instance.
@@ -30,6 +32,9 @@
     store_client& store_;
     order_lease& lease_;
     time_point started_at_;
+    duration claim_delay_;
+    /// Since when the lease could be claimed.
+    time_point claimable_since_{};
     time_point last_read_{};
     bool known_ = false;
     bool absent_ = false;
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -50,6 +50,11 @@
     activity_.notify();
 }
 
+bool store_reader::listed() const
+{
+    return servers_version_ != 0;
+}
+
 task<void> store_reader::follow_config()
 {
     for (;;)
@@ -201,6 +206,8 @@
             take_server(row);
     }
     servers_version_ = std::max(servers_version_, reply->answer.version);
+    if (reply->answer.truncated)
+        co_return co_await watch_servers();
     co_return true;
 }
 
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -34,8 +34,8 @@
     /// Whether to follow the store.
     void set_active(bool active);
     [[nodiscard]] bool active() const { return active_; }
-    /// Whether all servers have been read since the start.
-    [[nodiscard]] bool listed() const { return servers_version_ != 0; }
+    /// Whether all servers have been read since the reader became active.
+    [[nodiscard]] bool listed() const;
 
 private:
     [[nodiscard]] task<void> follow_config();
--- a/tests/entry/backend_board_test.cpp
+++ b/tests/entry/backend_board_test.cpp
@@ -132,8 +132,10 @@
 {
     fleet_.put(status("n1", 1, 0), at(0));
     EXPECT_EQ(fleet_.demand(at(100))["s"]["m"].waiting, 1U);
+    fleet_.expire(at(3000));
     EXPECT_EQ(fleet_.demand(at(3000))["s"]["m"].waiting, 0U);
-    EXPECT_EQ(fleet_.connected(at(3000)), 0U);
+    EXPECT_EQ(fleet_.demand(at(3000))["s"]["m"].in_flight, 0U);
+    EXPECT_EQ(fleet_.connected(), 0U);
 }
 
 // Guards against a burst of arrivals that never happened when an instance finds a new
@@ -149,9 +151,19 @@
 {
     fleet_.put(status("n1", 1, 0), at(0));
     fleet_.put(status("n2", 1, 0), at(0));
-    auto const totals = fleet_.totals_without("n1", at(0));
+    auto const totals = fleet_.totals_without("n1");
     ASSERT_EQ(totals.size(), 1U);
-    EXPECT_EQ(totals[0].others, 2U);
+    EXPECT_EQ(totals.at("b1"), 2U);
+}
+
+// Guards against sums that grow with each status of the same instance.
+TEST_F(fleet_status_test, later_status_replaces_the_earlier_one)
+{
+    for (int i = 1; i <= 5; ++i)
+        fleet_.put(status("n1", i, 0), at(i));
+    EXPECT_EQ(fleet_.totals_without("n2").at("b1"), 2U);
+    EXPECT_EQ(fleet_.demand(at(5))["s"]["m"].waiting, 1U);
+    EXPECT_EQ(fleet_.connected(), 1U);
 }
 
 // Guards against a stream that goes on in the middle of an event.
@@ -180,7 +192,8 @@
 {
     node_update update;
     update.echo_us = 5;
-    update.records.push_back({"b1", "s", "10.0.0.1:1", "a", 6, true, 9, {}, {}, {"m"}});
+    update.records.push_back(
+        {"b1", 3, "s", "10.0.0.1:1", "a", 6, true, 9, {}, {}, {"m"}});
     update.quota.push_back({3, 10.5, 7});
     auto const read = decode_update(encode(update));
     ASSERT_TRUE(succeeded(read));
