--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -90,6 +90,7 @@
     {1120, warning, "store_lost"},
     {1121, info, "store_regained"},
     {1122, warning, "store_answer_unreadable"},
+    {1123, info, "own_reading_changed"},
     {1130, info, "backend_changed"},
     {1131, warning, "backend_row_unreadable"},
     {1132, info, "backend_gone"},
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -242,6 +242,7 @@
         put_on_board(record);
     for (auto const& id : update.removed)
     {
+        log_.write(1132, {{"server", id}, {"directory_revision", update.directory_revision}});
         board_.remove(id);
         connections_.drop(id);
     }
