Add process tests against platform stand-ins, state dump, entry commands, crash signatures

The stand-ins of the store, runners and plain servers are one Python module on loopback; 16 tests run the real program against them. /state on the metrics address dumps the instance's state; the operators' tool checks settings and configurations and reads state and metrics. A request that was in flight at three crashes is refused everywhere (the hub sums what instances saw).

--- a/src/app/cli/commands.cpp
+++ b/src/app/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "app/cli/admin_client.hpp"
 #include "app/cli/config_diff.hpp"
+#include "app/cli/entry_commands.hpp"
 #include "app/cli/listing.hpp"
 #include "state/config_text.hpp"
 #include "state/hash.hpp"
@@ -202,6 +203,37 @@
     return print_answer(client_of(settings).explain(request_id(words[0])), streams);
 }
 
+exit_code print_result(result<std::string> const& outcome, cli_streams streams)
+{
+    if (!succeeded(outcome))
+        return report(std::get<error>(outcome), streams);
+    streams.out << std::get<std::string>(outcome);
+    return exit_code::success;
+}
+
+/// Checks a file with one of the platform's decoders.
+template <result<std::string> (*Check)(std::string_view)>
+exit_code check_file(cli_settings const&, parameters const& arguments,
+                     cli_streams streams)
+{
+    auto const text = read_file(arguments[0]);
+    if (!succeeded(text))
+        return report(std::get<error>(text), streams);
+    return print_result(Check(std::get<std::string>(text)), streams);
+}
+
+exit_code run_entry_state(cli_settings const& settings, parameters const&,
+                          cli_streams streams)
+{
+    return print_result(read_entry_page(settings.admin, "/state"), streams);
+}
+
+exit_code run_entry_metrics(cli_settings const& settings, parameters const&,
+                            cli_streams streams)
+{
+    return print_result(read_entry_page(settings.admin, "/metrics"), streams);
+}
+
 constexpr command command_table[] = {
     {"validate", "FILE", "Checks a configuration file (- is standard input).", 1,
      run_validate},
@@ -216,6 +248,15 @@
      run_list},
     {"drain", "", "Asks the instance to finish its requests and exit.", 0, run_drain},
     {"dump", "", "Prints the instance's whole state as JSON.", 0, run_dump},
+    {"check-entry-settings", "FILE",
+     "Checks the settings of an instance on the platform.", 1,
+     check_file<check_entry_settings>},
+    {"check-entry-config", "FILE", "Checks a configuration for the platform's store.", 1,
+     check_file<check_entry_config>},
+    {"entry-state", "", "Prints the state of an instance on the platform.", 0,
+     run_entry_state},
+    {"entry-metrics", "", "Prints the metrics of an instance on the platform.", 0,
+     run_entry_metrics},
     {"explain", "REQUEST", "Tells what happened to one request.", 1, run_explain},
 };
 
--- a/src/app/cli/main.cpp
+++ b/src/app/cli/main.cpp
@@ -10,7 +10,8 @@
 #include <iostream>
 
 ABSL_FLAG(std::string, admin, "",
-          "IP address and port of an instance's operators' interface, for example "
+          "IP address and port of an instance's operators' interface, or of the metrics "
+          "of an instance on the platform, for example "
           "127.0.0.1:9090 (environment: CARAWAYTURN_ADMIN)");
 ABSL_FLAG(
     std::string, operator_token_file, "",
@@ -109,7 +110,8 @@
     std::vector<std::string> const words(rest.begin() + 1, rest.end());
 
     cli_settings settings{admin_setting(), token_setting(), expected_version_setting()};
-    bool const local = !words.empty() && words[0] == "validate";
+    bool const local =
+        !words.empty() && (words[0] == "validate" || words[0].starts_with("check-"));
     if (!local && settings.admin.port == 0 && !words.empty())
         fail_setting("admin", "",
                      "an IP address and a port from 1 to 65535, as ADDRESS:PORT");
--- /dev/null
+++ b/src/coordination/entry/crash_ledger.cpp
@@ -0,0 +1,118 @@
+#include "coordination/entry/crash_ledger.hpp"
+
+#include <algorithm>
+
+namespace carawayturn::entry
+{
+
+namespace
+{
+
+/// A request that was in flight at this many crashes is refused.
+constexpr std::uint32_t crash_limit = 3;
+/// A broken attempt is tied to a crash that shows within this time.
+constexpr duration crash_shows_within = std::chrono::milliseconds(1500);
+/// Signatures without further crashes are forgotten.
+constexpr duration memory = std::chrono::seconds(120);
+constexpr std::size_t max_broken = 512;
+constexpr std::size_t max_signatures = 4096;
+
+} // namespace
+
+std::uint64_t request_signature(std::string_view target, std::string_view organisation,
+                                std::string_view body)
+{
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (auto const part : {target, organisation, body})
+    {
+        for (char const c : part)
+            hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+        // Separates the parts, so that bytes cannot move from one to the next.
+        hash = (hash ^ 0xffU) * 1099511628211ULL;
+    }
+    return hash;
+}
+
+void crash_ledger::broke(std::string const& server, std::uint64_t signature,
+                         time_point now)
+{
+    if (broken_.size() < max_broken)
+        broken_.push_back({server, signature, now});
+}
+
+void crash_ledger::crashed(std::string const& server, time_point now)
+{
+    std::erase_if(broken_,
+                  [&](broken_attempt const& attempt)
+                  {
+                      if (attempt.server != server)
+                          return false;
+                      bool const tied = now - attempt.at <= crash_shows_within;
+                      if (tied && counts_.size() < max_signatures)
+                      {
+                          auto& entry = counts_[attempt.signature];
+                          ++entry.crashes;
+                          entry.last = now;
+                          ++new_[attempt.signature];
+                      }
+                      return true;
+                  });
+}
+
+void crash_ledger::told(std::vector<crash_count> const& crashes, time_point now)
+{
+    for (auto const& crash : crashes)
+    {
+        auto& entry = counts_[crash.signature];
+        entry.crashes = std::max(entry.crashes, crash.crashes);
+        entry.last = now;
+    }
+}
+
+bool crash_ledger::blocked(std::uint64_t signature) const
+{
+    auto const found = counts_.find(signature);
+    return found != counts_.end() && found->second.crashes >= crash_limit;
+}
+
+std::vector<crash_count> crash_ledger::take_new()
+{
+    std::vector<crash_count> found;
+    for (auto const& [signature, crashes] : new_)
+        found.push_back({signature, crashes});
+    new_.clear();
+    return found;
+}
+
+void crash_ledger::expire(time_point now)
+{
+    std::erase_if(broken_, [&](broken_attempt const& attempt)
+                  { return now - attempt.at > crash_shows_within; });
+    std::erase_if(counts_,
+                  [&](auto const& entry) { return now - entry.second.last > memory; });
+}
+
+void crash_sums::add(std::vector<crash_count> const& crashes, time_point now)
+{
+    for (auto const& crash : crashes)
+    {
+        if (sums_.size() >= max_signatures && sums_.count(crash.signature) == 0)
+            continue;
+        auto& entry = sums_[crash.signature];
+        entry.crashes += crash.crashes;
+        entry.last = now;
+    }
+}
+
+std::vector<crash_count> crash_sums::suspects(time_point now)
+{
+    std::erase_if(sums_,
+                  [&](auto const& entry) { return now - entry.second.last > memory; });
+    std::vector<crash_count> found;
+    for (auto const& [signature, entry] : sums_)
+        if (entry.crashes > 1)
+            found.push_back({signature, entry.crashes});
+    return found;
+}
+
+} // namespace carawayturn::entry
--- /dev/null
+++ b/src/coordination/entry/crash_ledger.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "state/entry/node_message.hpp"
+#include "state/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carawayturn::entry
+{
+
+/// Identifies requests that are equal but for their id.
+[[nodiscard]] std::uint64_t request_signature(std::string_view target,
+                                              std::string_view organisation,
+                                              std::string_view body);
+
+/// Counts how often requests were in flight when their backend server crashed. Answers
+/// the load pattern "a request crashes each server that runs it and is sent again": it is
+/// refused everywhere after a few crashes.
+class crash_ledger
+{
+public:
+    /// A request's connection broke without an answer. It counts once the server turns
+    /// out to have crashed.
+    void broke(std::string const& server, std::uint64_t signature, time_point now);
+    /// The server does not accept connections, or has a new incarnation.
+    void crashed(std::string const& server, time_point now);
+    /// Crashes that other instances saw, as the hub tells.
+    void told(std::vector<crash_count> const& crashes, time_point now);
+
+    /// Whether the request may not reach a server again.
+    [[nodiscard]] bool blocked(std::uint64_t signature) const;
+    /// Crashes seen here since the last call.
+    [[nodiscard]] std::vector<crash_count> take_new();
+    void expire(time_point now);
+
+private:
+    struct broken_attempt
+    {
+        std::string server;
+        std::uint64_t signature = 0;
+        time_point at{};
+    };
+    struct count
+    {
+        std::uint32_t crashes = 0;
+        time_point last{};
+    };
+    std::vector<broken_attempt> broken_;
+    std::map<std::uint64_t, count> counts_;
+    std::map<std::uint64_t, std::uint32_t> new_;
+};
+
+/// The hub's sum over all instances.
+class crash_sums
+{
+public:
+    void add(std::vector<crash_count> const& crashes, time_point now);
+    /// Signatures with more than one crash; the others are no suspects yet.
+    [[nodiscard]] std::vector<crash_count> suspects(time_point now);
+
+private:
+    struct sum
+    {
+        std::uint32_t crashes = 0;
+        time_point last{};
+    };
+    std::map<std::uint64_t, sum> sums_;
+};
+
+} // namespace carawayturn::entry
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -105,6 +105,7 @@
     if (authority.current())
         for (auto const& ask : status.asks)
             update.quota.push_back(grant(ask, *authority.current(), now));
+    crashes_.add(status.crashes, now);
     add_directory(status, update);
     update.complete = status.complete;
     if (!status.complete)
@@ -121,6 +122,7 @@
             update.estimates.push_back(
                 {found->first.first, found->first.second, found->second.count()});
     }
+    update.crashes = crashes_.suspects(now);
     for (auto const& [backend, model] : planner_.retiring())
         update.retiring.push_back({backend, model});
     return update;
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/config_authority.hpp"
+#include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/directory_log.hpp"
 #include "coordination/entry/fleet_status.hpp"
 #include "coordination/entry/placement_planner.hpp"
@@ -58,6 +59,7 @@
     directory_log directory_;
     placement_planner planner_;
     quota_ledger ledger_;
+    crash_sums crashes_;
     std::shared_ptr<serving_config const> config_;
     /// As of the last plan, by service and model.
     std::map<std::pair<std::string, std::string>, duration> estimates_;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -5,6 +5,7 @@
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/caller_session.hpp"
 #include "transport/entry/http_call.hpp"
+#include "transport/entry/state_dump.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,13 +48,36 @@
 constexpr duration probe_timeout = std::chrono::seconds(2);
 constexpr int listen_backlog = 512;
 
-task<void> answer_probe(std::shared_ptr<watched_socket> socket, std::string answer)
+/// Longest head of a probe, in bytes.
+constexpr std::size_t probe_limit = 8192;
+
+/// The target of a request line; empty if there is none.
+std::string_view target_of(std::string_view request)
+{
+    auto const begin = request.find(' ');
+    if (begin == std::string_view::npos)
+        return {};
+    auto const rest = request.substr(begin + 1);
+    return rest.substr(0, rest.find(' '));
+}
+
+std::string probe_answer(std::string_view status, std::string const& body)
+{
+    std::string answer = "HTTP/1.1 ";
+    answer += status;
+    answer += "\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: ";
+    answer += std::to_string(body.size()) + "\r\n\r\n" + body;
+    return answer;
+}
+
+/// Answers one probe of readiness or metrics with what `answer` makes of its target.
+task<void> answer_probe(std::shared_ptr<watched_socket> socket,
+                        std::function<std::string(std::string_view)> answer)
 {
-    // Whatever is asked, there is one answer; the request ends with an empty line.
     std::string request;
     std::array<char, 1024> piece{};
     socket->set_deadline(boot_now() + probe_timeout);
-    while (request.find("\r\n\r\n") == std::string::npos && request.size() < 8192)
+    while (request.find("\r\n\r\n") == std::string::npos && request.size() < probe_limit)
     {
         auto const [failure, size] =
             co_await socket->socket().async_read_some(asio::buffer(piece), use_task);
@@ -61,20 +85,12 @@
             co_return;
         request.append(piece.data(), size);
     }
+    auto const bytes = answer(target_of(request));
     // A prober that has left needs no answer.
-    co_await asio::async_write(socket->socket(), asio::buffer(answer), use_task);
+    co_await asio::async_write(socket->socket(), asio::buffer(bytes), use_task);
     socket->close();
 }
 
-std::string probe_answer(std::string_view status, std::string const& body)
-{
-    std::string answer = "HTTP/1.1 ";
-    answer += status;
-    answer += "\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: ";
-    answer += std::to_string(body.size()) + "\r\n\r\n" + body;
-    return answer;
-}
-
 } // namespace
 
 entry_node::entry_node(node_settings settings, settings_reader reread,
@@ -93,7 +109,8 @@
                                    quota_,     retries_,       demand_,
                                    changes_,   link_,          log_,
                                    metrics_,   random_,        in_flight_,
-                                   draining_,  open_requests_, idle_callers_},
+                                   draining_,  open_requests_, idle_callers_,
+                                   crashes_},
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this),
       keeper_(services_, store_, lease_, settings_.processor_share), callers_(io_),
@@ -160,7 +177,10 @@
     if (known == nullptr || *known != record)
     {
         if (known != nullptr && known->born_ms != record.born_ms)
+        {
             connections_.drop(record.id);
+            crashes_.crashed(record.id, boot_now());
+        }
         log_.write(1130, {{"server", record.id},
                           {"service", record.service},
                           {"address", record.address},
@@ -212,6 +232,7 @@
     for (auto const& [place, count] : in_flight_)
         status.in_flight.push_back({place.first, place.second, count});
     status.demand = demand_.take_counts();
+    status.crashes = crashes_.take_new();
     return status;
 }
 
@@ -242,7 +263,8 @@
         put_on_board(record);
     for (auto const& id : update.removed)
     {
-        log_.write(1132, {{"server", id}, {"directory_revision", update.directory_revision}});
+        log_.write(1132,
+                   {{"server", id}, {"directory_revision", update.directory_revision}});
         board_.remove(id);
         connections_.drop(id);
     }
@@ -275,6 +297,7 @@
         for (auto const& total : update.totals)
             if (auto const found = ids.find(total.number); found != ids.end())
                 board_.others_told(*found->second, total.others);
+        crashes_.told(update.crashes, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.retiring)
             board_.avoid_model(retiring.backend, retiring.model,
@@ -436,6 +459,7 @@
         auto const now = boot_now();
         watch_.sweep(now);
         connections_.close_expired(now);
+        crashes_.expire(now);
         follow_hub_role();
         bool const stale = authority_.age(now) > own_reading_age;
         reader_.set_active(hub_active_ || !link_.connected() || stale);
@@ -471,16 +495,41 @@
             co_return;
         if (failure)
             continue;
-        auto answer = ready() ? probe_answer("200 OK", "ready\n")
-                              : probe_answer("503 Service Unavailable", "not ready\n");
+        auto const answer = [this](std::string_view)
+        {
+            return ready() ? probe_answer("200 OK", "ready\n")
+                           : probe_answer("503 Service Unavailable", "not ready\n");
+        };
         asio::co_spawn(
             io_,
             answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         std::move(answer)),
+                         answer),
             asio::detached);
     }
 }
 
+std::string entry_node::page(std::string_view target)
+{
+    if (target == "/state")
+    {
+        node_facts facts;
+        facts.ready = ready();
+        facts.hub = hub_active_;
+        facts.store_answering = store_.answering();
+        facts.reading_store = reader_.active();
+        facts.incarnation = incarnation_;
+        return probe_answer("200 OK", dump_state(services_, lease_, facts));
+    }
+    if (target != "/metrics")
+        return probe_answer("404 Not Found", "pages: /metrics /state\n");
+    metrics_.set_gauge("open_requests", open_requests_);
+    metrics_.set_gauge("log_lines_dropped", static_cast<double>(log_.dropped()));
+    metrics_.set_gauge("connections_opened", static_cast<double>(connections_.opened()));
+    metrics_.set_gauge("configuration_age_seconds",
+                       std::chrono::duration<double>(authority_.age(boot_now())).count());
+    return probe_answer("200 OK", metrics_.print());
+}
+
 task<void> entry_node::serve_metrics()
 {
     for (;;)
@@ -490,14 +539,10 @@
             co_return;
         if (failure)
             continue;
-        metrics_.set_gauge("open_requests", open_requests_);
-        metrics_.set_gauge("log_lines_dropped", static_cast<double>(log_.dropped()));
-        metrics_.set_gauge("connections_opened",
-                           static_cast<double>(connections_.opened()));
         asio::co_spawn(
             io_,
             answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         probe_answer("200 OK", metrics_.print())),
+                         [this](std::string_view target) { return page(target); }),
             asio::detached);
     }
 }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/hub_state.hpp"
 #include "state/result.hpp"
 #include "transport/entry/entry_services.hpp"
@@ -56,6 +57,7 @@
     [[nodiscard]] task<void> serve_metrics();
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
+    [[nodiscard]] std::string page(std::string_view target);
     void refuse_new_callers();
     void reload();
     [[nodiscard]] bool ready() const;
@@ -87,6 +89,7 @@
     bool draining_ = false;
     std::uint32_t open_requests_ = 0;
     std::set<watched_socket*> idle_callers_;
+    crash_ledger crashes_;
     order_lease lease_;
     hub_state hub_;
     bool hub_active_ = false;
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/entry/backend_board.hpp"
 #include "coordination/entry/config_authority.hpp"
+#include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/demand_book.hpp"
 #include "coordination/entry/quota.hpp"
 #include "coordination/entry/retry_budget.hpp"
@@ -65,6 +66,7 @@
     std::uint32_t& open_requests;
     /// Callers' connections with no request on them.
     std::set<watched_socket*>& idle_callers;
+    crash_ledger& crashes;
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -101,6 +101,11 @@
             return current ? refusal{401, "key_unknown", {}}
                            : refusal{503, "configuration_stale", soon};
     }
+    signature_ =
+        request_signature({request_.target().data(), request_.target().size()},
+                          organisation_ ? organisation_->name : "", request_.body());
+    if (services_.crashes.blocked(signature_))
+        return refusal{500, "request_crashes_servers", {}};
     std::uint32_t total = 0;
     for (auto const& target : route_->targets)
         total += target.weight;
@@ -319,6 +324,7 @@
     else if (!abandoned_)
     {
         services_.board.failed(server_.id, boot_now());
+        services_.crashes.crashed(server_.id, boot_now());
         excluded_.insert(server_.id);
     }
     std::string const detail = exchange_ ? exchange_->failure() : "no connection";
@@ -353,14 +359,18 @@
     ++sends_;
     ++runs_;
     exchange_->set_deadline(first_byte_deadline());
-    bool const sent = co_await exchange_->send(platform::encode_attempt(request_, terms),
-                                               request_.body());
-    // A server may answer and close before it has read everything.
+    // A server may answer and close before it has read everything, so that the answer is
+    // read also after a failed send.
+    static_cast<void>(co_await exchange_->send(platform::encode_attempt(request_, terms),
+                                               request_.body()));
     auto const read = co_await exchange_->read_head();
     if (read == read_outcome::failed)
     {
-        if (sent || !abandoned_)
+        if (!abandoned_)
+        {
             services_.board.failed(server_.id, boot_now());
+            services_.crashes.broke(server_.id, signature_, boot_now());
+        }
         co_return failed_end();
     }
     auto const facts = platform::decode_facts(exchange_->head());
@@ -500,6 +510,8 @@
 {
     auto const now = boot_now();
     bool allowed = false;
+    if (services_.crashes.blocked(signature_))
+        return false;
     switch (end)
     {
     case attempt_end::not_run:
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -110,6 +110,8 @@
     serving_route const* route_ = nullptr;
     served_service const* service_ = nullptr;
     organisation const* organisation_ = nullptr;
+    /// Equal for repeats of the same request.
+    std::uint64_t signature_ = 0;
     double charged_ = 0;
     /// End of all work.
     time_point deadline_{};
--- /dev/null
+++ b/src/transport/entry/state_dump.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "coordination/entry/order_lease.hpp"
+#include "transport/entry/entry_services.hpp"
+
+#include <string>
+
+namespace carawayturn::entry
+{
+
+/// What an instance adds to what its requests share.
+struct node_facts
+{
+    bool ready = false;
+    bool hub = false;
+    bool store_answering = false;
+    bool reading_store = false;
+    std::uint64_t incarnation = 0;
+};
+
+/// The state of an instance as JSON, for the operators.
+[[nodiscard]] std::string dump_state(entry_services& services, order_lease const& lease,
+                                     node_facts const& facts);
+
+} // namespace carawayturn::entry
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -47,10 +47,10 @@
     if (active == active_ && !behind)
         return;
     if (active != active_)
-        services_.log.write(1123, {{"active", std::int64_t{active}},
-                                   {"hub_answers", std::int64_t{services_.hub.connected()}},
-                                   {"config_age_ms",
-                                    authority.age(boot_now()).count() / 1000}});
+        services_.log.write(
+            1123, {{"active", std::int64_t{active}},
+                   {"hub_answers", std::int64_t{services_.hub.connected()}},
+                   {"config_age_ms", authority.age(boot_now()).count() / 1000}});
     active_ = active;
     activity_.notify();
 }
--- /dev/null
+++ b/standins/platform_fleet.py
@@ -0,0 +1,263 @@
+"""Stand-ins for the platform's store, its runners and plain services, for tests on loopback.
+
+The store keeps rows with versions, answers reads, feeds and conditional writes, and can be
+told to refuse, to drop answers or to forget its history. A backend server answers requests
+with their id and a signature, takes orders to load models, and counts what it ran.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+
+class _Handler(BaseHTTPRequestHandler):
+    """Dispatches to the server's owner; logs nothing."""
+
+    protocol_version = "HTTP/1.1"
+
+    def _body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def do_GET(self) -> None:
+        self.server.owner.handle(self, self._body())
+
+    do_POST = do_GET
+
+    def log_message(self, *arguments) -> None:
+        pass
+
+    def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def answer_json(self, status: int, value: object) -> None:
+        self.answer(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+
+    def drop(self) -> None:
+        """Ends the connection without an answer."""
+        self.close_connection = True
+        self.connection.shutdown(2)
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address) -> None:
+        """A peer that ends its connection early is part of the tests."""
+
+
+class _Service:
+    """An HTTP server on a free loopback port."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Condition()
+        self._server = _Server(("127.0.0.1", 0), _Handler)
+        self._server.owner = self
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Store(_Service):
+    """The platform's store of rows."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], dict] = {}
+        self.history: list[dict] = []
+        self.version = 0
+        self.oldest = 0
+        self.refuse = False
+        self.lose_answers = False
+        super().__init__()
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Writes a row as the operator or a backend server does."""
+        with self.lock:
+            self._write(table, key, base64.b64encode(json.dumps(value).encode()).decode())
+            self.lock.notify_all()
+
+    def remove(self, table: str, key: str) -> None:
+        with self.lock:
+            self.version += 1
+            self.rows.pop((table, key), None)
+            self.history.append(
+                {"table": table, "part": "", "key": key, "row_version": self.version,
+                 "tombstone": True})
+            self.lock.notify_all()
+
+    def forget_history(self) -> None:
+        with self.lock:
+            self.oldest = self.version
+            self.history.clear()
+
+    def get(self, table: str, key: str) -> dict | None:
+        with self.lock:
+            row = self.rows.get((table, key))
+            return json.loads(base64.b64decode(row["value"])) if row else None
+
+    def _write(self, table: str, key: str, value: str) -> None:
+        self.version += 1
+        row = {"table": table, "part": "", "key": key, "value": value,
+               "row_version": self.version}
+        self.rows[(table, key)] = row
+        self.history.append(row)
+
+    def handle(self, call: _Handler, body: bytes) -> None:
+        if self.refuse:
+            call.answer_json(503, {})
+            return
+        parts = urlsplit(call.path)
+        query = {name: values[0] for name, values in
+                 parse_qs(parts.query, keep_blank_values=True).items()}
+        status, value = {"/rows-get": self._get, "/rows-feed": self._feed,
+                         "/rows-tx": self._transaction}[parts.path](query, body)
+        if self.lose_answers:
+            call.drop()
+            return
+        call.answer_json(status, value)
+
+    def _common(self) -> dict:
+        return {"row_version": self.version, "now_ms": int(time.monotonic() * 1000)}
+
+    def _get(self, query: dict, _: bytes) -> tuple[int, dict]:
+        with self.lock:
+            rows = [row for (table, key), row in sorted(self.rows.items())
+                    if table == query["table"] and key >= query.get("from", "")]
+            return 200, {"rows": rows, "truncated": False, **self._common()}
+
+    def _feed(self, query: dict, _: bytes) -> tuple[int, dict]:
+        after = int(query["after"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.lock:
+            while True:
+                if after < self.oldest:
+                    return 410, {}
+                rows = [row for row in self.history
+                        if row["table"] == query["table"] and row["row_version"] > after]
+                left = end - time.monotonic()
+                if rows or left <= 0:
+                    return 200, {"rows": rows, **self._common()}
+                self.lock.wait(left)
+
+    def _transaction(self, _: dict, body: bytes) -> tuple[int, dict]:
+        call = json.loads(body)
+        with self.lock:
+            for expected in call["expected"]:
+                row = self.rows.get((expected["table"], expected["key"]))
+                if (row["row_version"] if row else 0) != expected["row_version"]:
+                    return 412, {"rows": [row] if row else [], **self._common()}
+            for write in call["writes"]:
+                self._write(write["table"], write["key"], write["value"])
+            self.lock.notify_all()
+            return 200, self._common()
+
+
+class BackendServer(_Service):
+    """A runner, if it has models, or a server of a plain service."""
+
+    def __init__(self, store: Store, name: str, service: str,
+                 models: list[str] | None = None) -> None:
+        super().__init__()
+        self.store = store
+        self.name = name
+        self.service = service
+        self.models = {model: [] for model in models or []}
+        self.is_runner = models is not None
+        self.order_count = 0
+        self.orders: list[dict] = []
+        self.ran: list[dict] = []
+        self.mode = "good"
+        self.hold = 0.0
+        self.born = int(time.time() * 1000)
+        self.record()
+
+    def record(self, state: str = "ready") -> None:
+        """Writes the server's entry at the store."""
+        self.store.put("servers", self.name, {
+            "service": self.service, "address": self.address, "zone": "a", "slots": 4,
+            "state": state, "seq": 1, "born": self.born, "models": self._models()})
+
+    def _models(self) -> list[dict]:
+        return [{"name": name, "version": 1, "adapters": adapters}
+                for name, adapters in self.models.items()]
+
+    def handle(self, call: _Handler, body: bytes) -> None:
+        if call.headers.get("X-Expect-Instance") not in (None, self.name):
+            call.answer(421, b"", {"X-Instance-Id": self.name})
+        elif call.path == "/report":
+            call.answer_json(200, {"models": self._models(), "busy": False,
+                                   "seq": self.order_count, "born": self.born})
+        elif call.path == "/order":
+            self._order(call, json.loads(body))
+        else:
+            self._run(call, body)
+
+    def _order(self, call: _Handler, order: dict) -> None:
+        with self.lock:
+            self.orders.append(order)
+            if order["expected"] != self.order_count:
+                call.answer_json(409, {})
+                return
+            self.order_count += 1
+            if "adapter" in order:
+                self.models[order["model"]].append(order["adapter"])
+            elif order["op_type"] == "model_load":
+                self.models[order["model"]] = []
+            else:
+                self.models.pop(order["model"], None)
+        call.answer_json(202, {})
+
+    def _run(self, call: _Handler, body: bytes) -> None:
+        request_id = call.headers.get("X-Request-Id")
+        headers = {"X-Request-Id": request_id}
+        model = call.headers.get("X-Model")
+        if self.mode == "full":
+            call.answer(503, b"", {**headers, "X-Not-Executed": "1"})
+            return
+        if self.is_runner and model and model.split("/")[0] not in self.models:
+            call.answer(421, b"", {**headers, "X-Instance-Id": self.name})
+            return
+        with self.lock:
+            self.ran.append({"id": request_id, "path": call.path, "body": body,
+                             "headers": dict(call.headers)})
+        time.sleep(self.hold)
+        if self.mode == "reset":
+            call.drop()
+        elif self.mode == "error":
+            call.answer(500, b"failed", {**headers, "X-Server-Seal": "s"})
+        elif self.is_runner:
+            self._stream(call, headers)
+        else:
+            call.answer(200, b"done by " + self.name.encode(),
+                        {**headers, "X-Server-Seal": "s"})
+
+    def _stream(self, call: _Handler, headers: dict[str, str]) -> None:
+        first = int(call.headers.get("Last-Event-Id") or 0) + 1
+        call.send_response(200)
+        for name, value in {**headers, "X-Server-Seal": "s",
+                            "Content-Type": "text/event-stream",
+                            "Transfer-Encoding": "chunked"}.items():
+            call.send_header(name, value)
+        call.end_headers()
+        for number in range(first, 6):
+            if self.mode == "break" and number == 3:
+                half = b"id: 3\nda"
+                call.wfile.write(b"%x\r\n%s\r\n" % (len(half), half))
+                call.wfile.flush()
+                call.drop()
+                return
+            event = b"id: %d\ndata: %d\n\n" % (number, number)
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+        call.wfile.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/entry/entry_process_test.py
@@ -0,0 +1,351 @@
+"""Runs real instances as processes against the stand-ins of the platform.
+
+Nothing here depends on how fast the machine is: conditions are waited for, with a limit
+that only ends a hanging test.
+"""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from platform_fleet import BackendServer, Store  # noqa: E402
+
+PROGRAM = os.environ["CARAWAYTURN_ENTRY"]
+HANG_LIMIT_S = 60
+
+
+def wait_until(condition, what: str):
+    """Polls until the condition holds and returns its value."""
+    end = time.monotonic() + HANG_LIMIT_S
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"never happened: {what}")
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def two_adjacent_ports() -> int:
+    """Returns a free port whose successor is free, too."""
+    while True:
+        first = free_ports(1)[0]
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", first + 1))
+                return first
+            except OSError:
+                continue
+
+
+class Instance:
+    """One process of carawayturn-entry."""
+
+    def __init__(self, store: Store, name: str) -> None:
+        self.front, self.ready_port = free_ports(2)
+        self.peer = two_adjacent_ports()
+        self.folder = tempfile.TemporaryDirectory()
+        settings = Path(self.folder.name) / "boot.conf"
+        settings.write_text(
+            f"node_name={name}\nip=127.0.0.1\nzone=a\n"
+            f"listen.front=127.0.0.1:{self.front}\n"
+            f"listen.ready=127.0.0.1:{self.ready_port}\n"
+            f"internal_ports={self.peer},{self.peer + 1}\n"
+            f"platform.address={store.address}\n"
+            "bounds.revoke_ms=5000\nbounds.grace_s=8\nbounds.lease_ms=3000\n",
+            encoding="utf-8")
+        self.settings = settings
+        self.log_path = Path(self.folder.name) / "log"
+        self.start()
+
+    def start(self) -> None:
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [PROGRAM], env={"CARAWAYTURN_BOOT": str(self.settings)}, stdout=log)
+
+    def stop(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+    def close(self) -> None:
+        self.stop()
+        self.folder.cleanup()
+
+    def request(self, path: str, **options) -> tuple[int, bytes, dict[str, str]]:
+        """Sends one request on a connection of its own."""
+        headers = {"Host": "h.example", "X-Request-Id": options.get("id", "r1"),
+                   "X-Deadline-Ms": "10000", "Authorization": "Token k1"}
+        headers.update(options.get("headers", {}))
+        connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout=HANG_LIMIT_S)
+        try:
+            connection.request(options.get("method", "POST"), path,
+                               options.get("body", b"x"), headers)
+            answer = connection.getresponse()
+            return answer.status, answer.read(), dict(answer.getheaders())
+        finally:
+            connection.close()
+
+    def page(self, path: str) -> str:
+        connection = http.client.HTTPConnection("127.0.0.1", self.peer + 1, timeout=5)
+        try:
+            connection.request("GET", path)
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
+    def state(self) -> dict:
+        try:
+            return json.loads(self.page("/state"))
+        except (OSError, http.client.HTTPException):
+            return {}
+
+    def ready(self) -> bool:
+        connection = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=5)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def events(self, number: int) -> list[dict]:
+        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        return [event for event in map(json.loads, lines) if event["number"] == number]
+
+
+def configuration(version: int, keys: list[str]) -> dict:
+    def route(name: str, kind: str, service: str, **options) -> dict:
+        return {"name": name, "host": "h.example", "path_prefix": f"/{name}/", "kind": kind,
+                "timeout_ms": 8000, "target_latency_ms": 1000, "priority": 1,
+                "service": service, "public": False, "resumable": False,
+                "max_attempts": 1, **options}
+
+    return {
+        "version": version,
+        "routes": [
+            route("book", "non_idempotent", "plain"),
+            route("status", "idempotent", "plain", max_attempts=3),
+            route("draft", "streaming", "llm", resumable=True, max_attempts=2),
+            route("open", "idempotent", "plain", public=True)],
+        "services": [
+            {"name": "plain"},
+            {"name": "llm", "engine": {
+                "slots": 4, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 10,
+                "models": [{"name": name, "weights_mb": 100, "load_time_s": 0.1,
+                            "disk_s": 0.1, "warm_s": 0.1, "adapters": 1,
+                            "adapter_size_mb": 1} for name in ("m1", "m2")]}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t1", "api_keys": keys, "rate_per_s": 1000000,
+                     "burst": 1000000, "unit": "tokens", "plain_tokens": 1}]}
+
+
+class EntryProcessTest(unittest.TestCase):
+    """One store, two plain servers, two runners and one instance for each test."""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        self.store.put("op", "config", configuration(1, ["k1"]))
+        self.plain = [BackendServer(self.store, f"p{i}", "plain") for i in range(2)]
+        self.runners = [BackendServer(self.store, f"r{i}", "llm", ["m1"]) for i in range(2)]
+        self.instances = [Instance(self.store, "n1")]
+        self.instance = self.instances[0]
+        wait_until(self.instance.ready, "the instance is ready")
+        wait_until(lambda: len(self.instance.state().get("backend_servers", [])) == 4,
+                   "all servers are known")
+
+    def tearDown(self) -> None:
+        for instance in self.instances:
+            instance.close()
+        for service in [*self.plain, *self.runners, self.store]:
+            service.close()
+
+    def runs(self) -> list[dict]:
+        return [run for server in self.plain + self.runners for run in server.ran]
+
+    def test_request_with_key_is_served_and_key_is_not_passed_on(self) -> None:
+        """Guards against a path that is broken, and a key at a backend server."""
+        status, body, headers = self.instance.request("/book/a?b=c", body=b"visit")
+        self.assertEqual(status, 200)
+        self.assertTrue(body.startswith(b"done by p"))
+        self.assertEqual(headers["X-Server-Seal"], "s")
+        (run,) = self.runs()
+        self.assertEqual(run["path"], "/book/a?b=c")
+        self.assertEqual(run["body"], b"visit")
+        self.assertEqual(run["headers"]["X-Tenant"], "t1")
+        self.assertNotIn("Authorization", run["headers"])
+
+    def test_unknown_key_and_route_are_denied(self) -> None:
+        """Guards against requests that run for nobody."""
+        denied = self.instance.request("/book/a", headers={"Authorization": "Token no"})
+        self.assertEqual(denied[0], 401)
+        self.assertEqual(self.instance.request("/none/a")[0], 404)
+        self.assertEqual(self.runs(), [])
+
+    def test_broken_at_most_once_request_is_not_repeated(self) -> None:
+        """Guards against a booking that runs twice because its answer was lost."""
+        for server in self.plain:
+            server.mode = "reset"
+        self.assertEqual(self.instance.request("/book/a")[0], 502)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_idempotent_request_is_repeated_elsewhere(self) -> None:
+        """Guards against a failure that another server could have answered."""
+        self.plain[0].mode = "error"
+        for number in range(6):
+            status = self.instance.request("/status/a", id=f"s{number}", method="GET")[0]
+            self.assertEqual(status, 200)
+
+    def test_denied_request_is_refused_with_a_time_to_come_back(self) -> None:
+        """Guards against a refusal that promises too much or keeps the caller waiting."""
+        for server in self.plain:
+            server.mode = "full"
+        status, _, headers = self.instance.request("/book/a")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(self.runs(), [])
+
+    def test_missing_model_is_loaded_for_a_waiting_request(self) -> None:
+        """Guards against a cold start that never ends."""
+        status, body, _ = self.instance.request("/draft/a", headers={"X-Model": "m2"})
+        self.assertEqual(status, 200)
+        self.assertIn(b"id: 5", body)
+        loads = [order for runner in self.runners for order in runner.orders
+                 if order["op_type"] == "model_load" and order["model"] == "m2"]
+        self.assertGreaterEqual(len(loads), 1)
+
+    def test_broken_stream_goes_on_at_another_runner(self) -> None:
+        """Guards against missing, doubled or torn events after a runner crashed."""
+        self.runners[0].mode = "break"
+        for number in range(4):
+            _, body, _ = self.instance.request("/draft/a", id=f"d{number}",
+                                               headers={"X-Model": "m1"})
+            self.assertEqual(body, b"".join(b"id: %d\ndata: %d\n\n" % (n, n)
+                                            for n in range(1, 6)))
+
+    def test_withdrawn_key_stops_and_new_key_works(self) -> None:
+        """Guards against an accepted configuration that is not put in force."""
+        self.store.put("op", "config", configuration(2, ["k2"]))
+        wait_until(lambda: self.instance.request("/book/a")[0] == 401, "k1 is refused")
+        with_new = self.instance.request("/book/a", headers={"Authorization": "Token k2"})
+        self.assertEqual(with_new[0], 200)
+
+    def test_store_away_keyed_requests_stop_and_open_ones_go_on(self) -> None:
+        """Guards against a key that is honoured while its withdrawal cannot be seen."""
+        self.store.refuse = True
+        wait_until(lambda: self.instance.request("/book/a")[0] == 503,
+                   "keyed requests are refused")
+        self.assertEqual(self.instance.request("/open/a")[0], 200)
+        self.assertFalse(self.instance.ready())
+        self.store.refuse = False
+        wait_until(lambda: self.instance.request("/book/a")[0] == 200, "served again")
+
+    def test_leaving_server_gets_no_new_work(self) -> None:
+        """Guards against requests at a server that is about to end."""
+        self.plain[0].record("draining")
+        wait_until(lambda: any(server["id"] == "p0" and server["draining"]
+                               for server in self.instance.state()["backend_servers"]),
+                   "the leaving is known")
+        before = len(self.plain[0].ran)
+        for number in range(10):
+            self.assertEqual(self.instance.request("/book/a", id=f"b{number}")[0], 200)
+        self.assertEqual(len(self.plain[0].ran), before)
+
+    def test_history_forgotten_servers_are_read_anew(self) -> None:
+        """Guards against a change that is lost with the store's history."""
+        self.store.forget_history()
+        self.store.remove("servers", "p0")
+        self.store.forget_history()
+        wait_until(lambda: all(server["id"] != "p0" for server in
+                               self.instance.state()["backend_servers"]), "p0 is gone")
+
+    def test_rows_of_other_writers_name_no_server(self) -> None:
+        """Guards against foreign rows that end the directory or are used."""
+        self.store.put("servers", "x1", {"service": "plain"})
+        self.store.put("servers", "x2", [1, 2])
+        wait_until(lambda: len(self.instance.events(1131)) >= 2, "both rows are logged")
+        self.assertEqual(self.instance.request("/book/a")[0], 200)
+        self.assertEqual(len(self.instance.state()["backend_servers"]), 4)
+
+    def test_sigterm_open_request_is_answered(self) -> None:
+        """Guards against a graceful shutdown that cuts a request."""
+        for server in self.plain:
+            server.hold = 0.5
+        connection = http.client.HTTPConnection("127.0.0.1", self.instance.front,
+                                                timeout=HANG_LIMIT_S)
+        connection.request("POST", "/book/a", b"x",
+                           {"Host": "h.example", "X-Request-Id": "r9",
+                            "Authorization": "Token k1"})
+        wait_until(lambda: self.runs(), "the request runs")
+        self.instance.process.send_signal(signal.SIGTERM)
+        self.assertEqual(connection.getresponse().status, 200)
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+        self.assertEqual(len(self.instance.events(1162)), 1)
+
+    def test_second_instance_follows_and_takes_over_the_hub(self) -> None:
+        """Guards against two hubs, and a fleet without one after the hub died."""
+        second = Instance(self.store, "n2")
+        self.instances.append(second)
+        wait_until(second.ready, "the second instance is ready")
+        wait_until(lambda: second.state()["hub"]["answers"], "it found the hub")
+        self.assertFalse(second.state()["hub"]["this_instance"])
+        first_fence = self.instance.state()["hub"]["fence"]
+        self.assertEqual(second.request("/book/a")[0], 200)
+        self.instance.stop()
+        wait_until(lambda: second.state()["hub"]["this_instance"], "it is the hub")
+        self.assertEqual(second.state()["hub"]["fence"], first_fence + 1)
+        status, body, _ = second.request("/draft/a", headers={"X-Model": "m2"})
+        self.assertEqual(status, 200)
+        self.assertIn(b"id: 5", body)
+
+    def test_reload_with_bad_settings_keeps_the_old_ones(self) -> None:
+        """Guards against a broken settings file that ends a serving instance."""
+        good = self.instance.settings.read_text(encoding="utf-8")
+        self.instance.settings.write_text("node_name=n1\n", encoding="utf-8")
+        self.instance.process.send_signal(signal.SIGHUP)
+        wait_until(lambda: self.instance.events(1165), "the settings are rejected")
+        self.assertEqual(self.instance.request("/book/a")[0], 200)
+        self.instance.settings.write_text(good, encoding="utf-8")
+        self.instance.process.send_signal(signal.SIGHUP)
+        wait_until(lambda: self.instance.events(1164), "the settings are read")
+
+    def test_log_and_metrics_lead_from_a_request_to_its_cause(self) -> None:
+        """Guards against a failed request that nobody can explain afterwards."""
+        for server in self.plain:
+            server.mode = "reset"
+        self.instance.request("/book/a", id="why")
+        attempt = wait_until(lambda: [event for event in self.instance.events(1101)
+                                      if event["request"] == "why"], "the attempt is logged")
+        self.assertEqual(attempt[0]["end"], "unknown")
+        self.assertTrue(attempt[0]["detail"])
+        end = wait_until(lambda: [event for event in self.instance.events(1100)
+                                  if event["request"] == "why"], "the end is logged")
+        self.assertEqual(end[0]["outcome"], "backend_failed")
+        self.assertIn('refused_total{reason="backend_failed"} 1',
+                      self.instance.page("/metrics"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/entry/quota_test.cpp
+++ b/tests/entry/quota_test.cpp
@@ -1,3 +1,4 @@
+#include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/quota.hpp"
 #include "coordination/entry/retry_budget.hpp"
 
@@ -98,6 +99,48 @@
     EXPECT_EQ(account.blocked_for("org", 200, at(600)), duration::zero());
 }
 
+class crash_ledger_test : public testing::Test
+{
+protected:
+    void crash(std::string const& server, int ms)
+    {
+        ledger_.broke(server, signature_, at(ms));
+        ledger_.crashed(server, at(ms + 100));
+    }
+    std::uint64_t const signature_ = request_signature("/a", "org", "body");
+    crash_ledger ledger_;
+};
+
+// Guards against a request that takes down one server after the other.
+TEST_F(crash_ledger_test, request_in_flight_at_three_crashes_is_blocked)
+{
+    crash("s1", 0);
+    crash("s2", 1000);
+    EXPECT_FALSE(ledger_.blocked(signature_));
+    crash("s3", 2000);
+    EXPECT_TRUE(ledger_.blocked(signature_));
+    EXPECT_FALSE(ledger_.blocked(request_signature("/a", "org", "other")));
+}
+
+// Guards against requests that are blocked because connections of live servers broke.
+TEST_F(crash_ledger_test, broken_connection_of_a_live_server_does_not_count)
+{
+    for (int i = 0; i < 10; ++i)
+        ledger_.broke("s1", signature_, at(i));
+    ledger_.crashed("s1", at(5000));
+    EXPECT_FALSE(ledger_.blocked(signature_));
+}
+
+// Guards against an instance that lets through what crashed servers of others.
+TEST_F(crash_ledger_test, crashes_of_other_instances_count)
+{
+    crash_sums sums;
+    for (int i = 0; i < 3; ++i)
+        sums.add({{signature_, 1}}, at(0));
+    ledger_.told(sums.suspects(at(10)), at(10));
+    EXPECT_TRUE(ledger_.blocked(signature_));
+}
+
 class retry_budget_test : public testing::Test
 {
 protected:
