Let a restarted holder claim its lease at once; ask former hubs less often

The restarted holder knows that its former process has ended and claims with a higher fence. Others connected to the former hub's address every 100 ms and logged each try; the pause doubles now up to 400 ms and only a hub that had answered is logged as lost. Test: order_lease_test.restarted_holder_claims_at_once_with_a_higher_fence.

--- a/src/coordination/entry/order_lease.cpp
+++ b/src/coordination/entry/order_lease.cpp
@@ -36,10 +36,9 @@
     row_ = row;
     row_version_ = row_version;
     bool const released = row.holder_address.empty();
-    // A row of an earlier process of this instance, or a renewal whose answer was lost,
-    // is waited out like anybody's.
     end_ = released ? seen_at : seen_at + std::min(remaining, term_) + safety_margin;
-    if (own_row())
+    // A former process of this instance has ended, or this one would not run.
+    if (own_row() || row.holder_name == name_)
         end_ = time_point{};
 }
 
@@ -85,6 +84,11 @@
            row_.holder_incarnation == incarnation_;
 }
 
+bool order_lease::inherited_row() const
+{
+    return !row_.holder_address.empty() && row_.holder_name == name_ && !own_row();
+}
+
 bool order_lease::held(time_point now, duration margin) const
 {
     return own_row() && now + margin < end_;
--- a/src/coordination/entry/order_lease.hpp
+++ b/src/coordination/entry/order_lease.hpp
@@ -49,7 +49,10 @@
     [[nodiscard]] bool held(time_point now, duration margin = duration::zero()) const;
     [[nodiscard]] bool renewal_due(time_point now) const;
     [[nodiscard]] duration remaining(time_point now) const;
+    /// Whether this process holds the row, or held it when it was last seen.
     [[nodiscard]] bool own_row() const;
+    /// Whether the row is one of a former process of this instance.
+    [[nodiscard]] bool inherited_row() const;
 
     [[nodiscard]] lease_row const& row() const { return row_; }
     [[nodiscard]] std::uint64_t row_version() const { return row_version_; }
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -40,15 +40,17 @@
         co_return step_interval;
     if (lease_.renewal_due(now))
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
-    // A process that has just started may not take turns with the one before it.
-    bool const settled =
-        absent_ || now - started_at_ >= services_.settings.bounds.order_lease;
+    // A machine that has just started may not take turns with the holder that followed
+    // it.
+    bool const settled = absent_ || lease_.inherited_row() ||
+                         now - started_at_ >= services_.settings.bounds.order_lease;
     bool const claimable = settled && lease_.may_claim(now) && store_.answering();
     if (!claimable)
         claimable_since_ = time_point{};
     else if (claimable_since_ == time_point{})
         claimable_since_ = now;
-    if (claimable && (lease_.own_row() || now - claimable_since_ >= claim_delay_))
+    if (claimable && (lease_.own_row() || lease_.inherited_row() ||
+                      now - claimable_since_ >= claim_delay_))
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
     if (!hub_answers && !lease_.own_row() && now - last_read_ >= search_interval)
         co_await read();
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -20,6 +20,7 @@
 constexpr int silent_periods = 3;
 constexpr duration connect_timeout = std::chrono::milliseconds(300);
 constexpr duration reconnect_interval = std::chrono::milliseconds(100);
+constexpr duration longest_reconnect_interval = std::chrono::milliseconds(400);
 /// A request waits this long for the hub's word on its quota.
 constexpr duration ask_timeout = std::chrono::milliseconds(250);
 
@@ -44,8 +45,8 @@
 
 bool peer_link::connected() const
 {
-    return hub_.serving() ||
-           (to_hub_ && boot_now() - last_update_ < silent_periods * period());
+    return hub_.serving() || (to_hub_ && hub_answered_ &&
+                              boot_now() - last_update_ < silent_periods * period());
 }
 
 void peer_link::hurry()
@@ -140,6 +141,7 @@
 
 task<void> peer_link::follow_hub()
 {
+    duration pause = reconnect_interval;
     while (!closed_)
     {
         if (hub_.serving())
@@ -157,19 +159,25 @@
         auto const connection = co_await connect(address);
         if (!connection)
         {
-            co_await due_.wait(reconnect_interval);
+            co_await due_.wait(pause);
+            pause = std::min(2 * pause, longest_reconnect_interval);
             continue;
         }
+        hub_answered_ = false;
         to_hub_ = connection;
         last_update_ = boot_now();
         asio::co_spawn(services_.io, read_updates(connection), asio::detached);
         co_await send_statuses(connection, address);
         connection->close();
         to_hub_.reset();
-        services_.log.write(1143,
-                            {{"peer", address},
-                             {"silent_ms", (boot_now() - last_update_).count() / 1000}});
-        co_await due_.wait(reconnect_interval);
+        // The address of a former hub accepts connections and answers nothing.
+        pause = hub_answered_ ? reconnect_interval
+                              : std::min(2 * pause, longest_reconnect_interval);
+        if (hub_answered_)
+            services_.log.write(
+                1143, {{"peer", address},
+                       {"silent_ms", (boot_now() - last_update_).count() / 1000}});
+        co_await due_.wait(pause);
     }
 }
 
@@ -188,7 +196,6 @@
 
 task<void> peer_link::read_updates(std::shared_ptr<peer_connection> connection)
 {
-    bool first = true;
     for (;;)
     {
         auto const bytes = co_await peer_connection::read(connection);
@@ -200,10 +207,10 @@
             services_.log.write(1141, {{"detail", std::get<error>(decoded).detail}});
             break;
         }
-        if (first)
+        if (!hub_answered_)
             services_.log.write(1142, {{"peer", lease_.row().holder_address},
                                        {"fence", lease_.row().fence}});
-        first = false;
+        hub_answered_ = true;
         last_update_ = boot_now();
         take_update(std::get<node_update>(decoded));
     }
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -105,6 +105,8 @@
     std::map<std::uint64_t, std::shared_ptr<open_ask>> asks_;
     std::map<peer_connection*, member> members_;
     bool closed_ = false;
+    /// The present connection to the hub has delivered an update.
+    bool hub_answered_ = false;
 };
 
 } // namespace carawayturn::entry
--- a/tests/entry/order_lease_test.cpp
+++ b/tests/entry/order_lease_test.cpp
@@ -71,6 +71,19 @@
     EXPECT_TRUE(second_.may_claim(at(100)));
 }
 
+// Guards against a fleet without a hub for a whole term after all processes were killed:
+// the restarted holder knows that its former process has ended.
+TEST_F(order_lease_test, restarted_holder_claims_at_once_with_a_higher_fence)
+{
+    first_.observe_absent();
+    auto const row = first_.next_row(at(0));
+    order_lease restarted("10.0.0.1:7600", "first", 12, term);
+    restarted.observe(row, 7, at(100), duration::max());
+    EXPECT_TRUE(restarted.may_claim(at(100)));
+    EXPECT_FALSE(restarted.held(at(100)));
+    EXPECT_EQ(restarted.next_row(at(100)).fence, row.fence + 1);
+}
+
 // Guards against a claim while the holder renews and only the row's number is known.
 TEST_F(order_lease_test, word_of_the_holder_extends_the_wait)
 {
