--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -481,10 +481,14 @@
         if (!stream_begun_)
         {
             stream_begun_ = true;
-            services_.metrics.first_event(boot_now() - arrival_);
+            first_event_after_ = boot_now() - arrival_;
+            last_event_ = boot_now();
+            services_.metrics.first_event(first_event_after_);
             if (!co_await writer_.begin(answer_head_))
                 co_return attempt_end::caller_gone;
         }
+        longest_gap_ = std::max(longest_gap_, boot_now() - last_event_);
+        last_event_ = boot_now();
         if (!co_await writer_.append(events))
             co_return attempt_end::caller_gone;
     }
@@ -620,6 +624,8 @@
                {"model", model},
                {"server", server_.id},
                {"sends", std::uint64_t{sends_}},
+               {"first_event_ms", to_ms(first_event_after_)},
+               {"longest_gap_ms", to_ms(longest_gap_)},
                {"elapsed_ms", to_ms(now - arrival_)},
                {"config_version", services_.authority.version()},
                {"config_age_ms", to_ms(services_.authority.age(now))}});
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -125,6 +125,9 @@
     backend_record server_;
     std::unique_ptr<backend_exchange> exchange_;
     bool stream_begun_ = false;
+    time_point last_event_{};
+    duration first_event_after_{};
+    duration longest_gap_{};
     event_splitter events_;
     http::response_header<> answer_head_;
     std::string answer_body_;
