Refuse a model that the hub cannot place; follow the linter in the entry code

Cause: estimate_patience was unused, so a request for a model that no runner can take waited until its deadline although the hub had answered without an estimate. It is refused after 1.5 s as model_not_placed.

--- a/src/coordination/entry/placement_planner.cpp
+++ b/src/coordination/entry/placement_planner.cpp
@@ -168,8 +168,9 @@
 {
     std::erase_if(runner.confirmed, [&](auto const& entry)
                   { return now - entry.second > confirmation_time; });
-    for (auto const& [key, seen] : runner.confirmed)
+    for (auto const& confirmed : runner.confirmed)
     {
+        auto const& key = confirmed.first;
         auto found =
             std::find_if(models.begin(), models.end(),
                          [&](held_model const& held) { return held.name == key.model; });
@@ -818,13 +819,13 @@
         load_done(runner, now);
         adopt(runner, report.models, now);
     }
-    else if (!report.busy && taken > runner.loading->load_time + 2 * report_lag)
-    {
-        runner.loading.reset();
-        runner.unsure = true;
-    }
-    else if (taken > give_up_factor * runner.loading->load_time + 2 * report_lag)
+    else
     {
+        // An idle runner without the model has dropped the load; a busy one may be slow.
+        auto const patience = report.busy ? give_up_factor * runner.loading->load_time
+                                          : runner.loading->load_time;
+        if (taken <= patience + 2 * report_lag)
+            return;
         runner.loading.reset();
         runner.unsure = true;
     }
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -19,7 +19,7 @@
 /// Longest head of a server's answer, in bytes.
 constexpr std::uint32_t answer_head_limit = 32 * 1024;
 /// Longer bodies are written while the answer is read.
-constexpr std::size_t inline_body_bytes = 16 * 1024;
+constexpr std::size_t inline_body_bytes = std::size_t{16} * 1024;
 /// Late answers to other requests that are skipped before the connection is given up.
 constexpr int max_skipped_answers = 3;
 /// A connection is kept this long if the server does not tell for how long.
--- a/src/transport/entry/peer_frame.cpp
+++ b/src/transport/entry/peer_frame.cpp
@@ -67,7 +67,7 @@
 }
 
 void peer_connection::send(std::shared_ptr<peer_connection> const& self,
-                           std::string message)
+                           std::string const& message)
 {
     if (!self->open())
         return;
--- a/src/transport/entry/peer_frame.hpp
+++ b/src/transport/entry/peer_frame.hpp
@@ -21,7 +21,8 @@
     read(std::shared_ptr<peer_connection> self);
 
     /// Queues a message. A peer that does not take its messages is cut off.
-    static void send(std::shared_ptr<peer_connection> const& self, std::string message);
+    static void send(std::shared_ptr<peer_connection> const& self,
+                     std::string const& message);
 
     void close() { socket_->close(); }
     [[nodiscard]] bool open() const { return socket_->socket().is_open(); }
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -24,7 +24,7 @@
 constexpr int silent_gaps = 5;
 /// Sends of one request in all, with those that servers denied.
 constexpr std::uint32_t max_sends = 4;
-/// Longest wait of a request for the hub's first estimate.
+/// The hub answers with an estimate within this time if it can place the model at all.
 constexpr duration estimate_patience = std::chrono::milliseconds(1500);
 /// How often a waiting request looks by itself.
 constexpr duration wait_interval = std::chrono::milliseconds(200);
@@ -235,8 +235,9 @@
     return {service_->name, head_.model, head_.affinity, excluded_};
 }
 
-std::optional<request_flow::refusal> request_flow::waiting_refusal(choice_outcome outcome,
-                                                                   time_point now) const
+std::optional<request_flow::refusal>
+request_flow::waiting_refusal(choice_outcome outcome, time_point waiting_since,
+                              time_point now) const
 {
     if (now >= start_deadline_)
         return refusal{503, "deadline_unreachable", later};
@@ -247,10 +248,13 @@
         return refusal{503, "backends_full", later};
     if (outcome == choice_outcome::no_backend)
         return refusal{503, "no_backend", later};
+    if (outcome != choice_outcome::model_absent)
+        return std::nullopt;
     auto const ready = services_.demand.ready_in(service_->name, head_.model.model, now);
-    if (outcome == choice_outcome::model_absent && ready &&
-        now + *ready > start_deadline_)
+    if (ready && now + *ready > start_deadline_)
         return refusal{503, "model_too_late", *ready};
+    if (!ready && services_.hub.connected() && now - waiting_since > estimate_patience)
+        return refusal{503, "model_not_placed", later};
     return std::nullopt;
 }
 
@@ -277,7 +281,7 @@
             if (!abandoned_ && boot_now() < start_deadline_)
                 continue;
         }
-        refused = waiting_refusal(choice.outcome, now);
+        refused = waiting_refusal(choice.outcome, began, now);
         if (!refused && abandoned_)
             refused = refusal{503, "caller_gone", {}};
         if (refused)
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -86,6 +86,7 @@
     [[nodiscard]] task<bool> attempts();
     [[nodiscard]] task<std::optional<refusal>> choose_server();
     [[nodiscard]] std::optional<refusal> waiting_refusal(choice_outcome outcome,
+                                                         time_point waiting_since,
                                                          time_point now) const;
     [[nodiscard]] task<attempt_end> attempt();
     [[nodiscard]] task<attempt_end> exchange_on(backend_connection connection);
