--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -484,6 +484,7 @@
         watch_.sweep(now);
         connections_.close_expired(now);
         crashes_.expire(now);
+        link_.follow_orders(now);
         follow_hub_role();
         reader_.set_active(hub_active_ || !link_.connected() || !hub_reads_);
         follow_readiness();
@@ -546,6 +547,7 @@
     }
     if (target != "/metrics")
         return probe_answer("404 Not Found", "pages: /metrics /state\n");
+    metrics_.set_gauge("hub_answers", link_.connected() ? 1 : 0);
     metrics_.set_gauge("open_requests", open_requests_);
     metrics_.set_gauge("log_lines_dropped", static_cast<double>(log_.dropped()));
     metrics_.set_gauge("connections_opened", static_cast<double>(connections_.opened()));
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -49,6 +49,12 @@
                               boot_now() - last_update_ < silent_periods * period());
 }
 
+void peer_link::follow_orders(time_point now)
+{
+    if (!connected() || lease_.remaining(now) == duration::zero())
+        last_without_orders_ = now;
+}
+
 void peer_link::hurry()
 {
     due_.notify();
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -57,6 +57,12 @@
     void hurry() override;
     [[nodiscard]] bool connected() const override;
     [[nodiscard]] std::size_t instances() const override { return instances_; }
+    [[nodiscard]] time_point last_without_orders() const override
+    {
+        return last_without_orders_;
+    }
+    /// Follows whether a hub answers that holds its lease; call often.
+    void follow_orders(time_point now);
 
     /// Whether the lease row should be read to find the hub.
     [[nodiscard]] bool hub_unknown() const { return !connected(); }
@@ -107,6 +113,7 @@
     bool closed_ = false;
     /// The present connection to the hub has delivered an update.
     bool hub_answered_ = false;
+    time_point last_without_orders_{};
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -253,7 +253,8 @@
     auto const ready = services_.demand.ready_in(service_->name, head_.model.model, now);
     if (ready && now + *ready > start_deadline_)
         return refusal{503, "model_too_late", *ready};
-    if (!ready && services_.hub.connected() && now - waiting_since > estimate_patience)
+    auto const asked_since = std::max(waiting_since, services_.hub.last_without_orders());
+    if (!ready && now - asked_since > estimate_patience)
         return refusal{503, "model_not_placed", later};
     return std::nullopt;
 }
