Split planner, request flow and node by what they do; watch the settings file

Behaviour stays: placement_choice and placement_progress leave the planner, request_attempt the flow, entry_operation the node. New: a settings file that changes without a signal is read within a second, and a reload takes effect on the limit of confirmations.

--- a/src/app/entry/main.cpp
+++ b/src/app/entry/main.cpp
@@ -7,8 +7,10 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <optional>
 
 namespace
 {
@@ -28,6 +30,35 @@
     return platform::decode_settings(text);
 }
 
+/// Reads the settings if asked for, or if the file has changed since the last call.
+class changed_settings_reader
+{
+public:
+    std::optional<result<entry::node_settings>> operator()(bool always)
+    {
+        std::error_code unknown;
+        auto const written =
+            std::filesystem::last_write_time(platform::settings_path(), unknown);
+        bool const changed = !unknown && written != last_written_;
+        // A file that cannot be looked at is reported when it is read for a reason.
+        if (!always && !changed)
+            return std::nullopt;
+        last_written_ = written;
+        return read_settings();
+    }
+
+    /// Takes the file as it is now as known.
+    void know_present()
+    {
+        std::error_code unknown;
+        last_written_ =
+            std::filesystem::last_write_time(platform::settings_path(), unknown);
+    }
+
+private:
+    std::filesystem::file_time_type last_written_;
+};
+
 int fail(error const& failure)
 {
     std::fprintf(stderr, "carawayturn-entry: %s\n", to_string(failure).c_str());
@@ -49,11 +80,13 @@
     mallopt(M_TRIM_THRESHOLD, trim_threshold);
     mallopt(M_ARENA_MAX, 1);
     std::signal(SIGPIPE, SIG_IGN);
+    changed_settings_reader reread;
+    reread.know_present();
     auto settings = read_settings();
     if (!succeeded(settings))
         return fail(std::get<error>(settings));
-    entry::entry_node node(std::get<entry::node_settings>(std::move(settings)),
-                           read_settings, new_incarnation());
+    entry::entry_node node(std::get<entry::node_settings>(std::move(settings)), reread,
+                           new_incarnation());
     auto const ended = node.run();
     // Ends without destructors: suspended requests refer to the node and to each other.
     std::_Exit(succeeded(ended) ? 0 : fail(std::get<error>(ended)));
--- a/src/coordination/entry/config_authority.hpp
+++ b/src/coordination/entry/config_authority.hpp
@@ -17,6 +17,8 @@
     /// @param confirmation_limit greatest age of a confirmation for keyed requests.
     explicit config_authority(duration confirmation_limit);
 
+    void set_limit(duration confirmation_limit) { limit_ = confirmation_limit; }
+
     /// Puts a configuration in force. Returns false for one that is not newer.
     bool accept(std::shared_ptr<serving_config const> config);
 
--- /dev/null
+++ b/src/coordination/entry/placement_choice.cpp
@@ -0,0 +1,341 @@
+#include "coordination/entry/placement_detail.hpp"
+
+#include <cmath>
+
+namespace carawayturn::entry
+{
+
+using namespace placement;
+
+double placement_planner::copy_value(served_service const& service,
+                                     std::string const& model) const
+{
+    auto const* const known = service.engine->find(model);
+    double const reload = known == nullptr ? 1.0 : seconds(known->disk_load);
+    auto const demand = demand_of(service.name, model);
+    auto const count = std::max(counts_of(service.name, model).copies, 1U);
+    double value = (demand.rate + 0.005) * reload / (count * count);
+    if (demand.in_flight > 0 && count <= wanted_copies(service, model))
+        value += needed_copy_value;
+    if (demand.waiting > 0)
+        value += needed_copy_value;
+    return value;
+}
+
+std::uint32_t placement_planner::wanted_copies(served_service const& service,
+                                               std::string const& model) const
+{
+    auto const demand = demand_of(service.name, model);
+    double const per_copy = std::max(1.0, copy_target * service.engine->slots);
+    return static_cast<std::uint32_t>(std::ceil(demand.in_flight / per_copy));
+}
+
+std::uint32_t placement_planner::store_loads() const
+{
+    std::uint32_t count = 0;
+    for (auto const& [id, runner] : runners_)
+    {
+        count += runner.loading && runner.loading->from_store ? 1 : 0;
+        count += runner.goal && runner.goal->from_store ? 1 : 0;
+    }
+    return count;
+}
+
+bool placement_planner::store_load_allowed(engine_traits const& engine, time_point now)
+{
+    std::erase_if(store_load_begins_,
+                  [&](time_point begin) { return now - begin > store_window; });
+    double const allowed =
+        std::max(1.0, engine.loads_per_s * seconds(store_window) * store_window_part);
+    return store_loads() + 1 <= std::max(1.0, std::floor(store_width_ + 0.25)) &&
+           static_cast<double>(store_load_begins_.size()) + 1 <= allowed;
+}
+
+bool placement_planner::choose_victims(served_service const& service,
+                                       runner_state& runner, hosted_model const& model,
+                                       time_point now, victim_rule rule,
+                                       plan_option& option)
+{
+    auto const& engine = *service.engine;
+    double room = engine.memory_mb - used_mb(engine, runner);
+    struct victim
+    {
+        std::string name;
+        double value = 0;
+        double size = 0;
+    };
+    std::vector<victim> victims;
+    for (auto const& held : runner.record.models)
+    {
+        auto const confirmed = runner.confirmed.find({held.name, ""});
+        if (confirmed != runner.confirmed.end() && now - confirmed->second < settle_time)
+            continue;
+        auto const running = in_flight_on(runner.record.id, held.name);
+        if (running > 0 && rule != victim_rule::any)
+            continue;
+        double const value = copy_value(service, held.name) + running;
+        if (rule == victim_rule::cheap && value > cheap_copy_value)
+            continue;
+        victims.push_back({held.name, value, weights_of(engine, held.name)});
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](victim const& a, victim const& b) { return a.value < b.value; });
+    for (auto const& candidate : victims)
+    {
+        if (room >= model.memory_mb)
+            break;
+        room += candidate.size;
+        option.victims.push_back(candidate.name);
+        option.cost += candidate.value;
+    }
+    return room >= model.memory_mb;
+}
+
+std::optional<placement_planner::plan_option>
+placement_planner::best_option(served_service const& service, hosted_model const& model,
+                               time_point now, bool store_allowed, victim_rule rule)
+{
+    std::optional<plan_option> best;
+    for (auto& [id, runner] : runners_)
+    {
+        auto const& record = runner.record;
+        if (record.service != service.name || !runner.free_for_orders(now) ||
+            runner.loading || runner.goal || holds(record, model.name))
+            continue;
+        plan_option option;
+        option.runner = &runner;
+        option.load_time = model.store_load;
+        option.from_store = true;
+        if (contains(record.cached_on_disk, model.name))
+        {
+            option.load_time = model.disk_load;
+            option.from_store = false;
+        }
+        if (contains(record.cached_in_memory, model.name))
+        {
+            option.load_time = model.memory_load;
+            option.from_store = false;
+        }
+        if (option.from_store && !store_allowed)
+            continue;
+        option.cost = seconds(option.load_time);
+        if (!choose_victims(service, runner, model, now, rule, option))
+            continue;
+        if (!best || option.cost < best->cost)
+            best = std::move(option);
+    }
+    return best;
+}
+
+void placement_planner::start_goal(plan_option const& option, hosted_model const& model,
+                                   time_point now)
+{
+    auto& runner = *option.runner;
+    runner.victims = option.victims;
+    runner.goal = job{{model.name, ""}, option.from_store, option.load_time, now, 0};
+    auto& counts = counts_[runner.record.service];
+    ++counts[model.name].planned;
+    for (auto const& victim : option.victims)
+    {
+        auto& copies = counts[victim].copies;
+        copies -= std::min(copies, 1U);
+    }
+}
+
+void placement_planner::plan_models(served_service const& service, time_point now)
+{
+    struct wanted_model
+    {
+        hosted_model const* model = nullptr;
+        std::uint32_t waiting = 0;
+    };
+    std::vector<wanted_model> wanted;
+    for (auto const& model : service.engine->models)
+    {
+        auto const demand = demand_of(service.name, model.name);
+        if (demand.waiting == 0)
+            continue;
+        auto const counts = counts_of(service.name, model.name);
+        if (counts.copies + counts.planned == 0)
+            wanted.push_back({&model, demand.waiting});
+    }
+    std::stable_sort(wanted.begin(), wanted.end(),
+                     [](wanted_model const& a, wanted_model const& b)
+                     { return a.waiting > b.waiting; });
+    for (auto const& entry : wanted)
+    {
+        bool const store = store_load_allowed(*service.engine, now);
+        auto option = best_option(service, *entry.model, now, store, victim_rule::idle);
+        if (!option)
+            option = best_option(service, *entry.model, now, store, victim_rule::any);
+        if (option)
+            start_goal(*option, *entry.model, now);
+    }
+}
+
+void placement_planner::plan_copies(served_service const& service, time_point now)
+{
+    for (auto const& model : service.engine->models)
+    {
+        if (demand_of(service.name, model.name).in_flight == 0)
+            continue;
+        auto const counts = counts_of(service.name, model.name);
+        if (counts.copies + counts.planned >= wanted_copies(service, model.name))
+            continue;
+        bool const store = store_load_allowed(*service.engine, now);
+        auto const option = best_option(service, model, now, store, victim_rule::idle);
+        if (option && option->cost < needed_copy_value)
+            start_goal(*option, model, now);
+    }
+}
+
+void placement_planner::plan_prefetch(served_service const& service, time_point now)
+{
+    if (now < next_prefetch_ || !store_load_allowed(*service.engine, now))
+        return;
+    next_prefetch_ = now + prefetch_interval;
+    hosted_model const* next = nullptr;
+    double best_rate = -1;
+    for (auto const& model : service.engine->models)
+    {
+        auto const counts = counts_of(service.name, model.name);
+        if (counts.copies + counts.planned > 0 || counts.cached)
+            continue;
+        double const rate = demand_of(service.name, model.name).rate;
+        if (rate <= best_rate)
+            continue;
+        best_rate = rate;
+        next = &model;
+    }
+    if (next == nullptr)
+        return;
+    auto const option = best_option(service, *next, now, true, victim_rule::cheap);
+    if (option)
+        start_goal(*option, *next, now);
+}
+
+std::optional<runner_order> placement_planner::adapter_order(engine_traits const& engine,
+                                                             runner_state& runner,
+                                                             model_key const& target)
+{
+    runner_order order;
+    order.runner = runner.record.id;
+    order.address = runner.record.address;
+    order.expected_count = runner.order_count;
+    order.target = target;
+    bool const fits =
+        used_mb(engine, runner) + adapter_size(engine, target.model) <= engine.memory_mb;
+    if (fits &&
+        adapter_count(runner.record) + runner.arriving.size() < engine.adapter_slots)
+        return order;
+    std::optional<model_key> oldest;
+    time_point oldest_use = time_point::max();
+    for (auto const& held : runner.record.models)
+    {
+        for (auto const& adapter : held.adapters)
+        {
+            model_key const key{held.name, adapter};
+            if (in_flight_on(runner.record.id, key.str()) > 0)
+                continue;
+            auto const used = runner.adapter_used.find(key);
+            auto const last =
+                used == runner.adapter_used.end() ? time_point{} : used->second;
+            if (last >= oldest_use)
+                continue;
+            oldest_use = last;
+            oldest = key;
+        }
+    }
+    if (!oldest)
+        return std::nullopt;
+    order.what = runner_order::action::unload;
+    order.target = *oldest;
+    return order;
+}
+
+void placement_planner::plan_adapters(served_service const& service, time_point now,
+                                      std::vector<runner_order>& orders)
+{
+    auto const models = demand_.find(service.name);
+    if (models == demand_.end())
+        return;
+    for (auto const& [text, demand] : models->second)
+    {
+        auto const key = model_key::parse(text);
+        if (key.adapter.empty())
+            continue;
+        runner_state* best = nullptr;
+        std::uint32_t best_load = 0;
+        bool present = false;
+        for (auto& [id, runner] : runners_)
+        {
+            auto* const held = find_held(runner.record, key.model);
+            if (runner.record.service != service.name || held == nullptr)
+                continue;
+            if (demand.in_flight > 0 && in_flight_on(id, text) > 0)
+                runner.adapter_used[key] = now;
+            if (contains(held->adapters, key.adapter) || runner.arriving.count(key) != 0)
+                present = present || !runner.record.draining;
+            auto const load = in_flight_on(id, key.model);
+            if (!runner.free_for_orders(now) || contains(runner.victims, key.model))
+                continue;
+            if (best == nullptr || load < best_load)
+            {
+                best = &runner;
+                best_load = load;
+            }
+        }
+        if (demand.waiting == 0 || present || best == nullptr)
+            continue;
+        auto const order = adapter_order(*service.engine, *best, key);
+        if (!order)
+            continue;
+        best->order_out = true;
+        orders.push_back(*order);
+    }
+}
+
+std::vector<load_estimate> placement_planner::estimates(time_point now) const
+{
+    std::vector<load_estimate> found;
+    for (auto const& [service, models] : demand_)
+    {
+        auto const* const known = config_ ? config_->find_service(service) : nullptr;
+        if (known == nullptr || !known->engine)
+            continue;
+        std::uint32_t queued = 0;
+        for (auto const& [text, demand] : models)
+        {
+            auto const key = model_key::parse(text);
+            auto const* const model = known->engine->find(key.model);
+            if (demand.waiting == 0 || !key.adapter.empty() || model == nullptr)
+                continue;
+            duration ready = duration::max();
+            for (auto const& [id, runner] : runners_)
+            {
+                if (runner.loading && runner.loading->target.model == key.model)
+                    ready = std::min(ready, runner.loading->started +
+                                                runner.loading->load_time - now);
+                if (runner.goal && runner.goal->target.model == key.model)
+                    ready = std::min(ready, runner.goal->load_time);
+            }
+            auto const counts = counts_of(service, key.model);
+            if (ready == duration::max() && counts.copies > 0)
+                continue;
+            if (ready == duration::max() && counts.cached)
+                ready = model->disk_load;
+            if (ready == duration::max())
+            {
+                ++queued;
+                double const rounds =
+                    1 + std::ceil((queued + store_loads()) / std::max(store_width_, 1.0));
+                ready = std::chrono::duration_cast<duration>(model->store_load *
+                                                             std::max(rounds - 0.5, 1.0));
+            }
+            found.push_back({service, key, std::max(ready, duration::zero())});
+        }
+    }
+    return found;
+}
+
+} // namespace carawayturn::entry
--- a/src/state/entry/serving_config.hpp
+++ b/src/state/entry/serving_config.hpp
@@ -66,7 +66,7 @@
 {
     std::string name;
     /// Accelerator memory of the weights.
-    double weights_mb = 0;
+    double memory_mb = 0;
     /// Load times by where the runner finds the weights.
     duration store_load = std::chrono::seconds(10);
     duration disk_load = std::chrono::seconds(10);
@@ -78,7 +78,7 @@
 struct engine_traits
 {
     std::vector<hosted_model> models;
-    double weights_mb = 0;
+    double memory_mb = 0;
     std::uint32_t adapter_slots = 0;
     /// Loads from the weight store that may begin each second over all runners.
     double loads_per_s = 1;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -5,13 +5,12 @@
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/caller_session.hpp"
 #include "transport/entry/http_call.hpp"
-#include "transport/entry/state_dump.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/write.hpp>
 
 #include <csignal>
+#include <set>
 
 namespace carawayturn::entry
 {
@@ -19,12 +18,12 @@
 namespace
 {
 
-/// Keyed requests stop this long before a withdrawn key would have to.
-constexpr duration withdrawal_margin = std::chrono::milliseconds(700);
 /// Validity of the hub's lease.
 constexpr duration lease_term = std::chrono::milliseconds(2400);
 /// The hub sends no order with less of its lease left.
 constexpr duration order_margin = std::chrono::milliseconds(200);
+/// The settings file may change without a signal.
+constexpr duration settings_check_interval = std::chrono::seconds(1);
 constexpr duration tick_interval = std::chrono::milliseconds(50);
 /// The hub plans this often without a cause, and waits this long after each plan.
 constexpr duration plan_interval = std::chrono::milliseconds(50);
@@ -33,66 +32,13 @@
 constexpr duration plan_pause_per_instance = std::chrono::microseconds(400);
 constexpr duration order_timeout = std::chrono::milliseconds(1000);
 constexpr duration report_timeout = std::chrono::milliseconds(500);
-/// After SIGTERM new connections are served for this long, until the entry points have
-/// noticed that the instance is not ready.
-constexpr duration notice_time = std::chrono::milliseconds(2600);
-/// What is left of the grace time when the process ends whatever is still running.
-constexpr duration grace_margin = std::chrono::milliseconds(600);
-/// The last bytes to callers leave in this time before the process ends.
-constexpr duration linger_time = std::chrono::milliseconds(300);
-constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// A hub that has not read the store for longer is not relied on; each instance then
 /// reads itself. The hub asks for servers every 400 ms and waits 800 ms for the
 /// configuration.
 constexpr duration trusted_directory_age = std::chrono::milliseconds(1000);
 constexpr duration trusted_confirmation_age = std::chrono::milliseconds(2200);
-/// A probe of readiness or metrics may take this long.
-constexpr duration probe_timeout = std::chrono::seconds(2);
 constexpr int listen_backlog = 512;
 
-/// Longest head of a probe, in bytes.
-constexpr std::size_t probe_limit = 8192;
-
-/// The target of a request line; empty if there is none.
-std::string_view target_of(std::string_view request)
-{
-    auto const begin = request.find(' ');
-    if (begin == std::string_view::npos)
-        return {};
-    auto const rest = request.substr(begin + 1);
-    return rest.substr(0, rest.find(' '));
-}
-
-std::string probe_answer(std::string_view status, std::string const& body)
-{
-    std::string answer = "HTTP/1.1 ";
-    answer += status;
-    answer += "\r\nConnection: close\r\nContent-Type: text/plain\r\nContent-Length: ";
-    answer += std::to_string(body.size()) + "\r\n\r\n" + body;
-    return answer;
-}
-
-/// Answers one probe of readiness or metrics with what `answer` makes of its target.
-task<void> answer_probe(std::shared_ptr<watched_socket> socket,
-                        std::function<std::string(std::string_view)> answer)
-{
-    std::string request;
-    std::array<char, 1024> piece{};
-    socket->set_deadline(boot_now() + probe_timeout);
-    while (request.find("\r\n\r\n") == std::string::npos && request.size() < probe_limit)
-    {
-        auto const [failure, size] =
-            co_await socket->socket().async_read_some(asio::buffer(piece), use_task);
-        if (failure)
-            co_return;
-        request.append(piece.data(), size);
-    }
-    auto const bytes = answer(target_of(request));
-    // A prober that has left needs no answer.
-    co_await asio::async_write(socket->socket(), asio::buffer(bytes), use_task);
-    socket->close();
-}
-
 } // namespace
 
 entry_node::entry_node(node_settings settings, settings_reader reread,
@@ -488,157 +434,13 @@
         follow_hub_role();
         reader_.set_active(hub_active_ || !link_.connected() || !hub_reads_);
         follow_readiness();
-        log_.flush();
-    }
-}
-
-bool entry_node::ready() const
-{
-    return !draining_ && authority_.may_serve_keyed(boot_now()) && !board_.all().empty();
-}
-
-void entry_node::follow_readiness()
-{
-    bool const now_ready = ready();
-    if (now_ready == was_ready_)
-        return;
-    was_ready_ = now_ready;
-    metrics_.set_gauge("ready", now_ready ? 1 : 0);
-    log_.write(entry_event::readiness_changed,
-               {{"ready", std::int64_t{now_ready}},
-                {"config_version", authority_.version()},
-                {"config_age_ms", authority_.age(boot_now()).count() / 1000},
-                {"servers", std::uint64_t{board_.all().size()}}});
-}
-
-task<void> entry_node::serve_ready()
-{
-    for (;;)
-    {
-        auto [failure, socket] = co_await readiness_.async_accept(use_task);
-        if (!readiness_.is_open())
-            co_return;
-        if (failure)
-            continue;
-        auto const answer = [this](std::string_view)
-        {
-            return ready() ? probe_answer("200 OK", "ready\n")
-                           : probe_answer("503 Service Unavailable", "not ready\n");
-        };
-        asio::co_spawn(
-            io_,
-            answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         answer),
-            asio::detached);
-    }
-}
-
-std::string entry_node::page(std::string_view target)
-{
-    if (target == "/state")
-    {
-        node_facts facts;
-        facts.ready = ready();
-        facts.hub = hub_active_;
-        facts.store_answering = store_.answering();
-        facts.reading_store = reader_.active();
-        facts.incarnation = incarnation_;
-        return probe_answer("200 OK", dump_state(services_, lease_, facts));
-    }
-    if (target != "/metrics")
-        return probe_answer("404 Not Found", "pages: /metrics /state\n");
-    metrics_.set_gauge("hub_answers", link_.connected() ? 1 : 0);
-    metrics_.set_gauge("open_requests", open_requests_);
-    metrics_.set_gauge("log_lines_dropped", static_cast<double>(log_.dropped()));
-    metrics_.set_gauge("connections_opened", static_cast<double>(connections_.opened()));
-    metrics_.set_gauge("configuration_age_seconds",
-                       std::chrono::duration<double>(authority_.age(boot_now())).count());
-    return probe_answer("200 OK", metrics_.print());
-}
-
-task<void> entry_node::serve_metrics()
-{
-    for (;;)
-    {
-        auto [failure, socket] = co_await scrapes_.async_accept(use_task);
-        if (!scrapes_.is_open())
-            co_return;
-        if (failure)
-            continue;
-        asio::co_spawn(
-            io_,
-            answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         [this](std::string_view target) { return page(target); }),
-            asio::detached);
-    }
-}
-
-task<void> entry_node::handle_signals()
-{
-    for (;;)
-    {
-        auto const [failure, signal] = co_await signals_.async_wait(use_task);
-        if (failure)
-            co_return;
-        if (signal == SIGHUP)
+        if (now >= next_settings_check_)
         {
-            reload();
-            continue;
+            next_settings_check_ = now + settings_check_interval;
+            reload(false);
         }
-        if (draining_)
-            continue;
-        asio::co_spawn(io_, drain(), asio::detached);
-    }
-}
-
-void entry_node::reload()
-{
-    auto const read = reread_();
-    if (!succeeded(read))
-    {
-        auto const& failure = std::get<error>(read);
-        log_.write(entry_event::settings_rejected,
-                   {{"step", failure.step}, {"detail", failure.detail}});
-        return;
-    }
-    auto const& next = std::get<node_settings>(read);
-    bool const moved = next.store_address != settings_.store_address;
-    settings_.store_address = next.store_address;
-    settings_.bounds = next.bounds;
-    log_.write(entry_event::settings_reloaded,
-               {{"store", settings_.store_address}, {"moved", std::int64_t{moved}}});
-}
-
-void entry_node::refuse_new_callers()
-{
-    boost::system::error_code ignored;
-    callers_.close(ignored);
-    for (auto* const idle : idle_callers_)
-        idle->close();
-}
-
-task<void> entry_node::drain()
-{
-    auto const began = boot_now();
-    draining_ = true;
-    log_.write(entry_event::instance_draining,
-               {{"open_requests", std::uint64_t{open_requests_}}});
-    follow_readiness();
-    auto const last = began + settings_.bounds.shutdown_grace - grace_margin;
-    co_await keeper_.release();
-    follow_hub_role();
-    steady_timer timer(io_);
-    while (boot_now() < last && (open_requests_ > 0 || boot_now() - began < notice_time))
-    {
-        if (boot_now() - began >= notice_time)
-            refuse_new_callers();
-        timer.expires_after(drain_poll);
-        co_await timer.async_wait(use_task);
+        log_.flush();
     }
-    refuse_new_callers();
-    timer.expires_after(linger_time);
-    co_await timer.async_wait(use_task);
-    io_.stop();
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -13,13 +13,18 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace carawayturn::entry
 {
 
-/// Reads the settings anew, for a reload.
-using settings_reader = std::function<result<node_settings>()>;
+/// Reads the settings anew, for a reload; nothing if they have not changed and `always`
+/// is false.
+using settings_reader = std::function<std::optional<result<node_settings>>(bool always)>;
+
+/// Keyed requests stop this long before a withdrawn key would have to.
+inline constexpr duration withdrawal_margin = std::chrono::milliseconds(700);
 
 /// One instance on the platform: the front for callers, its view of the fleet, and the
 /// hub while it holds the lease. Runs on one thread.
@@ -61,7 +66,8 @@
     [[nodiscard]] task<void> drain();
     [[nodiscard]] std::string page(std::string_view target);
     void refuse_new_callers();
-    void reload();
+    /// Reads the settings anew if that was asked for or the file has changed.
+    void reload(bool asked);
     [[nodiscard]] bool ready() const;
     void follow_readiness();
     void follow_hub_role();
@@ -108,6 +114,7 @@
     directory_follower directory_;
     std::uint64_t pushed_revision_ = 0;
     std::uint64_t pushed_config_ = 0;
+    time_point next_settings_check_{};
     bool was_ready_ = false;
     /// The hub reads the store, as it told last.
     bool hub_reads_ = false;
--- /dev/null
+++ b/src/transport/entry/request_attempt.cpp
@@ -0,0 +1,227 @@
+#include "transport/entry/request_flow.hpp"
+
+#include "transport/entry/boot_clock.hpp"
+#include "transport/entry/request_flow_detail.hpp"
+
+#include <algorithm>
+
+// What happens at one backend server: the exchange and the answer or stream that comes of
+// it.
+namespace carawayturn::entry
+{
+
+using namespace flow;
+
+time_point request_flow::first_byte_deadline() const
+{
+    bool const may_go_on = route_->repeatable() && runs_ < route_->max_attempts;
+    auto const now = boot_now();
+    if (!may_go_on)
+        return start_deadline_;
+    // Leaves half of the time for another server.
+    return now + std::max((start_deadline_ - now) / 2, duration(1000));
+}
+
+task<request_flow::attempt_end> request_flow::attempt()
+{
+    auto const key = std::make_pair(server_.id, head_.model.str());
+    services_.board.sent(server_.id);
+    ++services_.in_flight[key];
+    auto connection = co_await services_.connections.obtain(server_.id, server_.address,
+                                                            start_deadline_);
+    auto end = attempt_end::not_run;
+    if (connection.socket && !abandoned_)
+    {
+        end = co_await exchange_on(std::move(connection));
+    }
+    else if (!abandoned_)
+    {
+        services_.board.failed(server_.id, boot_now());
+        services_.crashes.crashed(server_.id, boot_now());
+        excluded_.insert(server_.id);
+    }
+    std::string const detail = exchange_ ? exchange_->failure() : "no connection";
+    exchange_.reset();
+    services_.board.finished(server_.id);
+    auto const found = services_.in_flight.find(key);
+    if (found != services_.in_flight.end() && --found->second == 0)
+        services_.in_flight.erase(found);
+    services_.log.write(entry_event::attempt_ended,
+                        {{"request", head_.id},
+                         {"server", server_.id},
+                         {"send", std::uint64_t{sends_}},
+                         {"end", name_of(end)},
+                         {"detail", detail},
+                         {"elapsed_ms", to_ms(boot_now() - arrival_)}});
+    co_return end;
+}
+
+task<request_flow::attempt_end> request_flow::exchange_on(backend_connection connection)
+{
+    exchange_ =
+        std::make_unique<backend_exchange>(std::move(connection.socket), head_.id);
+    auto const now = boot_now();
+    platform::attempt_terms terms;
+    terms.server_id = server_.id;
+    terms.organisation = organisation_ ? organisation_->name : "";
+    terms.time_left = deadline_ - now;
+    terms.priority = route_->priority;
+    if (organisation_ && organisation_->priority)
+        terms.priority = *organisation_->priority;
+    if (stream_begun_)
+        terms.resume_after = events_.last_id();
+    ++sends_;
+    ++runs_;
+    exchange_->set_deadline(first_byte_deadline());
+    // A server may answer and close before it has read everything, so that the answer is
+    // read also after a failed send.
+    static_cast<void>(co_await exchange_->send(platform::encode_attempt(request_, terms),
+                                               request_.body()));
+    auto const read = co_await exchange_->read_head();
+    if (read == read_outcome::failed)
+    {
+        if (!abandoned_)
+        {
+            services_.board.failed(server_.id, boot_now());
+            services_.crashes.broke(server_.id, signature_, boot_now());
+        }
+        co_return failed_end();
+    }
+    auto const facts = platform::decode_facts(exchange_->head());
+    if (facts.load)
+        services_.board.load_told(server_.id, *facts.load, boot_now());
+    if (facts.not_run)
+        co_return rejected(facts);
+    co_return co_await take_answer(facts);
+}
+
+request_flow::attempt_end request_flow::failed_end() const
+{
+    if (abandoned_)
+        return attempt_end::caller_gone;
+    if (boot_now() >= start_deadline_ && !stream_begun_)
+        return attempt_end::late;
+    return stream_begun_ ? attempt_end::stream_broken : attempt_end::unknown;
+}
+
+request_flow::attempt_end request_flow::rejected(platform::answer_facts const& facts)
+{
+    --runs_;
+    auto const now = boot_now();
+    bool const model_denied =
+        facts.wrong_server && !head_.model.model.empty() && facts.request_id == head_.id;
+    if (model_denied)
+    {
+        services_.board.avoid_model(server_.id, head_.model.str(),
+                                    now + model_denied_pause);
+    }
+    else if (facts.wrong_server)
+    {
+        services_.board.avoid(server_.id, now + wrong_server_pause);
+        services_.connections.drop(server_.id);
+    }
+    else
+    {
+        services_.board.failed(server_.id, now);
+        excluded_.insert(server_.id);
+    }
+    return attempt_end::not_run;
+}
+
+task<request_flow::attempt_end> request_flow::take_answer(platform::answer_facts facts)
+{
+    auto const status = exchange_->head().result_int();
+    bool const success = status >= 200 && status < 300;
+    if (success && (!facts.signed_by_server || facts.encoded))
+    {
+        services_.board.failed(server_.id, boot_now());
+        co_return failed_end();
+    }
+    if (success && route_->rule == repeat_rule::stream)
+        co_return co_await take_stream();
+    exchange_->set_deadline(deadline_);
+    answer_head_ = platform::encode_answer(exchange_->head());
+    answer_body_.clear();
+    answer_kept_ = false;
+    auto read = read_outcome::more;
+    while ((read = co_await exchange_->read_body()) == read_outcome::more)
+    {
+        answer_body_.append(exchange_->body());
+        if (answer_body_.size() > max_kept_answer)
+            co_return failed_end();
+    }
+    if (read == read_outcome::failed)
+    {
+        services_.board.failed(server_.id, boot_now());
+        co_return failed_end();
+    }
+    duration keep{};
+    if (auto kept = exchange_->take_connection(keep))
+        services_.connections.give_back(server_.id, std::move(kept), keep, boot_now());
+    answer_kept_ = true;
+    if (status >= 500)
+    {
+        services_.board.failed(server_.id, boot_now());
+        co_return attempt_end::server_failure;
+    }
+    services_.board.succeeded(server_.id, boot_now());
+    co_return attempt_end::delivered;
+}
+
+task<request_flow::attempt_end> request_flow::take_stream()
+{
+    bool const resuming = stream_begun_;
+    if (!resuming)
+        answer_head_ = platform::encode_answer(exchange_->head());
+    auto const gap_limit =
+        std::max(silent_gaps * route_->gap_objective, duration(std::chrono::seconds(1)));
+    for (;;)
+    {
+        auto const now = boot_now();
+        auto const limit = stream_begun_ ? now + gap_limit : first_byte_deadline();
+        exchange_->set_deadline(std::min(deadline_, limit));
+        auto const read = co_await exchange_->read_body();
+        if (read == read_outcome::failed)
+        {
+            services_.board.failed(server_.id, boot_now());
+            co_return failed_end();
+        }
+        if (read == read_outcome::complete)
+            co_return co_await finish_stream();
+        events_.append(exchange_->body());
+        auto const events = events_.take_events();
+        if (events.empty())
+            continue;
+        if (!stream_begun_)
+        {
+            stream_begun_ = true;
+            first_event_after_ = boot_now() - arrival_;
+            last_event_ = boot_now();
+            services_.metrics.first_event(first_event_after_);
+            if (!co_await writer_.begin(answer_head_))
+                co_return attempt_end::caller_gone;
+        }
+        longest_gap_ = std::max(longest_gap_, boot_now() - last_event_);
+        last_event_ = boot_now();
+        if (!co_await writer_.append(events))
+            co_return attempt_end::caller_gone;
+    }
+}
+
+task<request_flow::attempt_end> request_flow::finish_stream()
+{
+    if (!stream_begun_ && !co_await writer_.begin(answer_head_))
+        co_return attempt_end::caller_gone;
+    stream_begun_ = true;
+    if (!events_.rest().empty() && !co_await writer_.append(events_.rest()))
+        co_return attempt_end::caller_gone;
+    if (!co_await writer_.end())
+        co_return attempt_end::caller_gone;
+    duration keep{};
+    if (auto kept = exchange_->take_connection(keep))
+        services_.connections.give_back(server_.id, std::move(kept), keep, boot_now());
+    services_.board.succeeded(server_.id, boot_now());
+    co_return attempt_end::delivered;
+}
+
+} // namespace carawayturn::entry
--- /dev/null
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "state/time.hpp"
+
+#include <cstdint>
+
+// Constants of request_flow.cpp and request_attempt.cpp.
+namespace carawayturn::entry::flow
+{
+
+/// Time a caller waits that does not tell for how long.
+inline constexpr duration default_deadline = std::chrono::seconds(15);
+/// Callers give up on a stream without events after this many times its latency
+/// objective or its gap objective, and not before a fixed time.
+inline constexpr int abandon_objectives = 4;
+inline constexpr int abandon_gaps = 8;
+inline constexpr duration abandon_least = std::chrono::seconds(2);
+/// The answer leaves this long before the time is over, so that it still arrives.
+inline constexpr duration answer_margin = std::chrono::milliseconds(20);
+/// A silent stream is moved to another server after this many gap objectives.
+inline constexpr int silent_gaps = 5;
+/// Sends of one request in all, with those that servers denied.
+inline constexpr std::uint32_t max_sends = 4;
+/// The hub answers with an estimate within this time if it can place the model at all.
+inline constexpr duration estimate_patience = std::chrono::milliseconds(1500);
+/// How often a waiting request looks by itself.
+inline constexpr duration wait_interval = std::chrono::milliseconds(200);
+/// Longest answer that is kept whole before it is passed on.
+inline constexpr std::size_t max_kept_answer = std::size_t{16} << 20U;
+/// A runner that denies that it holds a model is avoided for it this long.
+inline constexpr duration model_denied_pause = std::chrono::milliseconds(60);
+/// A server that is not the expected one is avoided until the directory catches up.
+inline constexpr duration wrong_server_pause = std::chrono::seconds(2);
+/// Part of the rate that an instance asks for in advance, in seconds over all instances.
+inline constexpr double quota_reserve_s = 0.2;
+/// Times to come back after refusals whose cause passes by itself.
+inline constexpr duration now_elsewhere = std::chrono::milliseconds(20);
+inline constexpr duration soon = std::chrono::milliseconds(300);
+inline constexpr duration later = std::chrono::milliseconds(1000);
+
+inline std::int64_t to_ms(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace carawayturn::entry::flow
