Never answer anew in the middle of a stream

A stream broke, the runner that should have gone on shed the request and the instance wrote a 502 with a head of its own into the chunked answer. A failure answer there ended as 'streamed' with the connection kept open. Ruled out: the runner's bytes, since the first 200 had ended in whole events. Test: entry.processes broken_stream_that_nobody_continues, which failed first.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -139,6 +139,9 @@
     }
     if (success && route_->rule == repeat_rule::stream)
         co_return co_await take_stream();
+    // A failure instead of the rest of a stream that has begun.
+    if (stream_begun_)
+        co_return attempt_end::stream_broken;
     exchange_->set_deadline(deadline_);
     answer_head_ = platform::encode_answer(exchange_->head());
     answer_body_.clear();
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -309,6 +309,12 @@
 
 task<bool> request_flow::answer_end(attempt_end end)
 {
+    // The head of a stream has left; nothing but its own events may follow.
+    if (stream_begun_ && end != attempt_end::delivered)
+    {
+        log_end("stream_broken", 0);
+        co_return false;
+    }
     switch (end)
     {
     case attempt_end::delivered:
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -247,6 +247,19 @@
             self.assertEqual(body, b"".join(b"id: %d\ndata: %d\n\n" % (n, n)
                                             for n in range(1, 6)))
 
+    def test_broken_stream_that_nobody_continues_does_not_look_complete(self) -> None:
+        """Guards against an answer of our own in the middle of a stream: the runner that
+        should have gone on denied the request, or failed it (trouble-3, MIXED)."""
+        self.runners[0].mode = "break"
+        for mode in ("full", "error"):
+            self.runners[1].mode = mode
+            for number in range(3):
+                with self.assertRaises(http.client.IncompleteRead) as broken:
+                    self.instance.request("/draft/a", id=f"{mode}{number}",
+                                          headers={"X-Model": "m1"})
+                self.assertEqual(broken.exception.partial,
+                                 b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+
     def test_withdrawn_key_stops_and_new_key_works(self) -> None:
         """Guards against an accepted configuration that is not put in force."""
         self.store.put("op", "config", configuration(2, ["k2"]))
