--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -103,6 +103,7 @@
     [[nodiscard]] std::vector<std::pair<std::string, std::string>> retiring() const;
 
 private:
+    /// A load that is planned or under way.
     struct job
     {
         model_key target;
@@ -154,6 +155,7 @@
         /// Also those with requests in flight.
         any
     };
+    /// A way to load a model, and what it costs in seconds.
     struct plan_option
     {
         runner_state* runner = nullptr;
--- a/src/state/entry/serving_config.hpp
+++ b/src/state/entry/serving_config.hpp
@@ -84,7 +84,6 @@
     double loads_per_s = 1;
     /// Requests that one runner batches.
     std::uint32_t slots = 1;
-    std::int64_t kv_tokens = 0;
 
     [[nodiscard]] hosted_model const* find(std::string_view model) const;
 };
@@ -92,7 +91,6 @@
 struct served_service
 {
     std::string name;
-    std::string health_path;
     std::optional<engine_traits> engine;
 };
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -66,7 +66,6 @@
     boost::beast::flat_buffer buffer_;
     bool keep_alive_ = true;
     bool head_request_ = false;
-    unsigned version_ = 11;
 };
 
 caller_limits caller_session::limits() const
@@ -212,7 +211,6 @@
 task<bool> caller_session::serve(http::request<http::string_body>& request,
                                  time_point arrival)
 {
-    version_ = request.version();
     keep_alive_ = request.keep_alive();
     head_request_ = request.method() == http::verb::head;
     socket_->set_deadline(time_point::max());
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -339,7 +339,6 @@
     unsigned status = 0;
     if (lease_.held(boot_now(), order_margin))
     {
-        last_order_ = boot_now();
         auto const answer = co_await http_call(connections_, std::move(call));
         if (answer)
             status = answer->status;
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -118,7 +118,6 @@
     bool was_ready_ = false;
     /// The hub reads the store, as it told last.
     bool hub_reads_ = false;
-    time_point last_order_{};
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/peer_frame.cpp
+++ b/src/transport/entry/peer_connection.cpp
@@ -1,4 +1,4 @@
-#include "transport/entry/peer_frame.hpp"
+#include "transport/entry/peer_connection.hpp"
 
 #include "protocol/entry/node_codec.hpp"
 
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -2,7 +2,7 @@
 
 #include "coordination/entry/order_lease.hpp"
 #include "transport/entry/entry_services.hpp"
-#include "transport/entry/peer_frame.hpp"
+#include "transport/entry/peer_connection.hpp"
 
 #include <functional>
 #include <map>
@@ -64,9 +64,6 @@
     /// Follows whether a hub answers that holds its lease; call often.
     void follow_orders(time_point now);
 
-    /// Whether the lease row should be read to find the hub.
-    [[nodiscard]] bool hub_unknown() const { return !connected(); }
-
 private:
     struct open_ask
     {
@@ -74,6 +71,7 @@
         bool answered = false;
         steady_timer timer;
     };
+    /// A status that tells nothing but who sends it.
     [[nodiscard]] static node_status incomplete_status()
     {
         node_status status;
--- a/tests/entry/placement_planner_test.cpp
+++ b/tests/entry/placement_planner_test.cpp
@@ -248,7 +248,7 @@
     {
         auto config = std::make_shared<serving_config>();
         config->version = 1;
-        config->services.push_back({"booking", "", std::nullopt});
+        config->services.push_back({"booking", std::nullopt});
         config->index();
         config_ = std::move(config);
     }
