Wait for the crashed order's record in the stand-ins' test

The crash closes the connection before the order's own thread writes its record, so the test could read the log in between. It waits for the record now; what it asserts of it is the same.

--- a/tests/standins/standins_test.py
+++ b/tests/standins/standins_test.py
@@ -249,6 +249,8 @@
         engine.post("/v1/crash", {})
         thread.join()
         self.assertIsInstance(results[0], (http.client.HTTPException, OSError))
+        # The order's thread writes its record after the crash has closed the connection.
+        self.wait_until(lambda: engine.log()["orders"])
         log = engine.log()
         self.assertEqual(log["orders"][0]["result"], "crashed")
         self.assertEqual(log["used_bytes"], 0)
