Let the width of the weight store recover after a slow load

Cause: the number of loads at once only ever fell; one slow load, for example beside those of a former hub, held back all later ones for good. A load at full speed widens it by half a load now, up to eight. Test: loads_at_full_speed_widen_the_store_again, fails on the code before by construction (the width never grew); it was not run there.

--- a/src/coordination/entry/placement_detail.hpp
+++ b/src/coordination/entry/placement_detail.hpp
@@ -36,6 +36,10 @@
 inline constexpr double store_window_part = 0.8;
 /// A load that took longer than this many times its usual time shared the weight store.
 inline constexpr double shared_load_ratio = 1.2;
+/// What a load at full speed adds to the number of loads at once, and its bound. One slow
+/// load, for example beside those of a former hub, must not hold back all later ones.
+inline constexpr double store_width_step = 0.5;
+inline constexpr double max_store_width = 8;
 /// A copy with a lower value may make way for a model that nobody waits for.
 inline constexpr double cheap_copy_value = 0.2;
 /// Weight of each copy that is needed for the requests in flight.
--- a/src/coordination/entry/placement_progress.cpp
+++ b/src/coordination/entry/placement_progress.cpp
@@ -109,6 +109,8 @@
     double const ratio = took / std::max(seconds(done.load_time), 0.1);
     if (ratio > shared_load_ratio)
         store_width_ = std::clamp(done.store_width / ratio, 1.0, store_width_);
+    else if (done.store_width + 1 > store_width_)
+        store_width_ = std::min(store_width_ + store_width_step, max_store_width);
 }
 
 void placement_planner::load_done(runner_state& runner, time_point now)
--- a/tests/entry/placement_planner_test.cpp
+++ b/tests/entry/placement_planner_test.cpp
@@ -187,6 +187,40 @@
     EXPECT_EQ(plan(0).size(), 4U);
 }
 
+// Guards against a fleet that loads one model at a time for good after a slow load (mix
+// --seed 586739249679: new runners stayed empty while one old runner took all requests).
+TEST_F(placement_planner_test, loads_at_full_speed_widen_the_store_again)
+{
+    for (int i = 0; i < 10; ++i)
+        add_runner("r" + std::to_string(i), {});
+    auto const load_one = [this](int model, int start_ms, int took_ms)
+    {
+        auto const name = "m" + std::to_string(model);
+        wait_for(name);
+        std::size_t begun = 0;
+        for (auto const& order : plan_and_accept(start_ms))
+        {
+            runner_report answer;
+            answer.models = planner_.view(order.runner)->models;
+            answer.models.push_back({order.target.model, 1, {}});
+            answer.order_count = order.expected_count + 1;
+            static_cast<void>(planner_.wanted_reports(at(start_ms + took_ms)));
+            planner_.reported(order.runner, answer, at(start_ms + took_ms));
+            ++begun;
+        }
+        demand_.erase(name);
+        wait_for("none", 0);
+        return begun;
+    };
+    // The one that is waited for and one in advance.
+    EXPECT_EQ(load_one(0, 0, 60000), 2U);
+    EXPECT_EQ(load_one(1, 70000, 9500), 1U);
+    std::size_t begun = 0;
+    for (int i = 0; i < 4; ++i)
+        begun = load_one(6 + i, 100000 + 20000 * i, 9500);
+    EXPECT_GE(begun, 2U);
+}
+
 // Guards against a rush that is refused although the weights lie on the runners' disks:
 // loads from disk do not wait for the weight store.
 TEST_F(placement_planner_test, rush_on_cached_models_loads_everywhere_at_once)
