--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -148,6 +148,9 @@
         if (!active_)
         {
             co_await activity_.wait(inactive_wait);
+            // The feed would replay every change since the last answer, a part at a time,
+            // and show servers that are long gone.
+            servers_version_ = 0;
             continue;
         }
         auto const asked_at = boot_now();
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -170,9 +170,11 @@
     def __init__(self, store: Store) -> None:
         self.store = store
         self.refuse = False
+        self.calls: list[str] = []
         super().__init__()
 
     def handle(self, call: _Handler, body: bytes) -> None:
+        self.calls.append(call.path)
         if self.refuse:
             call.answer_json(503, {})
         else:
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -376,6 +376,23 @@
         wait_until(lambda: second.state()["hub"]["this_instance"], "n2 is the hub")
         self.assertEqual(self.store.get("carawayturn", "hub")["fence"], 3)
 
+    def test_instance_that_begins_to_read_lists_the_servers(self) -> None:
+        """Guards against a feed that replays, a part at a time, every change since this
+        instance read last, and shows servers that are long gone."""
+        second = Instance(self.store, "n2")
+        self.instances.append(second)
+        wait_until(lambda: second.state().get("hub", {}).get("answers"), "n2 found the hub")
+        wait_until(lambda: not second.state()["store"]["read_by_this_instance"],
+                   "n2 relies on the hub")
+        second.door.calls.clear()
+        self.instance.stop()
+
+        def servers_calls() -> list[str]:
+            return [call for call in second.door.calls if "table=servers" in call]
+
+        wait_until(servers_calls, "n2 reads the servers itself")
+        self.assertTrue(servers_calls()[0].startswith("/rows-get"), servers_calls()[0])
+
     def test_store_turns_the_hub_away_leaving_server_is_seen(self) -> None:
         """Guards against members that rely on a hub which cannot read (scale-2, DRAIN)."""
         second = Instance(self.store, "n2")
