--- a/src/coordination/entry/backend_board.cpp
+++ b/src/coordination/entry/backend_board.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/backend_board.hpp"
 
+#include "state/entry/time_units.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -26,14 +28,9 @@
 /// A server with more requests than this many times its slots takes nothing more.
 constexpr double full_load = 3.0;
 
-double seconds_between(time_point from, time_point to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 double decayed_failures(backend_load const& load, time_point now)
 {
-    double const age = seconds_between(load.failures_at, now);
+    double const age = to_seconds(now - load.failures_at);
     return load.failures * std::exp2(-age / failure_half_life_s);
 }
 
--- a/src/coordination/entry/fleet_status.cpp
+++ b/src/coordination/entry/fleet_status.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/fleet_status.hpp"
 
+#include "state/entry/time_units.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -31,7 +33,7 @@
 
 double fleet_status::decayed_rate(model_state const& model, time_point now)
 {
-    double const age = std::chrono::duration<double>(now - model.rated_at).count();
+    double const age = to_seconds(now - model.rated_at);
     return model.rate * std::exp(-age / rate_memory_s);
 }
 
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -86,17 +86,18 @@
     }
 }
 
+void hub_state::follow_fleet(time_point now)
+{
+    fleet_.expire(now);
+    auto const known = static_cast<double>(std::max<std::size_t>(fleet_.known(), 1));
+    ledger_.set_connected_share(static_cast<double>(instances()) / known);
+}
+
 node_update hub_state::answer(node_status const& status,
                               config_authority const& authority, time_point now)
 {
     if (status.complete)
         fleet_.put(status, now);
-    fleet_.expire(now);
-    auto const connected = static_cast<double>(instances());
-    ledger_.set_connected_share(
-        connected / static_cast<double>(std::max<std::size_t>(fleet_.known(), 1)));
-    for (auto const& returned : status.returns)
-        ledger_.give_back(returned.organisation, returned.units);
     node_update update;
     update.echo_us = status.sent_at_us;
     update.confirmation_age_us = authority.age(now).count();
@@ -132,10 +133,6 @@
                                           time_point now)
 {
     follow_config(authority, now);
-    fleet_.expire(now);
-    ledger_.set_connected_share(
-        static_cast<double>(instances()) /
-        static_cast<double>(std::max<std::size_t>(fleet_.known(), 1)));
     for (auto& [service, demand] : fleet_.demand(now))
         planner_.set_demand(service, std::move(demand));
     planner_.set_in_flight(fleet_.in_flight());
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -30,6 +30,10 @@
     void put_server(backend_record const& record, time_point now);
     void remove_server(std::string const& id);
 
+    /// Notices instances that are silent; call often. Apart from answer(), because its
+    /// work grows with the number of instances.
+    void follow_fleet(time_point now);
+
     /// Takes a status and returns the reply without the parts that concern the lease.
     [[nodiscard]] node_update answer(node_status const& status,
                                      config_authority const& authority, time_point now);
--- a/src/coordination/entry/placement_choice.cpp
+++ b/src/coordination/entry/placement_choice.cpp
@@ -11,7 +11,7 @@
                                      std::string const& model) const
 {
     auto const* const known = service.engine->find(model);
-    double const reload = known == nullptr ? 1.0 : seconds(known->disk_load);
+    double const reload = known == nullptr ? 1.0 : to_seconds(known->disk_load);
     auto const demand = demand_of(service.name, model);
     auto const count = std::max(counts_of(service.name, model).copies, 1U);
     double value = (demand.rate + 0.005) * reload / (count * count);
@@ -46,7 +46,7 @@
     std::erase_if(store_load_begins_,
                   [&](time_point begin) { return now - begin > store_window; });
     double const allowed =
-        std::max(1.0, engine.loads_per_s * seconds(store_window) * store_window_part);
+        std::max(1.0, engine.loads_per_s * to_seconds(store_window) * store_window_part);
     return store_loads() + 1 <= std::max(1.0, std::floor(store_width_ + 0.25)) &&
            static_cast<double>(store_load_begins_.size()) + 1 <= allowed;
 }
@@ -118,7 +118,7 @@
         }
         if (option.from_store && !store_allowed)
             continue;
-        option.cost = seconds(option.load_time);
+        option.cost = to_seconds(option.load_time);
         if (!choose_victims(service, runner, model, now, rule, option))
             continue;
         if (!best || option.cost < best->cost)
--- a/src/coordination/entry/placement_detail.hpp
+++ b/src/coordination/entry/placement_detail.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/placement_planner.hpp"
+#include "state/entry/time_units.hpp"
 
 #include <algorithm>
 
@@ -45,11 +46,6 @@
 /// Weight of each copy that is needed for the requests in flight.
 inline constexpr double needed_copy_value = 100;
 
-inline double seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 inline bool contains(std::vector<std::string> const& items, std::string const& item)
 {
     return std::find(items.begin(), items.end(), item) != items.end();
@@ -63,9 +59,15 @@
     return found == record.models.end() ? nullptr : &*found;
 }
 
+inline bool holds_model(std::vector<held_model> const& models, std::string const& model)
+{
+    return std::any_of(models.begin(), models.end(),
+                       [&](held_model const& held) { return held.name == model; });
+}
+
 inline bool holds(backend_record const& record, std::string const& model)
 {
-    return find_held(const_cast<backend_record&>(record), model) != nullptr;
+    return holds_model(record.models, model);
 }
 
 inline double weights_of(engine_traits const& engine, std::string const& model)
--- a/src/coordination/entry/placement_planner.cpp
+++ b/src/coordination/entry/placement_planner.cpp
@@ -54,8 +54,7 @@
     }
     else if (!runner.order_out && !same_models(record.models, runner.record.models))
     {
-        runner.unsure = true;
-        runner.next_report = now;
+        runner.doubt_until_report(now);
         runner.records_old_until = now + record_lag;
     }
     if (runner.record == next)
@@ -96,12 +95,6 @@
     changed_.erase(id);
 }
 
-void placement_planner::keep_only(std::set<std::string> const& ids)
-{
-    std::erase_if(runners_,
-                  [&](auto const& entry) { return ids.count(entry.first) == 0; });
-}
-
 void placement_planner::set_demand(std::string const& service,
                                    std::map<std::string, model_demand> demand)
 {
--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -72,7 +72,6 @@
     /// A runner as it was recorded at the store.
     void put_runner(backend_record const& record, time_point now);
     void remove_runner(std::string const& id);
-    void keep_only(std::set<std::string> const& ids);
     /// Forgets all runners and orders, for a new holder of the lease.
     void reset();
 
@@ -140,6 +139,12 @@
         /// Models and adapters that were seen here and may be missing from older records.
         std::map<model_key, time_point> confirmed;
 
+        /// Stops orders until a report, which is asked for from then on.
+        void doubt_until_report(time_point asked_from)
+        {
+            unsure = true;
+            next_report = asked_from;
+        }
         [[nodiscard]] bool free_for_orders(time_point now) const
         {
             return !order_out && !unsure && now >= not_before && !record.draining;
--- a/src/coordination/entry/placement_progress.cpp
+++ b/src/coordination/entry/placement_progress.cpp
@@ -60,8 +60,7 @@
             outcome == order_outcome::accepted)
         {
             // A request uses the adapter; it keeps its place until a report lacks it.
-            runner.unsure = true;
-            runner.next_report = now + report_lag;
+            runner.doubt_until_report(now + report_lag);
         }
         else if (order.what == runner_order::action::unload)
             unload_done(runner, order.target);
@@ -69,18 +68,15 @@
             load_accepted(runner, order, now);
         break;
     case order_outcome::conflict:
-        runner.unsure = true;
-        runner.next_report = now + report_interval;
+        runner.doubt_until_report(now + report_interval);
         break;
     case order_outcome::unknown:
-        runner.unsure = true;
-        runner.next_report = now + report_lag;
+        runner.doubt_until_report(now + report_lag);
         break;
     case order_outcome::rejected:
         runner.goal.reset();
         runner.victims.clear();
-        runner.unsure = true;
-        runner.next_report = now + report_lag;
+        runner.doubt_until_report(now + report_lag);
         runner.not_before = now + refusal_pause;
         break;
     }
@@ -105,8 +101,8 @@
 {
     if (!done.from_store || done.store_width == 0)
         return;
-    double const took = seconds(now - done.started - report_lag);
-    double const ratio = took / std::max(seconds(done.load_time), 0.1);
+    double const took = to_seconds(now - done.started - report_lag);
+    double const ratio = took / std::max(to_seconds(done.load_time), 0.1);
     if (ratio > shared_load_ratio)
         store_width_ = std::clamp(done.store_width / ratio, 1.0, store_width_);
     else if (done.store_width + 1 > store_width_)
@@ -164,12 +160,8 @@
     }
     if (!runner.loading || !current)
         return;
-    auto const loaded = std::any_of(report.models.begin(), report.models.end(),
-                                    [&](held_model const& held) {
-                                        return held.name == runner.loading->target.model;
-                                    });
     auto const taken = now - runner.loading->started;
-    if (loaded)
+    if (holds_model(report.models, runner.loading->target.model))
     {
         load_done(runner, now);
         adopt(runner, report.models, now);
--- a/src/coordination/entry/quota.cpp
+++ b/src/coordination/entry/quota.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/quota.hpp"
 
+#include "state/entry/time_units.hpp"
+
 #include <algorithm>
 
 namespace carawayturn::entry
@@ -14,16 +16,6 @@
 /// Burst of an instance that is alone, in seconds of its part of the rate.
 constexpr double alone_burst_s = 1.0;
 
-double seconds_between(time_point from, time_point to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
-duration seconds_to_duration(double seconds)
-{
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
-}
-
 } // namespace
 
 void quota_ledger::set_connected_share(double share)
@@ -43,7 +35,7 @@
     auto& entry = buckets_[organisation];
     if (entry.fresh)
         entry = {terms.burst * initial_fill_, now, false};
-    entry.level += seconds_between(entry.last, now) * terms.rate * share_;
+    entry.level += to_seconds(now - entry.last) * terms.rate * share_;
     entry.level = std::min(entry.level, terms.burst);
     entry.last = now;
     return entry;
@@ -58,7 +50,7 @@
     if (entry.level < needed)
     {
         double const rate = std::max(terms.rate * share_, 1e-6);
-        return {0, seconds_to_duration((needed - entry.level) / rate)};
+        return {0, from_seconds((needed - entry.level) / rate)};
     }
     entry.level -= units;
     double const extra = std::clamp(entry.level / 2, 0.0, reserve);
@@ -66,13 +58,6 @@
     return {units + extra, duration::zero()};
 }
 
-void quota_ledger::give_back(std::string const& organisation, double units)
-{
-    auto const found = buckets_.find(organisation);
-    if (found != buckets_.end())
-        found->second.level += units;
-}
-
 bool quota_account::spend(std::string const& organisation, double units)
 {
     auto& entry = accounts_[organisation];
@@ -95,8 +80,7 @@
         terms.rate / static_cast<double>(std::max<std::size_t>(instances, 1));
     if (entry.alone_since == time_point{} || now - entry.alone_since > alone_gap)
         entry.alone = std::min(entry.alone, part * alone_burst_s);
-    double const waited =
-        std::min(seconds_between(entry.alone_since, now), alone_burst_s);
+    double const waited = std::min(to_seconds(now - entry.alone_since), alone_burst_s);
     entry.alone = std::min(entry.alone + waited * part, part * alone_burst_s);
     entry.alone_since = now;
     double const needed = std::min(units, part * alone_burst_s);
@@ -106,14 +90,6 @@
     return true;
 }
 
-double quota_account::take_excess(std::string const& organisation, double keep)
-{
-    auto& entry = accounts_[organisation];
-    double const excess = std::max(entry.balance - keep, 0.0);
-    entry.balance -= excess;
-    return excess;
-}
-
 void quota_account::block(std::string const& organisation, double units, time_point until)
 {
     auto& entry = accounts_[organisation];
--- a/src/coordination/entry/quota.hpp
+++ b/src/coordination/entry/quota.hpp
@@ -44,9 +44,6 @@
                                   quota_terms const& terms, double units, double reserve,
                                   time_point now);
 
-    /// Takes back units that an instance was granted and did not use.
-    void give_back(std::string const& organisation, double units);
-
 private:
     struct bucket
     {
@@ -77,9 +74,6 @@
                                    quota_terms const& terms, double units,
                                    std::size_t instances, time_point now);
 
-    /// Takes out what lies above `keep`, to be given back to the hub.
-    [[nodiscard]] double take_excess(std::string const& organisation, double keep);
-
     /// Until then the hub has nothing for a request of this size or more.
     void block(std::string const& organisation, double units, time_point until);
     [[nodiscard]] duration blocked_for(std::string const& organisation, double units,
--- a/src/coordination/entry/retry_budget.cpp
+++ b/src/coordination/entry/retry_budget.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/retry_budget.hpp"
 
+#include "state/entry/time_units.hpp"
+
 #include <algorithm>
 
 namespace carawayturn::entry
@@ -12,11 +14,6 @@
 /// between instances and membership that changes.
 constexpr double used_part = 0.6;
 
-double seconds_between(time_point from, time_point to)
-{
-    return std::chrono::duration<double>(to - from).count();
-}
-
 } // namespace
 
 retry_budget::retry_budget(service_bounds const& bounds) : bounds_(bounds) {}
@@ -39,11 +36,11 @@
         entry = {fixed_share() / 2, now, false};
         return entry;
     }
-    double const window = std::chrono::duration<double>(bounds_.retry_window).count();
+    double const window = to_seconds(bounds_.retry_window);
     // Half of the fixed share is the cap and half of it accrues in each window, so that a
     // full window spends at most the share.
     double const accrued =
-        seconds_between(entry.last, now) * fixed_share() / 2 / std::max(window, 1.0);
+        to_seconds(now - entry.last) * fixed_share() / 2 / std::max(window, 1.0);
     double const cap = std::max(fixed_share() / 2, 1.0) + bounds_.retry_ratio * 10;
     entry.tokens = std::min(cap, entry.tokens + accrued);
     entry.last = now;
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -43,12 +43,6 @@
     archive(value.ask_id, value.organisation, value.units, value.reserve);
 }
 
-template <class Archive>
-void serialize(Archive& archive, quota_return& value)
-{
-    archive(value.organisation, value.units);
-}
-
 template <class Archive>
 void serialize(Archive& archive, quota_reply& value)
 {
@@ -84,7 +78,7 @@
 {
     archive(value.node, value.incarnation, value.sent_at_us, value.config_version,
             value.directory_hub, value.directory_revision, value.complete,
-            value.in_flight, value.demand, value.asks, value.returns, value.crashes);
+            value.in_flight, value.demand, value.asks, value.crashes);
 }
 
 template <class Archive>
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -37,12 +37,6 @@
     double reserve = 0;
 };
 
-struct quota_return
-{
-    std::string organisation;
-    double units = 0;
-};
-
 struct quota_reply
 {
     std::uint64_t ask_id = 0;
@@ -73,7 +67,6 @@
     std::vector<in_flight_count> in_flight;
     std::vector<demand_count> demand;
     std::vector<quota_ask> asks;
-    std::vector<quota_return> returns;
     std::vector<crash_count> crashes;
 };
 
--- /dev/null
+++ b/src/state/entry/time_units.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "state/time.hpp"
+
+#include <cstdint>
+
+namespace carawayturn::entry
+{
+
+[[nodiscard]] inline double to_seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+[[nodiscard]] inline duration from_seconds(double seconds)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+/// Whole milliseconds, for logs and dumps.
+[[nodiscard]] inline std::int64_t to_ms(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace carawayturn::entry
--- a/src/transport/entry/entry_metrics.cpp
+++ b/src/transport/entry/entry_metrics.cpp
@@ -1,5 +1,7 @@
 #include "transport/entry/entry_metrics.hpp"
 
+#include "state/entry/time_units.hpp"
+
 #include <boost/histogram.hpp>
 
 #include <array>
@@ -23,11 +25,6 @@
         axis{0.0, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0, 16.0});
 }
 
-double seconds(duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 void print_histogram(std::ostream& out, std::string_view name,
                      seconds_histogram const& values)
 {
@@ -68,17 +65,17 @@
 
 void entry_metrics::answered(duration latency)
 {
-    histograms_->answer(seconds(latency));
+    histograms_->answer(to_seconds(latency));
 }
 
 void entry_metrics::first_event(duration latency)
 {
-    histograms_->first_event(seconds(latency));
+    histograms_->first_event(to_seconds(latency));
 }
 
 void entry_metrics::waited_for_model(duration wait)
 {
-    histograms_->model_wait(seconds(wait));
+    histograms_->model_wait(to_seconds(wait));
 }
 
 std::string entry_metrics::print() const
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -37,6 +37,9 @@
 /// configuration.
 constexpr duration trusted_directory_age = std::chrono::milliseconds(1000);
 constexpr duration trusted_confirmation_age = std::chrono::milliseconds(2200);
+/// A model that the hub is about to unload gets no requests for this long; each update
+/// names it anew while that holds.
+constexpr duration retiring_pause = std::chrono::milliseconds(600);
 constexpr int listen_backlog = 512;
 
 } // namespace
@@ -108,8 +111,14 @@
     reader_.set_active(true);
     reader_.start();
     asio::co_spawn(io_, accept_callers(services_, callers_), asio::detached);
-    asio::co_spawn(io_, serve_ready(), asio::detached);
-    asio::co_spawn(io_, serve_metrics(), asio::detached);
+    asio::co_spawn(
+        io_,
+        serve_probes(readiness_, [this](std::string_view) { return readiness_page(); }),
+        asio::detached);
+    asio::co_spawn(
+        io_,
+        serve_probes(scrapes_, [this](std::string_view target) { return page(target); }),
+        asio::detached);
     asio::co_spawn(io_, handle_signals(), asio::detached);
     asio::co_spawn(io_, keep_lease(), asio::detached);
     asio::co_spawn(io_, plan_as_hub(), asio::detached);
@@ -269,8 +278,7 @@
         crashes_.told(update.crashes, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.retiring)
-            board_.avoid_model(retiring.backend, retiring.model,
-                               now + std::chrono::milliseconds(600));
+            board_.avoid_model(retiring.backend, retiring.model, now + retiring_pause);
     }
     changes_.notify();
 }
@@ -430,6 +438,8 @@
         connections_.close_expired(now);
         crashes_.expire(now);
         link_.follow_orders(now);
+        if (hub_active_)
+            hub_.follow_fleet(now);
         follow_hub_role();
         reader_.set_active(hub_active_ || !link_.connected() || !hub_reads_);
         follow_readiness();
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -23,6 +23,9 @@
 /// is false.
 using settings_reader = std::function<std::optional<result<node_settings>>(bool always)>;
 
+/// Makes the whole answer to a probe of this target.
+using probe_page = std::function<std::string(std::string_view target)>;
+
 /// Keyed requests stop this long before a withdrawn key would have to.
 inline constexpr duration withdrawal_margin = std::chrono::milliseconds(700);
 
@@ -60,8 +63,8 @@
     /// Tells all instances what they should know at once.
     void push_changes();
     [[nodiscard]] task<void> keep_lease();
-    [[nodiscard]] task<void> serve_ready();
-    [[nodiscard]] task<void> serve_metrics();
+    [[nodiscard]] task<void> serve_probes(tcp_acceptor& acceptor, probe_page answer);
+    [[nodiscard]] std::string readiness_page() const;
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
     [[nodiscard]] std::string page(std::string_view target);
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/entry_node.hpp"
 
+#include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/state_dump.hpp"
 
@@ -51,8 +52,7 @@
 }
 
 /// Answers one probe of readiness or metrics with what `answer` makes of its target.
-task<void> answer_probe(std::shared_ptr<watched_socket> socket,
-                        std::function<std::string(std::string_view)> answer)
+task<void> answer_probe(std::shared_ptr<watched_socket> socket, probe_page answer)
 {
     std::string request;
     std::array<char, 1024> piece{};
@@ -92,26 +92,10 @@
                 {"servers", std::uint64_t{board_.all().size()}}});
 }
 
-task<void> entry_node::serve_ready()
+std::string entry_node::readiness_page() const
 {
-    for (;;)
-    {
-        auto [failure, socket] = co_await readiness_.async_accept(use_task);
-        if (!readiness_.is_open())
-            co_return;
-        if (failure)
-            continue;
-        auto const answer = [this](std::string_view)
-        {
-            return ready() ? probe_answer("200 OK", "ready\n")
-                           : probe_answer("503 Service Unavailable", "not ready\n");
-        };
-        asio::co_spawn(
-            io_,
-            answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         answer),
-            asio::detached);
-    }
+    return ready() ? probe_answer("200 OK", "ready\n")
+                   : probe_answer("503 Service Unavailable", "not ready\n");
 }
 
 std::string entry_node::page(std::string_view target)
@@ -133,23 +117,23 @@
     metrics_.set_gauge("log_lines_dropped", static_cast<double>(log_.dropped()));
     metrics_.set_gauge("connections_opened", static_cast<double>(connections_.opened()));
     metrics_.set_gauge("configuration_age_seconds",
-                       std::chrono::duration<double>(authority_.age(boot_now())).count());
+                       to_seconds(authority_.age(boot_now())));
     return probe_answer("200 OK", metrics_.print());
 }
 
-task<void> entry_node::serve_metrics()
+task<void> entry_node::serve_probes(tcp_acceptor& acceptor, probe_page answer)
 {
     for (;;)
     {
-        auto [failure, socket] = co_await scrapes_.async_accept(use_task);
-        if (!scrapes_.is_open())
+        auto [failure, socket] = co_await acceptor.async_accept(use_task);
+        if (!acceptor.is_open())
             co_return;
         if (failure)
             continue;
         asio::co_spawn(
             io_,
             answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         [this](std::string_view target) { return page(target); }),
+                         answer),
             asio::detached);
     }
 }
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -60,16 +60,6 @@
     due_.notify();
 }
 
-void peer_link::close()
-{
-    closed_ = true;
-    if (to_hub_)
-        to_hub_->close();
-    for (auto const& [key, peer] : members_)
-        peer.connection->close();
-    due_.notify();
-}
-
 task<void> peer_link::accept(tcp_acceptor& acceptor)
 {
     for (;;)
@@ -92,7 +82,7 @@
 task<void> peer_link::serve_member(std::shared_ptr<peer_connection> connection)
 {
     auto* const key = connection.get();
-    while (!closed_)
+    for (;;)
     {
         connection->set_deadline(boot_now() + 2 * silent_periods * period());
         auto const bytes = co_await peer_connection::read(connection);
@@ -149,7 +139,7 @@
 task<void> peer_link::follow_hub()
 {
     duration pause = reconnect_interval;
-    while (!closed_)
+    for (;;)
     {
         if (hub_.serving())
         {
@@ -193,7 +183,7 @@
                                     std::string address)
 {
     // Ends when the connection does, or when another instance has become the hub.
-    while (!closed_ && connection->open() && lease_.row().holder_address == address)
+    while (connection->open() && lease_.row().holder_address == address)
     {
         if (boot_now() - last_update_ > silent_periods * period())
             co_return;
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -50,7 +50,6 @@
     void start(tcp_acceptor& acceptor);
     /// Sends an update to all instances, after a change that they should know at once.
     void push_all();
-    void close();
 
     [[nodiscard]] task<std::optional<quota_reply>>
     ask_quota(std::string organisation, double units, double reserve) override;
@@ -108,7 +107,6 @@
     std::uint64_t next_ask_ = 1;
     std::map<std::uint64_t, std::shared_ptr<open_ask>> asks_;
     std::map<peer_connection*, member> members_;
-    bool closed_ = false;
     /// The present connection to the hub has delivered an update.
     bool hub_answered_ = false;
     time_point last_without_orders_{};
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -174,11 +174,9 @@
         {
             if (abandoned_)
                 co_return false;
-            if (stream_begun_)
-                co_return co_await answer_end(attempt_end::stream_broken);
             if (answer_kept_)
                 co_return co_await answer_end(attempt_end::server_failure);
-            if (runs_ > 0)
+            if (runs_ > 0 || stream_begun_)
                 co_return co_await answer_end(attempt_end::unknown);
             co_return co_await refuse(*refused);
         }
@@ -358,8 +356,7 @@
         // Spreads the returning callers, so that they do not come back as one.
         double const spread =
             1.0 + static_cast<double>(services_.random() % 250) / 1000.0;
-        double const seconds =
-            std::chrono::duration<double>(reason.retry_after).count() * spread;
+        double const seconds = to_seconds(reason.retry_after) * spread;
         std::array<char, 32> text{};
         std::snprintf(text.data(), text.size(), "%.2f", std::max(seconds, 0.01));
         head.set(http::field::retry_after, text.data());
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -63,7 +63,7 @@
         not_run,
         /// It may have run; no byte of an answer reached the caller.
         unknown,
-        /// A complete failure answer of the server is kept in answer_.
+        /// A complete failure answer of the server is kept.
         server_failure,
         /// The stream broke after its head went to the caller.
         stream_broken,
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "state/time.hpp"
+#include "state/entry/time_units.hpp"
 
 #include <cstdint>
 
@@ -38,9 +38,4 @@
 inline constexpr duration soon = std::chrono::milliseconds(300);
 inline constexpr duration later = std::chrono::milliseconds(1000);
 
-inline std::int64_t to_ms(duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 } // namespace carawayturn::entry::flow
--- a/src/transport/entry/state_dump.cpp
+++ b/src/transport/entry/state_dump.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/state_dump.hpp"
 
+#include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 
 #include <boost/json/array.hpp>
@@ -14,11 +15,6 @@
 
 namespace json = boost::json;
 
-std::int64_t to_ms(duration time)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-}
-
 json::array dump_models(backend_record const& record)
 {
     json::array models;
