Log what a request costs of the quota and the quota's rate

An over_rate refusal could not be explained from its line: the units that the request needs and the rate of its organisation are inputs of that decision.

--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -107,9 +107,10 @@
 {
     if (organisation_ == nullptr || organisation_->rate <= 0)
         co_return std::nullopt;
-    double units = 1;
+    units_ = 1;
     if (organisation_->by_tokens)
-        units = head_.tokens > 0 ? head_.tokens : organisation_->plain_tokens;
+        units_ = head_.tokens > 0 ? head_.tokens : organisation_->plain_tokens;
+    auto const units = units_;
     auto const& name = organisation_->name;
     auto const now = boot_now();
     if (services_.quota.spend(name, units))
@@ -382,6 +383,9 @@
          {"route", route_ ? std::string_view(route_->name) : std::string_view()},
          {"organisation",
           organisation_ ? std::string_view(organisation_->name) : std::string_view()},
+         {"quota_units", static_cast<std::int64_t>(units_)},
+         {"quota_rate",
+          static_cast<std::int64_t>(organisation_ ? organisation_->rate : 0)},
          {"model", model},
          {"server", server_.id},
          {"sends", std::uint64_t{sends_}},
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -113,6 +113,9 @@
     organisation const* organisation_ = nullptr;
     /// Equal for repeats of the same request.
     std::uint64_t signature_ = 0;
+    /// What the request costs of the organisation's quota.
+    double units_ = 0;
+    /// The part of it that was charged.
     double charged_ = 0;
     /// End of all work.
     time_point deadline_{};
