Let instances ask each other for the hub and the configuration

The hub's updates name some other instances. One whose confirmation is older than 2.2 s while the store does not answer asks one of them every 300 ms. Any instance answers with its own confirmation and its age, the lease row it knows and, if the asker lacks it, the configuration. The echo of the asker's clock bounds the age as with the hub, so that a withdrawn key is not honoured longer.

Ruled out: that the members lost the hub's connection; none logged hub_lost before second 11.

--- a/src/coordination/entry/fleet_status.cpp
+++ b/src/coordination/entry/fleet_status.cpp
@@ -119,6 +119,25 @@
     *this = {};
 }
 
+std::vector<std::string> fleet_status::addresses_without(std::string const& node,
+                                                         std::size_t count,
+                                                         std::size_t turn) const
+{
+    std::vector<std::string> found;
+    if (nodes_.empty())
+        return found;
+    auto entry =
+        std::next(nodes_.begin(), static_cast<std::ptrdiff_t>(turn % nodes_.size()));
+    for (std::size_t i = 0; i < nodes_.size() && found.size() < count; ++i)
+    {
+        if (entry->first != node && !entry->second.last.address.empty())
+            found.push_back(entry->second.last.address);
+        if (++entry == nodes_.end())
+            entry = nodes_.begin();
+    }
+    return found;
+}
+
 std::map<std::string, std::uint32_t>
 fleet_status::totals_without(std::string const& node) const
 {
--- a/src/coordination/entry/fleet_status.hpp
+++ b/src/coordination/entry/fleet_status.hpp
@@ -26,6 +26,11 @@
     [[nodiscard]] std::size_t connected() const { return connected_; }
     [[nodiscard]] std::size_t known() const { return nodes_.size(); }
 
+    /// Addresses of up to `count` instances but one, beginning with a different one for
+    /// each value of `turn`.
+    [[nodiscard]] std::vector<std::string>
+    addresses_without(std::string const& node, std::size_t count, std::size_t turn) const;
+
     /// Requests at each backend server from all instances but one.
     [[nodiscard]] std::map<std::string, std::uint32_t>
     totals_without(std::string const& node) const;
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -11,6 +11,8 @@
 /// Part of each burst that a new hub grants before it has accrued: the former hub may
 /// have granted the whole burst just before.
 constexpr double inherited_fill = 0.3;
+/// Addresses of other instances that one update names; they change from one to the next.
+constexpr std::size_t peers_told = 2;
 
 } // namespace
 
@@ -123,6 +125,7 @@
             update.estimates.push_back(
                 {found->first.first, found->first.second, found->second.count()});
     }
+    update.peers = fleet_.addresses_without(status.node, peers_told, peers_turn_++);
     update.crashes = crashes_.suspects(now);
     for (auto const& [backend, model] : planner_.retiring())
         update.retiring.push_back({backend, model});
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -60,6 +60,8 @@
                                     time_point now);
 
     fleet_status fleet_;
+    /// Chooses which addresses the next update names.
+    std::size_t peers_turn_ = 0;
     directory_log directory_;
     placement_planner planner_;
     quota_ledger ledger_;
--- /dev/null
+++ b/src/coordination/entry/peer_book.cpp
@@ -0,0 +1,40 @@
+#include "coordination/entry/peer_book.hpp"
+
+#include <algorithm>
+
+namespace carawayturn::entry
+{
+
+namespace
+{
+
+/// Addresses that are kept; with half of the instances turned away, seven of eight times
+/// one of three is not.
+constexpr std::size_t kept_addresses = 8;
+
+} // namespace
+
+peer_book::peer_book(duration patience) : patience_(patience) {}
+
+void peer_book::heard_of(std::vector<std::string> const& addresses)
+{
+    for (auto const& address : addresses)
+    {
+        std::erase(addresses_, address);
+        addresses_.push_back(address);
+    }
+    while (addresses_.size() > kept_addresses)
+        addresses_.pop_front();
+}
+
+std::optional<std::string> peer_book::next(duration confirmation_age, bool behind)
+{
+    if (addresses_.empty() || (confirmation_age <= patience_ && !behind))
+        return std::nullopt;
+    auto const address = addresses_.front();
+    addresses_.pop_front();
+    addresses_.push_back(address);
+    return address;
+}
+
+} // namespace carawayturn::entry
--- /dev/null
+++ b/src/coordination/entry/peer_book.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "state/time.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawayturn::entry
+{
+
+/// Addresses of other instances, as the hubs told them, and when to ask one of them for
+/// the newest configuration and the present hub. Answers the load pattern "the store
+/// turns away the hub and some others": their common hub loses its lease without a word,
+/// and the row that names the next one is out of reach.
+class peer_book
+{
+public:
+    /// @param patience greatest age of a confirmation that needs no peer's word.
+    explicit peer_book(duration patience);
+
+    [[nodiscard]] std::size_t size() const { return addresses_.size(); }
+
+    void heard_of(std::vector<std::string> const& addresses);
+
+    /// The instance to ask now, in turn; nothing if none is needed or known. `behind`
+    /// tells that a newer configuration is known of and the store does not answer.
+    [[nodiscard]] std::optional<std::string> next(duration confirmation_age, bool behind);
+
+private:
+    duration patience_;
+    std::deque<std::string> addresses_;
+};
+
+} // namespace carawayturn::entry
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -76,20 +76,23 @@
 template <class Archive>
 void serialize(Archive& archive, node_status& value)
 {
-    archive(value.node, value.incarnation, value.sent_at_us, value.config_version,
-            value.directory_hub, value.directory_revision, value.complete,
-            value.in_flight, value.demand, value.asks, value.crashes);
+    archive(value.node, value.address, value.incarnation, value.sent_at_us,
+            value.config_version, value.directory_hub, value.directory_revision,
+            value.wants_config, value.complete, value.in_flight, value.demand, value.asks,
+            value.crashes);
 }
 
 template <class Archive>
 void serialize(Archive& archive, node_update& value)
 {
-    archive(value.echo_us, value.confirmation_age_us, value.config_version,
-            value.directory_age_us, value.lease_holder, value.lease_incarnation,
-            value.lease_fence, value.lease_version, value.lease_remaining_us,
-            value.instances, value.directory_hub, value.directory_revision,
-            value.whole_directory, value.records, value.removed, value.complete,
-            value.totals, value.estimates, value.retiring, value.quota, value.crashes);
+    archive(value.from_hub, value.echo_us, value.confirmation_age_us,
+            value.config_version, value.directory_age_us, value.lease_address,
+            value.lease_holder, value.lease_incarnation, value.lease_fence,
+            value.lease_version, value.lease_remaining_us, value.instances,
+            value.config_text, value.config_row, value.directory_hub,
+            value.directory_revision, value.whole_directory, value.records, value.removed,
+            value.complete, value.totals, value.estimates, value.retiring, value.quota,
+            value.crashes, value.peers);
 }
 
 namespace
--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -24,6 +24,7 @@
     peer_message_unreadable = 1141,
     hub_found = 1142,
     hub_lost = 1143,
+    peer_asked = 1144,
     lease_claimed = 1150,
     lease_row_unreadable = 1151,
     lease_released = 1152,
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -51,10 +51,13 @@
     std::uint32_t crashes = 0;
 };
 
-/// From an instance to the hub: its state, and what it needs.
+/// From an instance to the hub: its state, and what it needs. An instance that is not the
+/// hub answers it with what it knows of the configuration and the hub.
 struct node_status
 {
     std::string node;
+    /// Where other instances reach the sender.
+    std::string address;
     std::uint64_t incarnation = 0;
     /// The sender's clock; returned with the reply.
     std::int64_t sent_at_us = 0;
@@ -62,6 +65,8 @@
     /// Directory state that the sender has: the hub's incarnation and revision.
     std::uint64_t directory_hub = 0;
     std::uint64_t directory_revision = 0;
+    /// The sender heard of a newer configuration and cannot read it from the store.
+    bool wants_config = false;
     /// False for a message that only asks for quota; its other lists are empty.
     bool complete = true;
     std::vector<in_flight_count> in_flight;
@@ -91,9 +96,13 @@
     std::string model;
 };
 
-/// From the hub to an instance, in reply to a status or because something changed.
+/// From the hub to an instance, in reply to a status or because something changed; or
+/// from another instance that was asked in the hub's place.
 struct node_update
 {
+    /// False if the sender is not the hub; then only the fields up to `instances` and the
+    /// configuration are meant.
+    bool from_hub = true;
     /// sent_at_us of the status that is answered; 0 for none.
     std::int64_t echo_us = 0;
     /// Age of the hub's own confirmation of the configuration when it replied.
@@ -103,12 +112,16 @@
     std::int64_t directory_age_us = 0;
     /// The lease row as the hub wrote it last, and its version; 0 for none. The whole
     /// row: a holder that claims again keeps its address and raises the fence.
+    std::string lease_address;
     std::string lease_holder;
     std::uint64_t lease_incarnation = 0;
     std::uint64_t lease_fence = 0;
     std::uint64_t lease_version = 0;
     std::int64_t lease_remaining_us = 0;
     std::uint32_t instances = 1;
+    /// The configuration as the store holds it, if it was wanted, and its row's version.
+    std::string config_text;
+    std::uint64_t config_row = 0;
     std::uint64_t directory_hub = 0;
     std::uint64_t directory_revision = 0;
     /// The records are the whole directory; servers not among them are gone.
@@ -122,6 +135,8 @@
     std::vector<retiring_model> retiring;
     std::vector<quota_reply> quota;
     std::vector<crash_count> crashes;
+    /// Addresses of some other instances.
+    std::vector<std::string> peers;
 };
 
 } // namespace carawayturn::entry
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -97,6 +97,7 @@
     {1141, warning, "peer_message_unreadable"},
     {1142, info, "hub_found"},
     {1143, warning, "hub_lost"},
+    {1144, info, "peer_asked"},
     {1150, info, "lease_claimed"},
     {1151, warning, "lease_row_unreadable"},
     {1152, info, "lease_released"},
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -53,8 +53,7 @@
       board_(settings_.failure_domain, incarnation), connections_(io_, watch_),
       retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
-      lease_(settings_.ip + ":" + std::to_string(settings_.peer_port), settings_.name,
-             incarnation, lease_term),
+      lease_(own_address(), settings_.name, incarnation, lease_term),
       hub_(incarnation), services_{io_,        settings_,      watch_,
                                    authority_, board_,         connections_,
                                    quota_,     retries_,       demand_,
@@ -65,12 +64,18 @@
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this),
       keeper_(services_, store_, lease_, settings_.processor_share), callers_(io_),
-      readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_)
+      readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
+      peer_book_(trusted_confirmation_age)
 {
 }
 
 entry_node::~entry_node() = default;
 
+std::string entry_node::own_address() const
+{
+    return settings_.ip + ":" + std::to_string(settings_.peer_port);
+}
+
 result<std::monostate> entry_node::listen(tcp_acceptor& acceptor,
                                           std::string const& address)
 {
@@ -95,8 +100,7 @@
     auto const own = settings_.ip + ":";
     for (auto const& opened :
          {listen(callers_, settings_.caller_address),
-          listen(readiness_, settings_.ready_address),
-          listen(peers_, own + std::to_string(settings_.peer_port)),
+          listen(readiness_, settings_.ready_address), listen(peers_, own_address()),
           listen(scrapes_, own + std::to_string(settings_.metrics_port))})
         if (!succeeded(opened))
             return opened;
@@ -190,6 +194,8 @@
 {
     node_status status;
     status.node = settings_.name;
+    status.address = own_address();
+    status.wants_config = config_out_of_reach();
     status.incarnation = incarnation_;
     status.sent_at_us = boot_now().time_since_epoch().count();
     status.config_version = authority_.version();
@@ -215,14 +221,82 @@
     if (waiting)
         plan_due_.notify();
     update.directory_age_us = (now - reader_.servers_read_at()).count();
-    update.lease_holder = lease_.row().holder_name;
-    update.lease_incarnation = lease_.row().holder_incarnation;
-    update.lease_fence = lease_.row().fence;
-    update.lease_version = lease_.row_version();
-    update.lease_remaining_us = lease_.remaining(now).count();
+    add_beliefs(status, update);
+    return update;
+}
+
+node_update entry_node::refer(node_status const& status)
+{
+    node_update update;
+    update.from_hub = false;
+    update.complete = false;
+    update.echo_us = status.sent_at_us;
+    update.confirmation_age_us = authority_.age(boot_now()).count();
+    update.config_version = authority_.version();
+    update.instances = static_cast<std::uint32_t>(link_.instances());
+    add_beliefs(status, update);
     return update;
 }
 
+void entry_node::add_beliefs(node_status const& status, node_update& update) const
+{
+    auto const& row = lease_.row();
+    update.lease_address = row.holder_address;
+    update.lease_holder = row.holder_name;
+    update.lease_incarnation = row.holder_incarnation;
+    update.lease_fence = row.fence;
+    update.lease_version = lease_.row_version();
+    update.lease_remaining_us = lease_.remaining(boot_now()).count();
+    if (!status.wants_config || status.config_version >= authority_.version())
+        return;
+    update.config_text = reader_.config_text();
+    update.config_row = reader_.config_row();
+}
+
+void entry_node::take_beliefs(node_update const& update)
+{
+    if (update.lease_version != 0)
+        lease_.observe({update.lease_address, update.lease_holder,
+                        update.lease_incarnation, update.lease_fence},
+                       update.lease_version, boot_now(),
+                       duration(update.lease_remaining_us));
+    authority_.hear_of(update.config_version);
+    if (!update.config_text.empty())
+        reader_.take_config(update.config_text, update.config_row);
+    if (update.echo_us == 0)
+        return;
+    time_point const asked_at{duration(update.echo_us)};
+    authority_.confirm(update.config_version,
+                       asked_at - duration(update.confirmation_age_us));
+}
+
+bool entry_node::config_out_of_reach() const
+{
+    return !store_.answering() &&
+           (!authority_.current() || authority_.newest_heard() > authority_.version());
+}
+
+std::optional<std::string> entry_node::peer_to_ask()
+{
+    // Otherwise this instance's own reading confirms the configuration.
+    if (store_.answering())
+        return std::nullopt;
+    return peer_book_.next(authority_.age(boot_now()), config_out_of_reach());
+}
+
+void entry_node::referred(node_update const& update)
+{
+    auto const before = lease_.row_version();
+    take_beliefs(update);
+    log_.write(entry_event::peer_asked,
+               {{"hub", update.lease_holder},
+                {"fence", update.lease_fence},
+                {"hub_changed", std::int64_t{lease_.row_version() != before}},
+                {"config_version", authority_.version()},
+                {"config_age_ms", authority_.age(boot_now()).count() / 1000}});
+    follow_hub_role();
+}
+
 void entry_node::apply_directory(node_update const& update)
 {
     if (!directory_.take(update))
@@ -248,17 +322,9 @@
 void entry_node::updated(node_update const& update)
 {
     auto const now = boot_now();
-    if (!hub_active_ && update.lease_version != 0)
-        lease_.observe({lease_.row().holder_address, update.lease_holder,
-                        update.lease_incarnation, update.lease_fence},
-                       update.lease_version, now, duration(update.lease_remaining_us));
-    authority_.hear_of(update.config_version);
-    if (update.echo_us != 0 && !hub_active_)
-    {
-        time_point const asked_at{duration(update.echo_us)};
-        authority_.confirm(update.config_version,
-                           asked_at - duration(update.confirmation_age_us));
-    }
+    if (!hub_active_)
+        take_beliefs(update);
+    peer_book_.heard_of(update.peers);
     retries_.set_instances(update.instances);
     hub_reads_ = update.directory_age_us <= trusted_directory_age.count() &&
                  update.confirmation_age_us <= trusted_confirmation_age.count();
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/directory_follower.hpp"
 #include "coordination/entry/hub_state.hpp"
+#include "coordination/entry/peer_book.hpp"
 #include "state/result.hpp"
 #include "transport/entry/entry_services.hpp"
 #include "transport/entry/lease_keeper.hpp"
@@ -50,12 +51,17 @@
     // hub_service
     [[nodiscard]] bool serving() const override { return hub_active_; }
     [[nodiscard]] node_update reply(node_status const& status) override;
+    [[nodiscard]] node_update refer(node_status const& status) override;
 
     // update_sink
     [[nodiscard]] node_status status(bool complete) override;
     void updated(node_update const& update) override;
+    void referred(node_update const& update) override;
+    [[nodiscard]] std::optional<std::string> peer_to_ask() override;
 
 private:
+    /// Where other instances reach this one.
+    [[nodiscard]] std::string own_address() const;
     [[nodiscard]] result<std::monostate> listen(tcp_acceptor& acceptor,
                                                 std::string const& address);
     [[nodiscard]] task<void> tick();
@@ -79,6 +85,11 @@
     [[nodiscard]] task<void> ask_report(std::string id);
     void put_on_board(backend_record const& record);
     void apply_directory(node_update const& update);
+    /// Adds what an instance knows of the configuration and the lease, hub or not.
+    void add_beliefs(node_status const& status, node_update& update) const;
+    /// Takes the same from another instance's update.
+    void take_beliefs(node_update const& update);
+    [[nodiscard]] bool config_out_of_reach() const;
 
     node_settings settings_;
     settings_reader reread_;
@@ -115,6 +126,7 @@
     tcp_acceptor scrapes_;
     asio::basic_signal_set<executor> signals_;
     directory_follower directory_;
+    peer_book peer_book_;
     std::uint64_t pushed_revision_ = 0;
     std::uint64_t pushed_config_ = 0;
     time_point next_settings_check_{};
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -108,6 +108,7 @@
         facts.store_answering = store_.answering();
         facts.reading_store = reader_.active();
         facts.incarnation = incarnation_;
+        facts.peers_known = peer_book_.size();
         return probe_answer("200 OK", dump_state(services_, lease_, facts));
     }
     if (target != "/metrics")
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -21,6 +21,10 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(300);
 constexpr duration reconnect_interval = std::chrono::milliseconds(100);
 constexpr duration longest_reconnect_interval = std::chrono::milliseconds(400);
+/// How often an instance whose confirmation is old asks another one, and how long it
+/// waits for the answer.
+constexpr duration peer_ask_interval = std::chrono::milliseconds(300);
+constexpr duration peer_ask_timeout = std::chrono::milliseconds(500);
 /// A request waits this long for the hub's word on its quota.
 constexpr duration ask_timeout = std::chrono::milliseconds(250);
 
@@ -36,6 +40,7 @@
 {
     asio::co_spawn(services_.io, accept(acceptor), asio::detached);
     asio::co_spawn(services_.io, follow_hub(), asio::detached);
+    asio::co_spawn(services_.io, ask_peers(), asio::detached);
 }
 
 duration peer_link::period() const
@@ -86,7 +91,7 @@
     {
         connection->set_deadline(boot_now() + 2 * silent_periods * period());
         auto const bytes = co_await peer_connection::read(connection);
-        if (!bytes || !hub_.serving())
+        if (!bytes)
             break;
         auto const decoded = decode_status(*bytes);
         if (!succeeded(decoded))
@@ -96,6 +101,12 @@
             break;
         }
         auto const& status = std::get<node_status>(decoded);
+        if (!hub_.serving())
+        {
+            members_.erase(key);
+            peer_connection::send(connection, encode(hub_.refer(status)));
+            continue;
+        }
         auto const update = hub_.reply(status);
         auto& peer = members_[key];
         peer.connection = connection;
@@ -199,11 +210,13 @@
         auto const bytes = co_await peer_connection::read(connection);
         if (!bytes)
             break;
-        auto const decoded = decode_update(*bytes);
-        if (!succeeded(decoded))
+        auto const update = decoded(*bytes);
+        if (!update)
+            break;
+        if (!update->from_hub)
         {
-            services_.log.write(entry_event::peer_message_unreadable,
-                                {{"detail", std::get<error>(decoded).detail}});
+            // A former hub; it names the next one if it knows it.
+            sink_.referred(*update);
             break;
         }
         if (!hub_answered_)
@@ -212,12 +225,49 @@
                 {{"peer", lease_.row().holder_address}, {"fence", lease_.row().fence}});
         hub_answered_ = true;
         last_update_ = boot_now();
-        take_update(std::get<node_update>(decoded));
+        take_update(*update);
     }
     connection->close();
     due_.notify();
 }
 
+std::optional<node_update> peer_link::decoded(std::string const& bytes)
+{
+    auto update = decode_update(bytes);
+    if (succeeded(update))
+        return std::get<node_update>(std::move(update));
+    services_.log.write(entry_event::peer_message_unreadable,
+                        {{"detail", std::get<error>(update).detail}});
+    return std::nullopt;
+}
+
+task<void> peer_link::ask_peers()
+{
+    steady_timer timer(services_.io);
+    for (;;)
+    {
+        timer.expires_after(peer_ask_interval);
+        co_await timer.async_wait(use_task);
+        if (auto const address = sink_.peer_to_ask())
+            co_await ask_peer(*address);
+    }
+}
+
+task<void> peer_link::ask_peer(std::string address)
+{
+    auto const connection = co_await connect(std::move(address));
+    if (!connection)
+        co_return;
+    connection->set_deadline(boot_now() + peer_ask_timeout);
+    peer_connection::send(connection, encode(sink_.status(false)));
+    auto const bytes = co_await peer_connection::read(connection);
+    connection->close();
+    if (!bytes)
+        co_return;
+    if (auto const update = decoded(*bytes))
+        sink_.referred(*update);
+}
+
 void peer_link::exchange(node_status const& status)
 {
     last_update_ = boot_now();
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -24,6 +24,8 @@
     /// Whether this instance is the hub.
     [[nodiscard]] virtual bool serving() const = 0;
     [[nodiscard]] virtual node_update reply(node_status const& status) = 0;
+    /// What an instance that is not the hub answers in its place.
+    [[nodiscard]] virtual node_update refer(node_status const& status) = 0;
 };
 
 /// Takes what the hub tells.
@@ -37,6 +39,10 @@
 
     [[nodiscard]] virtual node_status status(bool complete) = 0;
     virtual void updated(node_update const& update) = 0;
+    /// Takes the word of an instance that is not the hub.
+    virtual void referred(node_update const& update) = 0;
+    /// The instance to ask in the hub's place, if that is needed.
+    [[nodiscard]] virtual std::optional<std::string> peer_to_ask() = 0;
 };
 
 /// The connections to other instances: every instance keeps one to the hub, tells it its
@@ -89,6 +95,10 @@
     [[nodiscard]] task<void> serve_member(std::shared_ptr<peer_connection> connection);
     [[nodiscard]] task<void> follow_hub();
     [[nodiscard]] task<void> read_updates(std::shared_ptr<peer_connection> connection);
+    [[nodiscard]] task<void> ask_peers();
+    [[nodiscard]] task<void> ask_peer(std::string address);
+    /// Logs an error and returns nothing for bytes that are no update.
+    [[nodiscard]] std::optional<node_update> decoded(std::string const& bytes);
     [[nodiscard]] task<std::shared_ptr<peer_connection>> connect(std::string address);
     [[nodiscard]] task<void> send_statuses(std::shared_ptr<peer_connection> connection,
                                            std::string address);
--- a/src/transport/entry/state_dump.cpp
+++ b/src/transport/entry/state_dump.cpp
@@ -67,6 +67,7 @@
                                   {"read_by_this_instance", facts.reading_store}};
     state["hub"] = json::object{{"this_instance", facts.hub},
                                 {"answers", services.hub.connected()},
+                                {"peers_known", facts.peers_known},
                                 {"holder", lease.row().holder_name},
                                 {"address", lease.row().holder_address},
                                 {"fence", lease.row().fence},
--- a/src/transport/entry/state_dump.hpp
+++ b/src/transport/entry/state_dump.hpp
@@ -16,6 +16,8 @@
     bool store_answering = false;
     bool reading_store = false;
     std::uint64_t incarnation = 0;
+    /// Instances that can be asked in the hub's place.
+    std::size_t peers_known = 0;
 };
 
 /// The state of an instance as JSON, for the operators.
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -130,6 +130,7 @@
         return;
     }
     config_row_ = row_version;
+    config_text_ = value;
     auto config = std::get<std::shared_ptr<serving_config const>>(std::move(decoded));
     auto const version = config->version;
     if (!services_.authority.accept(std::move(config)))
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -36,6 +36,11 @@
     /// Whether to follow the store.
     void set_active(bool active);
     [[nodiscard]] bool active() const { return active_; }
+    /// Takes a configuration that another instance passed on.
+    void take_config(std::string const& value, std::uint64_t row_version);
+    /// The configuration in force as the store holds it, and its row's version.
+    [[nodiscard]] std::string const& config_text() const { return config_text_; }
+    [[nodiscard]] std::uint64_t config_row() const { return config_row_; }
     /// Whether all servers have been read since the reader became active.
     [[nodiscard]] bool listed() const;
     /// When the store was last asked for the servers with success.
@@ -48,7 +53,6 @@
     [[nodiscard]] task<bool> watch_config();
     [[nodiscard]] task<bool> list_servers();
     [[nodiscard]] task<bool> watch_servers();
-    void take_config(std::string const& value, std::uint64_t row_version);
     void take_server(platform::store_row const& row);
     void lapse(std::string const& id);
     void remove_lapsed();
@@ -59,6 +63,7 @@
     change_signal activity_;
     bool active_ = false;
     std::uint64_t config_row_ = 0;
+    std::string config_text_;
     /// Versions up to which the tables were followed; 0 to read them anew.
     std::uint64_t config_version_ = 0;
     std::uint64_t servers_version_ = 0;
--- /dev/null
+++ b/standins/entry_fleet.py
@@ -0,0 +1,176 @@
+"""Instances of carawayturn-entry as processes on loopback, for tests and the soak."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import socket
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+from platform_fleet import Store, StoreDoor
+
+HANG_LIMIT_S = 60
+
+
+def wait_until(condition, what: str, limit_s: float = HANG_LIMIT_S):
+    """Polls until the condition holds and returns its value."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError(f"never happened: {what}")
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def two_adjacent_ports() -> int:
+    """Returns a free port whose successor is free, too."""
+    while True:
+        first = free_ports(1)[0]
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", first + 1))
+                return first
+            except OSError:
+                continue
+
+
+class Instance:
+    """One process of carawayturn-entry."""
+
+    def __init__(self, store: Store, name: str, store_address=None) -> None:
+        """`store_address` turns the door's address into the one that the process uses."""
+        self.name = name
+        self.front, self.ready_port = free_ports(2)
+        self.peer = two_adjacent_ports()
+        self.door = StoreDoor(store)
+        address = store_address(self.door.address) if store_address else self.door.address
+        self.folder = tempfile.TemporaryDirectory()
+        settings = Path(self.folder.name) / "boot.conf"
+        settings.write_text(
+            f"node_name={name}\nip=127.0.0.1\nzone=a\n"
+            f"listen.front=127.0.0.1:{self.front}\n"
+            f"listen.ready=127.0.0.1:{self.ready_port}\n"
+            f"internal_ports={self.peer},{self.peer + 1}\n"
+            f"platform.address={address}\n"
+            "bounds.revoke_ms=5000\nbounds.grace_s=8\nbounds.lease_ms=3000\n",
+            encoding="utf-8")
+        self.settings = settings
+        self.log_path = Path(self.folder.name) / "log"
+        self.start()
+
+    def start(self) -> None:
+        program = os.environ["CARAWAYTURN_ENTRY"]
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [program], env={"CARAWAYTURN_BOOT": str(self.settings)}, stdout=log)
+
+    def stop(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+    def close(self) -> None:
+        self.stop()
+        self.door.close()
+        self.folder.cleanup()
+
+    def request(self, path: str, **options) -> tuple[int, bytes, dict[str, str]]:
+        """Sends one request on a connection of its own."""
+        headers = {"Host": "h.example", "X-Request-Id": options.get("id", "r1"),
+                   "X-Deadline-Ms": "10000", "Authorization": "Token k1"}
+        headers.update(options.get("headers", {}))
+        connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout=HANG_LIMIT_S)
+        try:
+            connection.request(options.get("method", "POST"), path,
+                               options.get("body", b"x"), headers)
+            answer = connection.getresponse()
+            return answer.status, answer.read(), dict(answer.getheaders())
+        finally:
+            connection.close()
+
+    def raw_answer(self, path: str, request_id: str, model: str) -> bytes:
+        """Sends one request and returns all bytes until the connection ends."""
+        with socket.create_connection(("127.0.0.1", self.front), HANG_LIMIT_S) as caller:
+            caller.sendall(
+                f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {request_id}\r\n"
+                f"X-Model: {model}\r\nAuthorization: Token k1\r\nConnection: close\r\n"
+                "Content-Length: 1\r\n\r\nx".encode())
+            received = b""
+            while piece := caller.recv(65536):
+                received += piece
+            return received
+
+    def page(self, path: str) -> str:
+        connection = http.client.HTTPConnection("127.0.0.1", self.peer + 1, timeout=5)
+        try:
+            connection.request("GET", path)
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
+    def state(self) -> dict:
+        try:
+            return json.loads(self.page("/state"))
+        except (OSError, http.client.HTTPException):
+            return {}
+
+    def ready(self) -> bool:
+        connection = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=5)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def events(self, number: int) -> list[dict]:
+        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        return [event for event in map(json.loads, lines) if event["number"] == number]
+
+
+def route(name: str, kind: str, service: str, **options) -> dict:
+    """A route of the configuration in the platform's format."""
+    return {"name": name, "host": "h.example", "path_prefix": f"/{name}/", "kind": kind,
+            "timeout_ms": 8000, "target_latency_ms": 1000, "priority": 1,
+            "service": service, "public": False, "resumable": False,
+            "max_attempts": 1, **options}
+
+
+def configuration(version: int, keys: list[str], models: tuple[str, ...] = ("m1", "m2"),
+                  more_tenants: tuple[dict, ...] = ()) -> dict:
+    """A configuration with plain and streaming routes; `keys` are those of tenant t1."""
+    return {
+        "version": version,
+        "routes": [
+            route("book", "non_idempotent", "plain"),
+            route("status", "idempotent", "plain", max_attempts=3),
+            route("draft", "streaming", "llm", resumable=True, max_attempts=2),
+            route("open", "idempotent", "plain", public=True)],
+        "services": [
+            {"name": "plain"},
+            {"name": "llm", "engine": {
+                "slots": 4, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 10,
+                "models": [{"name": name, "weights_mb": 100, "load_time_s": 0.1,
+                            "disk_s": 0.1, "warm_s": 0.1, "adapters": 1,
+                            "adapter_size_mb": 1} for name in models]}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t1", "api_keys": keys, "rate_per_s": 1000000,
+                     "burst": 1000000, "unit": "tokens", "plain_tokens": 1},
+                    *more_tenants]}
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -15,6 +15,10 @@
 from urllib.parse import parse_qs, urlsplit
 
 
+# Models of the tests' configuration that a runner's memory holds at once.
+MODELS_THAT_FIT = 2
+
+
 class _Handler(BaseHTTPRequestHandler):
     """Dispatches to the server's owner; logs nothing."""
 
@@ -80,6 +84,7 @@
         self.oldest = 0
         self.refuse = False
         self.lose_answers = False
+        self.delay_s = 0.0
         super().__init__()
 
     def put(self, table: str, key: str, value: object) -> None:
@@ -114,10 +119,12 @@
         self.rows[(table, key)] = row
         self.history.append(row)
 
-    def handle(self, call: _Handler, body: bytes) -> None:
+    def handle(self, call: _Handler, body: bytes, seen=lambda value: value) -> None:
+        """Answers a call; `seen` turns the answer into what the caller gets."""
         if self.refuse:
             call.answer_json(503, {})
             return
+        time.sleep(self.delay_s)
         parts = urlsplit(call.path)
         query = {name: values[0] for name, values in
                  parse_qs(parts.query, keep_blank_values=True).items()}
@@ -126,7 +133,7 @@
         if self.lose_answers:
             call.drop()
             return
-        call.answer_json(status, value)
+        call.answer_json(status, seen(value))
 
     def _common(self) -> dict:
         return {"row_version": self.version, "now_ms": int(time.monotonic() * 1000)}
@@ -170,6 +177,7 @@
     def __init__(self, store: Store) -> None:
         self.store = store
         self.refuse = False
+        self.hub_address = None
         self.calls: list[str] = []
         super().__init__()
 
@@ -178,15 +186,33 @@
         if self.refuse:
             call.answer_json(503, {})
         else:
-            self.store.handle(call, body)
+            self.store.handle(call, body, self._seen)
+
+    def _seen(self, value: dict) -> dict:
+        """An answer as this instance gets it: the hub stands at `hub_address(address)`."""
+        if self.hub_address is None:
+            return value
+        rows = [self._moved(row) for row in value.get("rows", [])]
+        return {**value, "rows": rows} if rows else value
+
+    def _moved(self, row: dict) -> dict:
+        if row.get("table") != "carawayturn" or "value" not in row:
+            return row
+        hub = json.loads(base64.b64decode(row["value"]))
+        if not hub["address"]:
+            return row
+        hub["address"] = self.hub_address(hub["address"])
+        return {**row, "value": base64.b64encode(json.dumps(hub).encode()).decode()}
 
 
 class BackendServer(_Service):
     """A runner, if it has models, or a server of a plain service."""
 
     def __init__(self, store: Store, name: str, service: str,
-                 models: list[str] | None = None) -> None:
+                 models: list[str] | None = None, public_address=None) -> None:
+        """`public_address` turns the server's address into the one that it tells others."""
         super().__init__()
+        self.public_address = public_address(self.address) if public_address else self.address
         self.store = store
         self.name = name
         self.service = service
@@ -194,16 +220,25 @@
         self.is_runner = models is not None
         self.order_count = 0
         self.orders: list[dict] = []
+        self.overloads: list[list[str]] = []
         self.ran: list[dict] = []
         self.mode = "good"
         self.hold = 0.0
         self.born = int(time.time() * 1000)
         self.record()
 
+    def restart(self) -> None:
+        """Comes back under the same id with nothing of before."""
+        with self.lock:
+            self.models = {}
+            self.order_count = 0
+            self.born = int(time.time() * 1000)
+        self.record()
+
     def record(self, state: str = "ready") -> None:
         """Writes the server's entry at the store."""
         self.store.put("servers", self.name, {
-            "service": self.service, "address": self.address, "zone": "a", "slots": 4,
+            "service": self.service, "address": self.public_address, "zone": "a", "slots": 4,
             "state": state, "seq": 1, "born": self.born, "models": self._models()})
 
     def _models(self) -> list[dict]:
@@ -232,6 +267,8 @@
                 self.models[order["model"]].append(order["adapter"])
             elif order["op_type"] == "model_load":
                 self.models[order["model"]] = []
+                if len(self.models) > MODELS_THAT_FIT:
+                    self.overloads.append(sorted(self.models))
             else:
                 self.models.pop(order["model"], None)
         call.answer_json(202, {})
@@ -249,7 +286,8 @@
             return
         with self.lock:
             self.ran.append({"id": request_id, "path": call.path, "body": body,
-                             "headers": dict(call.headers)})
+                             "headers": dict(call.headers), "server": self.name,
+                             "at": time.monotonic()})
         time.sleep(self.hold)
         if self.mode == "reset":
             call.drop()
