Count a crash once for equal requests, and clear those that are answered

Each of several equal requests in flight at one crash counted, and each instance that noticed it counted again, so that one restart of a server blocked all bookings or lookups with the same content for two minutes.

Reports name the server, and the hub counts one server's reports within three seconds once. A request that a server answers clears its signature at every instance. What crashes servers is never answered and stays blocked.

The two first of the new unit tests fail on the code before by their cause; the third uses functions that are new.

--- a/src/coordination/entry/crash_ledger.cpp
+++ b/src/coordination/entry/crash_ledger.cpp
@@ -1,6 +1,8 @@
 #include "coordination/entry/crash_ledger.hpp"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace carawayturn::entry
 {
@@ -12,6 +14,11 @@
 constexpr std::uint32_t crash_limit = 3;
 /// A broken attempt is tied to a crash that shows within this time.
 constexpr duration crash_shows_within = std::chrono::milliseconds(1500);
+/// Reports of one server within this time are of the same crash: instances notice it at
+/// different moments, and a server is away for seconds.
+constexpr duration same_crash_window = std::chrono::seconds(3);
+/// A cleared signature is told for this long, so that every instance hears of it.
+constexpr duration clearing_told = std::chrono::seconds(10);
 /// Signatures without further crashes are forgotten.
 constexpr duration memory = std::chrono::seconds(120);
 constexpr std::size_t max_broken = 512;
@@ -42,25 +49,38 @@
 
 void crash_ledger::crashed(std::string const& server, time_point now)
 {
+    std::set<std::uint64_t> signatures;
     std::erase_if(broken_,
                   [&](broken_attempt const& attempt)
                   {
                       if (attempt.server != server)
                           return false;
-                      bool const tied = now - attempt.at <= crash_shows_within;
-                      if (tied && counts_.size() < max_signatures)
-                      {
-                          auto& entry = counts_[attempt.signature];
-                          ++entry.crashes;
-                          entry.last = now;
-                          ++new_[attempt.signature];
-                      }
+                      if (now - attempt.at <= crash_shows_within)
+                          signatures.insert(attempt.signature);
                       return true;
                   });
+    for (auto const signature : signatures)
+    {
+        if (counts_.size() >= max_signatures && counts_.count(signature) == 0)
+            continue;
+        auto& entry = counts_[signature];
+        ++entry.crashes;
+        entry.last = now;
+        new_.push_back({signature, server});
+    }
 }
 
-void crash_ledger::told(std::vector<crash_count> const& crashes, time_point now)
+void crash_ledger::survived(std::uint64_t signature)
 {
+    if (counts_.erase(signature) != 0)
+        survived_.push_back(signature);
+}
+
+void crash_ledger::told(std::vector<crash_count> const& crashes,
+                        std::vector<std::uint64_t> const& survived, time_point now)
+{
+    for (auto const signature : survived)
+        counts_.erase(signature);
     for (auto const& crash : crashes)
     {
         auto& entry = counts_[crash.signature];
@@ -75,13 +95,14 @@
     return found != counts_.end() && found->second.crashes >= crash_limit;
 }
 
-std::vector<crash_count> crash_ledger::take_new()
+std::vector<crash_report> crash_ledger::take_new()
 {
-    std::vector<crash_count> found;
-    for (auto const& [signature, crashes] : new_)
-        found.push_back({signature, crashes});
-    new_.clear();
-    return found;
+    return std::exchange(new_, {});
+}
+
+std::vector<std::uint64_t> crash_ledger::take_survived()
+{
+    return std::exchange(survived_, {});
 }
 
 void crash_ledger::expire(time_point now)
@@ -92,18 +113,42 @@
                   [&](auto const& entry) { return now - entry.second.last > memory; });
 }
 
-void crash_sums::add(std::vector<crash_count> const& crashes, time_point now)
+void crash_sums::add(std::vector<crash_report> const& crashes, time_point now)
 {
     for (auto const& crash : crashes)
     {
         if (sums_.size() >= max_signatures && sums_.count(crash.signature) == 0)
             continue;
         auto& entry = sums_[crash.signature];
-        entry.crashes += crash.crashes;
+        auto const [server, fresh] = entry.servers.emplace(crash.backend, now);
+        if (!fresh && now - server->second <= same_crash_window)
+            continue;
+        server->second = now;
+        ++entry.crashes;
         entry.last = now;
+        cleared_.erase(crash.signature);
     }
 }
 
+void crash_sums::survived(std::vector<std::uint64_t> const& signatures, time_point now)
+{
+    for (auto const signature : signatures)
+    {
+        sums_.erase(signature);
+        cleared_[signature] = now;
+    }
+}
+
+std::vector<std::uint64_t> crash_sums::cleared(time_point now)
+{
+    std::erase_if(cleared_,
+                  [&](auto const& entry) { return now - entry.second > clearing_told; });
+    std::vector<std::uint64_t> found;
+    for (auto const& [signature, at] : cleared_)
+        found.push_back(signature);
+    return found;
+}
+
 std::vector<crash_count> crash_sums::suspects(time_point now)
 {
     std::erase_if(sums_,
--- a/src/coordination/entry/crash_ledger.hpp
+++ b/src/coordination/entry/crash_ledger.hpp
@@ -17,9 +17,11 @@
                                               std::string_view organisation,
                                               std::string_view body);
 
-/// Counts how often requests were in flight when their backend server crashed. Answers
-/// the load pattern "a request crashes each server that runs it and is sent again": it is
-/// refused everywhere after a few crashes.
+/// Counts at how many crashes of backend servers requests were in flight. Answers the
+/// load pattern "a request crashes each server that runs it and is sent again": it is
+/// refused everywhere after a few crashes. Equal requests that were in flight at one
+/// crash count once, and an answer to one of them clears them all, so that servers that
+/// crash for other reasons block no harmless request.
 class crash_ledger
 {
 public:
@@ -28,13 +30,18 @@
     void broke(std::string const& server, std::uint64_t signature, time_point now);
     /// The server does not accept connections, or has a new incarnation.
     void crashed(std::string const& server, time_point now);
-    /// Crashes that other instances saw, as the hub tells.
-    void told(std::vector<crash_count> const& crashes, time_point now);
+    /// A server answered the request.
+    void survived(std::uint64_t signature);
+    /// The sums over all instances, as the hub tells.
+    void told(std::vector<crash_count> const& crashes,
+              std::vector<std::uint64_t> const& survived, time_point now);
 
     /// Whether the request may not reach a server again.
     [[nodiscard]] bool blocked(std::uint64_t signature) const;
     /// Crashes seen here since the last call.
-    [[nodiscard]] std::vector<crash_count> take_new();
+    [[nodiscard]] std::vector<crash_report> take_new();
+    /// Suspected signatures that were answered here since the last call.
+    [[nodiscard]] std::vector<std::uint64_t> take_survived();
     void expire(time_point now);
 
 private:
@@ -51,24 +58,31 @@
     };
     std::vector<broken_attempt> broken_;
     std::map<std::uint64_t, count> counts_;
-    std::map<std::uint64_t, std::uint32_t> new_;
+    std::vector<crash_report> new_;
+    std::vector<std::uint64_t> survived_;
 };
 
 /// The hub's sum over all instances.
 class crash_sums
 {
 public:
-    void add(std::vector<crash_count> const& crashes, time_point now);
+    void add(std::vector<crash_report> const& crashes, time_point now);
+    void survived(std::vector<std::uint64_t> const& signatures, time_point now);
     /// Signatures with more than one crash; the others are no suspects yet.
     [[nodiscard]] std::vector<crash_count> suspects(time_point now);
+    /// Signatures that were cleared of late.
+    [[nodiscard]] std::vector<std::uint64_t> cleared(time_point now);
 
 private:
     struct sum
     {
         std::uint32_t crashes = 0;
         time_point last{};
+        /// When each server crashed last with such a request in flight.
+        std::map<std::string, time_point> servers;
     };
     std::map<std::uint64_t, sum> sums_;
+    std::map<std::uint64_t, time_point> cleared_;
 };
 
 } // namespace carawayturn::entry
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -109,6 +109,7 @@
         for (auto const& ask : status.asks)
             update.quota.push_back(grant(ask, *authority.current(), now));
     crashes_.add(status.crashes, now);
+    crashes_.survived(status.survived, now);
     add_directory(status, update);
     update.complete = status.complete;
     if (!status.complete)
@@ -127,6 +128,7 @@
     }
     update.peers = fleet_.addresses_without(status.node, peers_told, peers_turn_++);
     update.crashes = crashes_.suspects(now);
+    update.survived = crashes_.cleared(now);
     for (auto const& [backend, model] : planner_.retiring())
         update.retiring.push_back({backend, model});
     return update;
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -49,6 +49,12 @@
     archive(value.ask_id, value.units, value.retry_after_us);
 }
 
+template <class Archive>
+void serialize(Archive& archive, crash_report& value)
+{
+    archive(value.signature, value.backend);
+}
+
 template <class Archive>
 void serialize(Archive& archive, crash_count& value)
 {
@@ -79,7 +85,7 @@
     archive(value.node, value.address, value.incarnation, value.sent_at_us,
             value.config_version, value.directory_hub, value.directory_revision,
             value.wants_config, value.complete, value.in_flight, value.demand, value.asks,
-            value.crashes);
+            value.crashes, value.survived);
 }
 
 template <class Archive>
@@ -92,7 +98,7 @@
             value.config_text, value.config_row, value.directory_hub,
             value.directory_revision, value.whole_directory, value.records, value.removed,
             value.complete, value.totals, value.estimates, value.retiring, value.quota,
-            value.crashes, value.peers);
+            value.crashes, value.survived, value.peers);
 }
 
 namespace
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -44,7 +44,14 @@
     std::int64_t retry_after_us = 0;
 };
 
-/// How often a request with this signature was in flight when its server crashed.
+/// Requests with this signature were in flight when a backend server crashed.
+struct crash_report
+{
+    std::uint64_t signature = 0;
+    std::string backend;
+};
+
+/// At how many crashes requests with this signature were in flight.
 struct crash_count
 {
     std::uint64_t signature = 0;
@@ -72,7 +79,9 @@
     std::vector<in_flight_count> in_flight;
     std::vector<demand_count> demand;
     std::vector<quota_ask> asks;
-    std::vector<crash_count> crashes;
+    std::vector<crash_report> crashes;
+    /// Signatures under suspicion of which a request was answered.
+    std::vector<std::uint64_t> survived;
 };
 
 /// Requests that all other instances have at a backend server.
@@ -135,6 +144,8 @@
     std::vector<retiring_model> retiring;
     std::vector<quota_reply> quota;
     std::vector<crash_count> crashes;
+    /// Signatures that are no longer under suspicion.
+    std::vector<std::uint64_t> survived;
     /// Addresses of some other instances.
     std::vector<std::string> peers;
 };
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -208,6 +208,7 @@
         status.in_flight.push_back({place.first, place.second, count});
     status.demand = demand_.take_counts();
     status.crashes = crashes_.take_new();
+    status.survived = crashes_.take_survived();
     return status;
 }
 
@@ -341,7 +342,7 @@
         for (auto const& total : update.totals)
             if (auto const found = ids.find(total.number); found != ids.end())
                 board_.others_told(*found->second, total.others);
-        crashes_.told(update.crashes, now);
+        crashes_.told(update.crashes, update.survived, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.retiring)
             board_.avoid_model(retiring.backend, retiring.model, now + retiring_pause);
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -168,6 +168,7 @@
         co_return attempt_end::server_failure;
     }
     services_.board.succeeded(server_.id, boot_now());
+    services_.crashes.survived(signature_);
     co_return attempt_end::delivered;
 }
 
@@ -224,6 +225,7 @@
     if (auto kept = exchange_->take_connection(keep))
         services_.connections.give_back(server_.id, std::move(kept), keep, boot_now());
     services_.board.succeeded(server_.id, boot_now());
+    services_.crashes.survived(signature_);
     co_return attempt_end::delivered;
 }
 
--- a/tests/entry/quota_test.cpp
+++ b/tests/entry/quota_test.cpp
@@ -135,12 +135,53 @@
 TEST_F(crash_ledger_test, crashes_of_other_instances_count)
 {
     crash_sums sums;
-    for (int i = 0; i < 3; ++i)
-        sums.add({{signature_, 1}}, at(0));
-    ledger_.told(sums.suspects(at(10)), at(10));
+    for (auto const* const server : {"s1", "s2", "s3"})
+        sums.add({{signature_, server}}, at(0));
+    ledger_.told(sums.suspects(at(10)), {}, at(10));
     EXPECT_TRUE(ledger_.blocked(signature_));
 }
 
+// Guards against harmless requests that are refused for minutes because several equal
+// ones were in flight when one server restarted (soak seeds 10 and 11).
+TEST_F(crash_ledger_test, equal_requests_at_one_crash_count_once)
+{
+    for (int i = 0; i < 5; ++i)
+        ledger_.broke("s1", signature_, at(i));
+    ledger_.crashed("s1", at(100));
+    EXPECT_FALSE(ledger_.blocked(signature_));
+    EXPECT_EQ(ledger_.take_new().size(), 1U);
+}
+
+// Guards against one crash that counts again for each instance that noticed it.
+TEST_F(crash_ledger_test, one_crash_seen_by_many_instances_counts_once)
+{
+    crash_sums sums;
+    for (int i = 0; i < 5; ++i)
+        sums.add({{signature_, "s1"}}, at(100 * i));
+    EXPECT_TRUE(sums.suspects(at(600)).empty());
+    sums.add({{signature_, "s1"}}, at(6000));
+    EXPECT_EQ(sums.suspects(at(6000)).size(), 1U);
+}
+
+// Guards against a suspicion that outlives the proof of the contrary.
+TEST_F(crash_ledger_test, answered_request_is_cleared_at_every_instance)
+{
+    crash("s1", 0);
+    crash("s2", 1000);
+    crash_sums sums;
+    sums.add(ledger_.take_new(), at(1100));
+    crash_ledger other;
+    other.told(sums.suspects(at(1200)), sums.cleared(at(1200)), at(1200));
+    ledger_.survived(signature_);
+    sums.survived(ledger_.take_survived(), at(1300));
+    other.told(sums.suspects(at(1400)), sums.cleared(at(1400)), at(1400));
+    crash("s3", 2000);
+    EXPECT_FALSE(ledger_.blocked(signature_));
+    other.broke("s3", signature_, at(2000));
+    other.crashed("s3", at(2100));
+    EXPECT_FALSE(other.blocked(signature_));
+}
+
 class retry_budget_test : public testing::Test
 {
 protected:
