Count the loads of the former hub as a new hub begins

Each new hub started four loads from the weight store beside those of the former hubs, all of them took up to 13 s, the learned width fell to one, and no load began for twelve seconds.

A runner that works on an order of a former hub counts as one load from the store until its report says that it is done. Ruled out: that no load was needed; one runner had 80 requests in flight for one model meanwhile.

The test fails without the change.

--- a/src/coordination/entry/placement_choice.cpp
+++ b/src/coordination/entry/placement_choice.cpp
@@ -38,6 +38,7 @@
     {
         count += runner.loading && runner.loading->from_store ? 1 : 0;
         count += runner.goal && runner.goal->from_store ? 1 : 0;
+        count += runner.inherited_order ? 1 : 0;
     }
     return count;
 }
--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -140,6 +140,11 @@
         bool order_out = false;
         /// The order count, or what an order did, is unknown until a report tells.
         bool unsure = true;
+        /// The runner works on an order that this planner has not given: the former hub
+        /// may have let it load from the weight store.
+        bool inherited_order = false;
+        /// No report has told the order count yet.
+        bool inherited = true;
         /// Orders accepted since the runner's start.
         std::int64_t order_count = 0;
         /// Records of the store may be older than the last order's effect until then.
--- a/src/coordination/entry/placement_progress.cpp
+++ b/src/coordination/entry/placement_progress.cpp
@@ -147,9 +147,10 @@
     bool const current = report.order_count >= runner.order_count;
     if (runner.unsure)
     {
+        runner.inherited_order = runner.inherited && report.busy;
         if (report.busy || !current)
             return;
-        runner.unsure = false;
+        runner.unsure = runner.inherited = false;
         runner.order_count = report.order_count;
         runner.confirmed.clear();
         runner.arriving.clear();
--- a/tests/entry/placement_planner_test.cpp
+++ b/tests/entry/placement_planner_test.cpp
@@ -211,6 +211,35 @@
     EXPECT_EQ(plan(0).size(), 4U);
 }
 
+// Guards against a new hub that adds its loads to those of the former one, so that all of
+// them take several times as long (own day roll: twelve seconds without a new load).
+TEST_F(placement_planner_test, loads_of_the_former_hub_count)
+{
+    for (int i = 0; i < 6; ++i)
+    {
+        backend_record record;
+        record.id = "r" + std::to_string(i);
+        record.service = "chat";
+        record.slots = 8;
+        record.born_ms = 1;
+        planner_.put_runner(record, at(0));
+    }
+    static_cast<void>(planner_.wanted_reports(at(0)));
+    for (int i = 0; i < 6; ++i)
+    {
+        runner_report answer;
+        answer.busy = i < 3;
+        answer.order_count = 1;
+        planner_.reported("r" + std::to_string(i), answer, at(10));
+    }
+    for (int i = 0; i < 6; ++i)
+        wait_for("m" + std::to_string(i));
+    EXPECT_EQ(plan(20).size(), 1U);
+    for (int i = 0; i < 3; ++i)
+        report("r" + std::to_string(i), 5000, 1);
+    EXPECT_EQ(plan(5010).size(), 3U);
+}
+
 // Guards against a fleet that loads one model at a time for good after a slow load (mix
 // --seed 586739249679: new runners stayed empty while one old runner took all requests).
 TEST_F(placement_planner_test, loads_at_full_speed_widen_the_store_again)
