--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,124 @@
+"""TCP proxies on loopback whose connections can be delayed, reset or silenced."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+import threading
+
+READ_BYTES = 65536
+SILENCE_POLL_S = 0.02
+
+
+class ProxyLoop:
+    """The thread that carries all proxies."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+
+    def call(self, coroutine):
+        """Runs a coroutine on the loop and returns its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(30)
+
+    def close(self) -> None:
+        # asyncio reports a connection's cancelled task as an error.
+        self.loop.set_exception_handler(lambda *_: None)
+
+        async def cancel_all() -> None:
+            tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.call(cancel_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(10)
+
+
+class FaultProxy:
+    """Forwards connections from a free port to a target; faults are plain attributes.
+
+    A silenced direction keeps its bytes until the silence ends, like a link whose packets
+    are sent again. Connections that were open when `silence_open_connections()` was called
+    stay silent for good, while new ones work.
+    """
+
+    def __init__(self, proxies: ProxyLoop, target: str) -> None:
+        host, port = target.rsplit(":", 1)
+        self._proxies = proxies
+        self._target = (host, int(port))
+        self._open: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = set()
+        self._silent_for_good: set[asyncio.StreamWriter] = set()
+        self.delay_s = 0.0
+        self.silent_to_target = False
+        self.silent_to_caller = False
+        self.refuse = False
+        self._server = proxies.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def heal(self) -> None:
+        self.delay_s = 0.0
+        self.silent_to_target = self.silent_to_caller = self.refuse = False
+
+    def reset_connections(self) -> None:
+        self._proxies.loop.call_soon_threadsafe(self._reset_now)
+
+    def silence_open_connections(self) -> None:
+        def mark() -> None:
+            for pair in self._open:
+                self._silent_for_good.update(pair)
+
+        self._proxies.loop.call_soon_threadsafe(mark)
+
+    def _reset_now(self) -> None:
+        for pair in list(self._open):
+            for writer in pair:
+                _reset(writer)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.refuse:
+            _reset(writer)
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            _reset(writer)
+            return
+        pair = (writer, target_writer)
+        self._open.add(pair)
+        try:
+            await asyncio.gather(
+                self._forward(reader, target_writer, lambda: self.silent_to_target),
+                self._forward(target_reader, writer, lambda: self.silent_to_caller))
+        finally:
+            self._open.discard(pair)
+            self._silent_for_good.difference_update(pair)
+            for each in pair:
+                each.close()
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                       silent) -> None:
+        try:
+            while data := await reader.read(READ_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                while silent() or writer in self._silent_for_good:
+                    await asyncio.sleep(SILENCE_POLL_S)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except OSError:
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection with a reset instead of an orderly end."""
+    raw = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,173 @@
+"""Faults from outside the processes, by a seeded schedule."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import signal
+import subprocess
+import threading
+import time
+
+from entry_fleet import Instance
+from fault_proxy import FaultProxy
+from world import Fault, World
+
+FAULT_TIME_S = 10.0
+
+
+class FaultPlayer:
+    """Plays faults from a seeded schedule; several overlap."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.random = world.random
+        self.kinds = {
+            "kill": self.kill, "terminate": self.terminate, "pause": self.pause,
+            "store_away": self.store_away, "store_away_for_one": self.store_away_for_one,
+            "store_loses_answers": self.store_loses_answers, "store_slow": self.store_slow,
+            "store_forgets": self.store_forgets, "link_delayed": self.link_delayed,
+            "link_silent_one_way": self.link_silent_one_way, "link_cut": self.link_cut,
+            "connections_reset": self.connections_reset,
+            "connections_silent": self.connections_silent, "server_fails": self.server_fails,
+            "server_restart": self.server_restart, "leave": self.leave,
+            "rotate_key": self.rotate_key}
+
+    def play(self) -> None:
+        """Plays the schedule and returns when its last fault is over."""
+        threads = []
+        begin = time.monotonic()
+        at = 0.0
+        while at < FAULT_TIME_S:
+            at += self.random.uniform(0.1, 1.2)
+            kind = self.random.choice(sorted(self.kinds))
+            choice = random.Random(self.random.random())
+            time.sleep(max(0.0, begin + at - time.monotonic()))
+            threads.append(threading.Thread(target=self._play_one, args=(kind, choice)))
+            threads[-1].start()
+        for thread in threads:
+            thread.join()
+
+    def _play_one(self, kind: str, choice: random.Random) -> None:
+        fault = Fault(kind, "", time.monotonic())
+        self.world.faults.append(fault)
+        fault.target = self.kinds[kind](choice, choice.uniform(0.2, 3.0)) or ""
+        fault.end = time.monotonic()
+
+    def kill(self, choice: random.Random, span: float) -> str:
+        instance = choice.choice(self.world.instances)
+        with self.world.lock:
+            instance.stop()
+        time.sleep(span / 2)
+        self._start(instance)
+        return instance.name
+
+    def terminate(self, choice: random.Random, span: float) -> str:
+        instance = choice.choice(self.world.instances)
+        instance.process.send_signal(signal.SIGTERM)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            instance.process.wait(span)
+        with self.world.lock:
+            instance.stop()
+        self._start(instance)
+        return instance.name
+
+    def _start(self, instance: Instance) -> None:
+        with self.world.lock:
+            if instance.process.poll() is not None:
+                instance.start()
+
+    def pause(self, choice: random.Random, span: float) -> str:
+        process = choice.choice(self.world.instances).process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(span)
+        process.send_signal(signal.SIGCONT)
+        return str(process.pid)
+
+    def _while(self, owner: object, name: str, value: object, span: float) -> None:
+        setattr(owner, name, value)
+        time.sleep(span)
+        setattr(owner, name, type(value)())
+
+    def store_away(self, _: random.Random, span: float) -> None:
+        self._while(self.world.store, "refuse", True, span)
+
+    def store_away_for_one(self, choice: random.Random, span: float) -> str:
+        instance = choice.choice(self.world.instances)
+        self._while(instance.door, "refuse", True, span)
+        return instance.name
+
+    def store_loses_answers(self, _: random.Random, span: float) -> None:
+        self._while(self.world.store, "lose_answers", True, span / 2)
+
+    def store_slow(self, choice: random.Random, span: float) -> None:
+        self._while(self.world.store, "delay_s", choice.uniform(0.05, 0.8), span)
+
+    def store_forgets(self, *_: object) -> None:
+        self.world.store.forget_history()
+
+    def _link(self, choice: random.Random) -> tuple[str, FaultProxy]:
+        owner = choice.choice(sorted(self.world.links))
+        return owner, choice.choice(self.world.links[owner])
+
+    def link_delayed(self, choice: random.Random, span: float) -> str:
+        owner, link = self._link(choice)
+        self._while(link, "delay_s", choice.uniform(0.02, 0.5), span)
+        return owner
+
+    def link_silent_one_way(self, choice: random.Random, span: float) -> str:
+        owner, link = self._link(choice)
+        self._while(link, choice.choice(["silent_to_target", "silent_to_caller"]), True, span)
+        return owner
+
+    def link_cut(self, choice: random.Random, span: float) -> str:
+        owner, link = self._link(choice)
+        link.reset_connections()
+        self._while(link, "refuse", True, span)
+        return owner
+
+    def connections_reset(self, choice: random.Random, _: float) -> str:
+        owner, link = self._link(choice)
+        link.reset_connections()
+        return owner
+
+    def connections_silent(self, choice: random.Random, _: float) -> str:
+        owner, link = self._link(choice)
+        link.silence_open_connections()
+        return owner
+
+    def server_fails(self, choice: random.Random, span: float) -> str:
+        server = choice.choice(self.world.servers)
+        modes = ["full", "error", "reset"] + (["break"] if server.is_runner else [])
+        server.mode = choice.choice(modes)
+        time.sleep(span)
+        server.mode = "good"
+        return server.name
+
+    def server_restart(self, choice: random.Random, span: float) -> str:
+        server = choice.choice([server for server in self.world.servers
+                                if server.name not in self.world.left])
+        (link,) = self.world.links[server.name]
+        link.refuse = True
+        link.reset_connections()
+        time.sleep(span / 2)
+        server.restart()
+        link.refuse = False
+        return server.name
+
+    def leave(self, choice: random.Random, _: float) -> str:
+        """A server tells that it leaves, and goes; another one joins empty."""
+        server = choice.choice(self.world.servers)
+        with self.world.lock:
+            if server.name in self.world.left:
+                return ""
+            self.world.left[server.name] = float("inf")
+        server.record("draining")
+        self.world.left[server.name] = time.monotonic()
+        self.world.servers.append(self.world.add_server(server.service))
+        time.sleep(1.0)
+        self.world.store.remove("servers", server.name)
+        return server.name
+
+    def rotate_key(self, *_: object) -> None:
+        self.world.rotate_key()
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,122 @@
+"""The promises that the soak checks, from what callers and backend servers saw."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from callers import STREAM, Call
+
+REVOKE_S = 5.0
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+QUOTA_WINDOW_S = 8.0
+QUOTA_OVERRUN = 1.1
+QUOTA_SLACK = 11000
+NOT_RUN_STATUSES = {408, 421, 429, 503}
+
+
+def at_most_once(calls: list[Call], runs: list[dict]) -> list[str]:
+    """A booking runs once at most, and never after an answer that promised otherwise."""
+    times = Counter(run["id"] for run in runs)
+    found = []
+    for call in calls:
+        if call.kind != "book":
+            continue
+        if times[call.request_id] > 1:
+            found.append(f"TWICE {call.request_id} ran {times[call.request_id]} times")
+        if call.status in NOT_RUN_STATUSES and times[call.request_id]:
+            found.append(f"REFUSED {call.request_id} answered {call.status} and ran")
+    return found
+
+
+def own_answers(calls: list[Call], runs: list[dict]) -> list[str]:
+    """A success is the whole, signed answer of a server that ran this very request."""
+    servers = defaultdict(set)
+    for run in runs:
+        servers[run["id"]].add(run["server"].encode())
+    found = []
+    for call in calls:
+        if call.status == 0:
+            continue
+        if call.headers.get("x-request-id", call.request_id) != call.request_id:
+            found.append(f"MIXED {call.request_id} got the answer of another request")
+        if call.status != 200:
+            continue
+        if call.headers.get("x-server-seal") != "s":
+            found.append(f"MIXED {call.request_id} got a success without signature")
+        if call.kind == "draft":
+            whole = call.body == STREAM if call.whole else STREAM.startswith(call.body)
+            if not whole:
+                found.append(f"ORDER {call.request_id} whole={call.whole} {call.body!r}")
+        elif call.whole and call.body.removeprefix(b"done by ") not in servers[call.request_id]:
+            found.append(f"MIXED {call.request_id} got {call.body!r}")
+    return found
+
+
+def asked_for(calls: list[Call], runs: list[dict]) -> list[str]:
+    """Servers run only what callers sent, and never see a caller's key."""
+    known = {call.request_id for call in calls}
+    found = [f"UNASKED {run['id']} ran" for run in runs if run["id"] not in known]
+    found += [f"UNASKED key passed on with {run['id']}" for run in runs
+              if "Authorization" in run["headers"]]
+    return found
+
+
+def withdrawn_keys(calls: list[Call], runs: list[dict],
+                   withdrawn: dict[str, float]) -> list[str]:
+    """No request that was sent `revoke_ms` after its key's withdrawal runs, anywhere."""
+    ran = {run["id"] for run in runs}
+    return [f"REVOKE {call.request_id} with {call.key} sent "
+            f"{call.sent_at - withdrawn[call.key]:.2f} s after the withdrawal"
+            for call in calls
+            if call.kind != "open" and call.key in withdrawn and call.request_id in ran
+            and call.sent_at > withdrawn[call.key] + REVOKE_S]
+
+
+def quotas(calls: list[Call], runs: list[dict], key: str, rate: float,
+           burst: float) -> list[str]:
+    """The units of one organisation that run stay inside its quota in every window."""
+    units = {call.request_id: 320 if call.kind == "draft" else 1 for call in calls
+             if call.key == key and call.kind != "open"}
+    limit = (rate * QUOTA_WINDOW_S + burst) * QUOTA_OVERRUN + QUOTA_SLACK
+    spent = sorted((run["at"], units[run["id"]]) for run in runs if run["id"] in units)
+    found = []
+    first = total = 0
+    for at, cost in spent:
+        total += cost
+        while at - spent[first][0] > QUOTA_WINDOW_S:
+            total -= spent[first][1]
+            first += 1
+        if total > limit:
+            found.append(f"QUOTA {total} units in a window, {limit:.0f} allowed")
+    return found[:1]
+
+
+def orders(servers) -> list[str]:
+    """Each fence belongs to one holder, and no runner is loaded beyond its memory."""
+    holders = defaultdict(set)
+    found = []
+    for server in servers:
+        for order in server.orders:
+            holders[order["fencing_token"]].add(order["holder"])
+        found += [f"LIMIT {server.name} loaded {held}" for held in server.overloads]
+    found += [f"ONE fence {fence} of {sorted(names)}" for fence, names in holders.items()
+              if len(names) > 1]
+    return found
+
+
+def left_servers(calls: list[Call], runs: list[dict], left: dict[str, float],
+                 in_touch) -> list[str]:
+    """Instances in touch send nothing to a server that left longer than `drain_ms` ago."""
+    sender = {call.request_id: call for call in calls}
+    found = []
+    for run in runs:
+        call = sender.get(run["id"])
+        since = left.get(run["server"])
+        if call is None or since is None or run["at"] <= since + DRAIN_S + CONTACT_S:
+            continue
+        if call.sent_at > since + DRAIN_S and in_touch(call.instance, run["at"] - CONTACT_S,
+                                                       run["at"]):
+            found.append(f"DRAIN {run['id']} at {run['server']}, {run['at'] - since:.2f} s "
+                         "after it left")
+    return found
--- /dev/null
+++ b/tests/soak/promises_test.py
@@ -0,0 +1,81 @@
+"""The soak's checks find what they look for, and pass what is allowed."""
+
+from __future__ import annotations
+
+import sys
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+HERE = Path(__file__).resolve().parent
+sys.path[:0] = [str(HERE), str(HERE.parent.parent / "standins")]
+import promises  # noqa: E402
+from callers import STREAM, Call  # noqa: E402
+
+
+def call(kind: str, status: int = 200, body: bytes = b"", **options) -> Call:
+    fields = {"request_id": "r1", "kind": kind, "key": "k1", "instance": "n0", "sent_at": 0.0,
+              "status": status, "headers": {"x-server-seal": "s"}, "body": body, "whole": True}
+    return Call(**{**fields, **options})
+
+
+def run(request_id: str = "r1", server: str = "s1", at: float = 0.0) -> dict:
+    return {"id": request_id, "server": server, "at": at, "headers": {}}
+
+
+class PromisesTest(unittest.TestCase):
+
+    def test_booking_that_ran_twice_is_found(self) -> None:
+        self.assertEqual(promises.at_most_once([call("book")], [run()]), [])
+        self.assertIn("TWICE", promises.at_most_once([call("book")], [run(), run()])[0])
+
+    def test_refused_booking_that_ran_is_found(self) -> None:
+        self.assertIn("REFUSED", promises.at_most_once([call("book", 503)], [run()])[0])
+        self.assertEqual(promises.at_most_once([call("book", 502)], [run()]), [])
+
+    def test_answer_of_a_server_that_did_not_run_it_is_found(self) -> None:
+        right = call("book", body=b"done by s1")
+        self.assertEqual(promises.own_answers([right], [run()]), [])
+        self.assertIn("MIXED", promises.own_answers([right], [run(server="s2")])[0])
+        unsigned = call("book", body=b"done by s1", headers={})
+        self.assertIn("MIXED", promises.own_answers([unsigned], [run()])[0])
+
+    def test_stream_with_a_missing_event_is_found(self) -> None:
+        self.assertEqual(promises.own_answers([call("draft", body=STREAM)], [run()]), [])
+        torn = call("draft", body=STREAM[:20], whole=False)
+        self.assertEqual(promises.own_answers([torn], [run()]), [])
+        missing = call("draft", body=STREAM.replace(b"id: 3\ndata: 3\n\n", b""))
+        self.assertIn("ORDER", promises.own_answers([missing], [run()])[0])
+
+    def test_run_that_nobody_sent_is_found(self) -> None:
+        self.assertIn("UNASKED", promises.asked_for([], [run()])[0])
+
+    def test_withdrawn_key_is_found_after_its_time(self) -> None:
+        withdrawn = {"k1": 10.0}
+        for sent_at, found in ((14.9, 0), (15.1, 1)):
+            calls = [call("book", sent_at=sent_at)]
+            self.assertEqual(len(promises.withdrawn_keys(calls, [run()], withdrawn)), found)
+
+    def test_units_beyond_the_quota_are_found(self) -> None:
+        calls = [call("draft", request_id=f"r{i}") for i in range(100)]
+        runs = [run(f"r{i}", at=0.01 * i) for i in range(100)]
+        self.assertEqual(promises.quotas(calls, runs, "k1", 3000, 3000), [])
+        self.assertIn("QUOTA", promises.quotas(calls, runs, "k1", 1000, 1000)[0])
+
+    def test_two_holders_of_a_fence_and_overloads_are_found(self) -> None:
+        def server(*holders: str) -> SimpleNamespace:
+            return SimpleNamespace(name="s1", overloads=[], orders=[
+                {"holder": holder, "fencing_token": 3} for holder in holders])
+
+        self.assertEqual(promises.orders([server("n0", "n0")]), [])
+        self.assertIn("ONE", promises.orders([server("n0", "n1")])[0])
+
+    def test_work_at_a_server_that_left_is_found_in_touch_only(self) -> None:
+        calls, runs = [call("book", sent_at=8.0)], [run(at=8.1)]
+        for in_touch, found in ((True, 1), (False, 0)):
+            self.assertEqual(len(promises.left_servers(calls, runs, {"s1": 1.0},
+                                                       lambda *_, t=in_touch: t)), found)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,154 @@
+"""A randomized soak: real instances under faults from outside, checked while callers work.
+
+Run `soak.py --seeds 1-50 --jobs 3` by hand; `--untimed` leaves out the promises that a
+slow machine could break by itself (CI). A seed that failed is added to seeds.txt.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import itertools
+import shutil
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent.parent / "standins"))
+import promises  # noqa: E402
+from entry_fleet import HANG_LIMIT_S, Instance, wait_until  # noqa: E402
+from faults import FaultPlayer  # noqa: E402
+from world import QUOTA_BURST, QUOTA_RATE, World  # noqa: E402
+
+RECOVERY_S = 12.0
+# Work that is under way when the callers stop has ended after this time.
+LATE_RUNS_S = 2.0
+
+
+def heal(world: World) -> None:
+    for link in itertools.chain.from_iterable(world.links.values()):
+        link.heal()
+    for server in world.servers:
+        if server.name not in world.left:
+            server.mode = "good"
+    for instance in world.instances:
+        if instance.process.poll() is not None:
+            world.ended.append(f"EXIT {instance.name} ended with {instance.process.returncode}")
+            instance.start()
+
+
+def serves(instance: Instance, key: str, kind: str, number: int) -> bool:
+    headers = {"Authorization": f"Token {key}"}
+    if kind == "draft":
+        headers["X-Model"] = "m1"
+    with contextlib.suppress(OSError):
+        return instance.request(f"/{kind}/a", id=f"after-{instance.name}-{kind}-{number}",
+                                headers=headers)[0] == 200
+    return False
+
+
+def check_recovery(world: World, limit_s: float) -> list[str]:
+    """Every instance serves every kind of request again after the last fault."""
+    begin = time.monotonic()
+    numbers = itertools.count()
+    found = []
+    for instance, kind in itertools.product(world.instances, ("book", "status", "draft")):
+        try:
+            wait_until(lambda: serves(instance, world.keys[-1], kind, next(numbers)),
+                       "service", max(1.0, begin + limit_s - time.monotonic()))
+        except AssertionError:
+            found.append(f"RECOVER {instance.name} does not serve {kind} after {limit_s} s")
+    return found
+
+
+def run_seed(seed: int, untimed: bool, keep: Path | None) -> list[str]:
+    """Plays one seed and returns the broken promises."""
+    world = World(seed)
+    try:
+        FaultPlayer(world).play()
+        heal(world)
+        found = check_recovery(world, HANG_LIMIT_S if untimed else RECOVERY_S)
+        for caller in world.callers:
+            caller.stop()
+        time.sleep(LATE_RUNS_S)
+        calls = [call for caller in world.callers for call in caller.calls]
+        runs = [run for server in world.servers for run in server.ran
+                if not run["id"].startswith("after-")]
+        found += world.ended
+        found += promises.at_most_once(calls, runs)
+        found += promises.own_answers(calls, runs)
+        found += promises.asked_for(calls, runs)
+        found += promises.withdrawn_keys(calls, runs, world.withdrawn)
+        found += promises.quotas(calls, runs, "small", QUOTA_RATE, QUOTA_BURST)
+        found += promises.orders(world.servers)
+        if not untimed:
+            found += promises.left_servers(calls, runs, world.left, world.in_touch)
+        served = sum(call.status == 200 and call.whole for call in calls)
+        print(f"seed {seed}: {len(world.faults)} faults, {len(calls)} requests, {served} served,"
+              f" {len(found)} broken", flush=True)
+        if found and keep:
+            keep_logs(world, found, keep / f"seed-{seed}")
+        return found
+    finally:
+        world.close()
+
+
+def keep_logs(world: World, found: list[str], folder: Path) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for instance in world.instances:
+        shutil.copy(instance.log_path, folder / f"{instance.name}.log")
+    faults = [f"{fault.begin:.3f} {fault.end:.3f} {fault.kind} {fault.target}"
+              for fault in world.faults]
+    (folder / "findings.txt").write_text("\n".join([*found, *faults]) + "\n", encoding="utf-8")
+
+
+def regression_seeds() -> list[int]:
+    lines = (HERE / "seeds.txt").read_text(encoding="utf-8").splitlines()
+    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+
+
+def seeds_of(text: str) -> list[int]:
+    if text == "regression":
+        return regression_seeds()
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def run_many(seeds: list[int], arguments: argparse.Namespace) -> int:
+    """Runs each seed in a process of its own, `jobs` at a time."""
+    broken = 0
+    waiting = list(seeds)
+    running: list[subprocess.Popen] = []
+    while waiting or running:
+        while waiting and len(running) < arguments.jobs:
+            command = [sys.executable, "-B", __file__, "--seeds", str(waiting.pop(0))]
+            command += ["--untimed"] if arguments.untimed else []
+            command += ["--keep", str(arguments.keep)] if arguments.keep else []
+            running.append(subprocess.Popen(command))
+        time.sleep(0.1)
+        broken += sum(process.poll() not in (None, 0) for process in running)
+        running = [process for process in running if process.poll() is None]
+    print(f"{len(seeds)} seeds, {broken} broken")
+    return 1 if broken else 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1", help="N, FIRST-LAST or 'regression'")
+    parser.add_argument("--jobs", type=int, default=1, help="seeds that run at once")
+    parser.add_argument("--untimed", action="store_true", help="leave out timed promises")
+    parser.add_argument("--keep", type=Path, help="folder for the logs of broken seeds")
+    arguments = parser.parse_args()
+    seeds = seeds_of(arguments.seeds)
+    if len(seeds) != 1:
+        return run_many(seeds, arguments)
+    found = run_seed(seeds[0], arguments.untimed, arguments.keep)
+    for line in found[:20]:
+        print(f"  {line}")
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,116 @@
+"""The fleet of one soak run: store, servers, instances and callers on loopback."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from callers import Caller
+from entry_fleet import Instance, configuration, wait_until
+from fault_proxy import FaultProxy, ProxyLoop
+from platform_fleet import BackendServer, Store
+
+INSTANCES = 3
+CALLERS = 6
+QUOTA_RATE = 4000
+QUOTA_BURST = 4000
+MODELS = ("m1", "m2", "m3")
+
+
+@dataclass
+class Fault:
+    """A fault as it was played; `end` is when the last of it was over."""
+
+    kind: str
+    target: str
+    begin: float
+    end: float = float("inf")
+
+
+class World:
+    """Store, servers, instances and callers of one seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.proxies = ProxyLoop()
+        self.store = Store()
+        self.version = 0
+        self.keys = ["k1"]
+        self.withdrawn: dict[str, float] = {}
+        self.left: dict[str, float] = {}
+        self.faults: list[Fault] = []
+        self.lock = threading.Lock()
+        self.ended: list[str] = []
+        self.links: dict[str, list[FaultProxy]] = {}
+        self.peer_links: dict[tuple[str, str], FaultProxy] = {}
+        self.names = (f"s{number}" for number in itertools.count())
+        self.write_configuration()
+        self.servers = [self.add_server("plain") for _ in range(2)]
+        self.servers += [self.add_server("llm") for _ in range(3)]
+        self.instances = [self.add_instance(f"n{i}") for i in range(INSTANCES)]
+        for instance in self.instances:
+            wait_until(instance.ready, f"{instance.name} is ready")
+            wait_until(lambda i=instance: len(i.state().get("backend_servers", [])) == 5,
+                       "all servers are known")
+        self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances, self.usable_keys)
+                        for i in range(CALLERS)]
+
+    def usable_keys(self) -> list[str]:
+        """Valid keys, one that was withdrawn, and the key of the small quota."""
+        return [*self.keys, *self.keys, *list(self.withdrawn)[-1:], "small"]
+
+    def link(self, owner: str, address: str) -> FaultProxy:
+        proxy = FaultProxy(self.proxies, address)
+        self.links.setdefault(owner, []).append(proxy)
+        return proxy
+
+    def add_server(self, service: str) -> BackendServer:
+        name = next(self.names)
+        models = ["m1"] if service == "llm" else None
+        return BackendServer(self.store, name, service, models,
+                             lambda address: self.link(name, address).address)
+
+    def add_instance(self, name: str) -> Instance:
+        instance = Instance(self.store, name,
+                            lambda address: self.link(f"store-{name}", address).address)
+        instance.door.hub_address = lambda address: self.peer_address(instance, address)
+        return instance
+
+    def peer_address(self, instance: Instance, hub: str) -> str:
+        if hub == f"127.0.0.1:{instance.peer}":
+            return hub
+        with self.lock:
+            key = (instance.name, hub)
+            if key not in self.peer_links:
+                self.peer_links[key] = self.link(f"peer-{instance.name}", hub)
+            return self.peer_links[key].address
+
+    def write_configuration(self) -> None:
+        self.version += 1
+        small = {"name": "t2", "api_keys": ["small"], "rate_per_s": QUOTA_RATE,
+                 "burst": QUOTA_BURST, "unit": "tokens", "plain_tokens": 1}
+        self.store.put("op", "config", configuration(self.version, self.keys, MODELS, (small,)))
+
+    def rotate_key(self) -> None:
+        """Adds a key and withdraws the oldest one."""
+        with self.lock:
+            old = self.keys[0]
+            self.keys = [*self.keys[-1:], f"k{self.version + 1}"]
+            self.write_configuration()
+            if old not in self.keys:
+                self.withdrawn[old] = time.monotonic()
+
+    def in_touch(self, instance: str, begin: float, end: float) -> bool:
+        """Whether no fault of the instance, the store or any link fell into the span."""
+        return not any(fault.begin <= end and fault.end >= begin for fault in self.faults
+                       if fault.kind not in ("rotate_key", "leave"))
+
+    def close(self) -> None:
+        for instance in self.instances:
+            instance.close()
+        for service in [*self.servers, self.store]:
+            service.close()
+        self.proxies.close()
