--- a/src/coordination/entry/directory_log.cpp
+++ b/src/coordination/entry/directory_log.cpp
@@ -37,6 +37,9 @@
     update.directory_hub = hub_;
     update.directory_revision = revision_;
     update.whole_directory = known_hub != hub_;
+    // The usual case; its work must not grow with the number of servers.
+    if (!update.whole_directory && known_revision >= revision_)
+        return;
     for (auto const& [id, item] : entries_)
     {
         if (!update.whole_directory && item.revision <= known_revision)
