--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import os
+import random
 import socket
 import subprocess
 import tempfile
@@ -14,6 +16,7 @@
 from platform_fleet import Store, StoreDoor
 
 HANG_LIMIT_S = 60
+START_ATTEMPTS = 5
 
 
 def wait_until(condition, what: str, limit_s: float = HANG_LIMIT_S):
@@ -27,23 +30,20 @@
     raise AssertionError(f"never happened: {what}")
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+# Ports below the range from which the system takes those of outgoing connections: one of
+# these could take a port between the search for it and the start of the process.
+PORTS = range(10000, 32000)
 
 
-def two_adjacent_ports() -> int:
-    """Returns a free port whose successor is free, too."""
+def adjacent_ports(count: int) -> int:
+    """Returns the first of so many free ports in a row."""
     while True:
-        first = free_ports(1)[0]
-        with socket.socket() as probe:
+        first = random.randrange(PORTS.start, PORTS.stop - count)
+        with contextlib.ExitStack() as sockets:
             try:
-                probe.bind(("127.0.0.1", first + 1))
+                for port in range(first, first + count):
+                    probe = sockets.enter_context(socket.socket())
+                    probe.bind(("127.0.0.1", port))
                 return first
             except OSError:
                 continue
@@ -55,23 +55,35 @@
     def __init__(self, store: Store, name: str, store_address=None) -> None:
         """`store_address` turns the door's address into the one that the process uses."""
         self.name = name
-        self.front, self.ready_port = free_ports(2)
-        self.peer = two_adjacent_ports()
         self.door = StoreDoor(store)
         address = store_address(self.door.address) if store_address else self.door.address
         self.folder = tempfile.TemporaryDirectory()
-        settings = Path(self.folder.name) / "boot.conf"
-        settings.write_text(
+        self.log_path = Path(self.folder.name) / "log"
+        self.settings = Path(self.folder.name) / "boot.conf"
+        for _ in range(START_ATTEMPTS):
+            self._take_ports(name, address)
+            self.start()
+            if wait_until(lambda: self.process.poll() is not None or self._listens(),
+                          f"{name} listens") and self.process.poll() is None:
+                return
+        raise AssertionError(f"{name} does not start: {self.log_path.read_text()}")
+
+    def _take_ports(self, name: str, store_address: str) -> None:
+        """Another process may take a free port first; the start is then tried again."""
+        self.front = adjacent_ports(4)
+        self.ready_port, self.peer = self.front + 1, self.front + 2
+        self.settings.write_text(
             f"node_name={name}\nip=127.0.0.1\nzone=a\n"
             f"listen.front=127.0.0.1:{self.front}\n"
             f"listen.ready=127.0.0.1:{self.ready_port}\n"
             f"internal_ports={self.peer},{self.peer + 1}\n"
-            f"platform.address={address}\n"
+            f"platform.address={store_address}\n"
             "bounds.revoke_ms=5000\nbounds.grace_s=8\nbounds.lease_ms=3000\n",
             encoding="utf-8")
-        self.settings = settings
-        self.log_path = Path(self.folder.name) / "log"
-        self.start()
+
+    def _listens(self) -> bool:
+        with socket.socket() as probe:
+            return probe.connect_ex(("127.0.0.1", self.peer + 1)) == 0
 
     def start(self) -> None:
         program = os.environ["CARAWAYTURN_ENTRY"]
