--- a/src/coordination/entry/peer_book.cpp
+++ b/src/coordination/entry/peer_book.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// Addresses that are kept; with half of the instances turned away, seven of eight times
-/// one of three is not.
+/// Addresses that are kept. Even with half of the instances turned away, one of eight is
+/// almost surely in touch with the store.
 constexpr std::size_t kept_addresses = 8;
 
 } // namespace
--- a/src/coordination/entry/placement_choice.cpp
+++ b/src/coordination/entry/placement_choice.cpp
@@ -1,7 +1,6 @@
 #include "coordination/entry/placement_detail.hpp"
 
 #include <cmath>
-#include <limits>
 
 namespace carawayturn::entry
 {
@@ -146,36 +145,45 @@
     }
 }
 
-void placement_planner::plan_models(served_service const& service, time_point now)
+std::vector<placement_planner::needed_model>
+placement_planner::needed_models(served_service const& service) const
 {
     std::vector<needed_model> needed;
+    double const per_copy = requests_per_copy(*service.engine);
     for (auto const& model : service.engine->models)
     {
         auto const demand = demand_of(service.name, model.name);
         auto const counts = counts_of(service.name, model.name);
         auto const copies = counts.copies + counts.planned;
-        if (copies < wanted_copies(service, model.name))
-            needed.push_back({&model,
-                              demand.waiting + demand.in_flight -
-                                  copies * requests_per_copy(*service.engine),
-                              copies == 0 ? load_reason::absent : load_reason::crowded});
+        if (copies >= wanted_copies(service, model.name))
+            continue;
+        double const requests = demand.waiting + demand.in_flight - copies * per_copy;
+        auto const reason = copies == 0 ? load_reason::absent : load_reason::crowded;
+        needed.push_back({&model, requests, reason});
     }
     std::stable_sort(needed.begin(), needed.end(),
                      [](needed_model const& a, needed_model const& b)
                      { return a.requests > b.requests; });
-    for (auto const& entry : needed)
+    return needed;
+}
+
+void placement_planner::plan_models(served_service const& service, time_point now)
+{
+    for (auto const& needed : needed_models(service))
     {
+        auto const& model = *needed.model;
+        bool const absent = needed.reason == load_reason::absent;
         bool const store = store_load_allowed(*service.engine, now);
-        auto option = best_option(service, *entry.model, now, store, victim_limit{});
-        bool const absent = entry.reason == load_reason::absent;
+        auto option = best_option(service, model, now, store, {});
         if (!option && absent)
-            option = best_option(
-                service, *entry.model, now, store,
-                victim_limit{std::numeric_limits<double>::max(),
-                             static_cast<std::uint32_t>(running_victims_per_request *
-                                                        entry.requests)});
+        {
+            victim_limit limit;
+            limit.running =
+                static_cast<std::uint32_t>(running_victims_per_request * needed.requests);
+            option = best_option(service, model, now, store, limit);
+        }
         if (option && (absent || option->cost < needed_copy_value))
-            start_goal(*option, *entry.model, entry.reason, now);
+            start_goal(*option, model, needed.reason, now);
     }
 }
 
--- a/src/coordination/entry/placement_planner.hpp
+++ b/src/coordination/entry/placement_planner.hpp
@@ -84,7 +84,8 @@
 /// Decides which models runners load and unload. Used by the hub alone; makes no calls
 /// itself. Answers the load patterns "rare models are asked for at once" (loads from disk
 /// go first and everywhere, loads from the weight store one behind the other) and "the
-/// busy models fall silent as others rise" (copies follow the requests in flight).
+/// busy models fall silent as others rise" (copies follow the requests that wait or are
+/// in flight, the model that most of them need comes first, and busy models are spared).
 class placement_planner
 {
 public:
@@ -212,6 +213,9 @@
     void count_models();
     [[nodiscard]] model_counts counts_of(std::string const& service,
                                          std::string const& model) const;
+    /// Ordered by the requests that one more copy would help, most first.
+    [[nodiscard]] std::vector<needed_model>
+    needed_models(served_service const& service) const;
     void plan_models(served_service const& service, time_point now);
     void plan_prefetch(served_service const& service, time_point now);
     void plan_adapters(served_service const& service, time_point now,
