Send no order after the lease's end; try for a missing configuration eagerly

Found by reading: the lease was checked before a connection to the runner was opened, which may take up to a second, and the successor may claim 0.6 s after the lease's end.

The order is not sent once the lease has less than its margin left. Only instances that miss nothing, beside a hub that cannot read, try patiently. The new test of http_call uses a field that is new and cannot run on the code before.

--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -408,6 +408,8 @@
     call.body = platform::encode_order(order, settings_.name, lease_.fence());
     call.server_id = order.runner;
     call.timeout = order_timeout;
+    auto const now = boot_now();
+    call.send_before = now + lease_.remaining(now) - order_margin;
     auto const target = order.target.str();
     bool const load = order.what == runner_order::action::load;
     auto outcome = order_outcome::unknown;
@@ -511,7 +513,7 @@
             hub_.follow_fleet(now);
         follow_hub_role();
         reader_.set_active(hub_active_ || !link_.connected() || !hub_reads_);
-        reader_.set_hub_tries(!hub_active_ && link_.connected());
+        reader_.set_hub_tries(!hub_active_ && link_.connected() && !hub_reads_);
         follow_readiness();
         if (now >= next_settings_check_)
         {
--- a/src/transport/entry/http_call.cpp
+++ b/src/transport/entry/http_call.cpp
@@ -13,7 +13,7 @@
     auto const deadline = boot_now() + request.timeout;
     auto connection =
         co_await connections.obtain(request.peer, request.address, deadline);
-    if (!connection.socket)
+    if (!connection.socket || boot_now() >= request.send_before)
         co_return std::nullopt;
     connection.socket->set_deadline(deadline);
     backend_exchange exchange(std::move(connection.socket), "");
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -21,6 +21,9 @@
     /// The call is rejected by any other server; empty for the store.
     std::string server_id;
     duration timeout{};
+    /// The call is not sent from then on. A connection may take long to open, and what
+    /// allows the call may have ended meanwhile.
+    time_point send_before = time_point::max();
 };
 
 struct call_answer
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -61,7 +61,9 @@
 
 duration store_reader::retry_interval() const
 {
-    return hub_tries_ ? patient_retry_interval : eager_retry_interval;
+    auto const& authority = services_.authority;
+    bool const behind = authority.newest_heard() > authority.version();
+    return hub_tries_ && !behind ? patient_retry_interval : eager_retry_interval;
 }
 
 bool store_reader::listed() const
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -35,7 +35,7 @@
     void start();
     /// Whether to follow the store.
     void set_active(bool active);
-    /// Whether a hub answers that tries the store often for all.
+    /// Whether a hub answers that cannot read the store either and tries it for all.
     void set_hub_tries(bool hub_tries) { hub_tries_ = hub_tries; }
     [[nodiscard]] bool active() const { return active_; }
     /// Takes a configuration that another instance passed on.
--- /dev/null
+++ b/tests/entry/http_call_test.cpp
@@ -0,0 +1,83 @@
+#include "transport/entry/boot_clock.hpp"
+#include "transport/entry/http_call.hpp"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <array>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+/// A server on loopback that notes how many bytes it got on its first connection.
+class http_call_test : public testing::Test
+{
+protected:
+    http_call_test()
+    {
+        server_.open(asio::ip::tcp::v4());
+        server_.bind({asio::ip::address_v4::loopback(), 0});
+        server_.listen();
+        request_.peer = "s1";
+        request_.address = "127.0.0.1:" + std::to_string(server_.local_endpoint().port());
+        request_.target = "/order";
+        request_.timeout = std::chrono::seconds(60);
+    }
+
+    task<void> count_bytes()
+    {
+        auto [failure, socket] = co_await server_.async_accept(use_task);
+        if (failure)
+            co_return;
+        std::array<char, 1024> piece{};
+        auto const [ended, size] =
+            co_await socket.async_read_some(asio::buffer(piece), use_task);
+        received_ = size;
+        // The caller's read ends with the connection.
+    }
+
+    task<void> call()
+    {
+        answered_ = (co_await http_call(connections_, request_)).has_value();
+        server_.close();
+    }
+
+    void run()
+    {
+        asio::co_spawn(io_, count_bytes(), asio::detached);
+        asio::co_spawn(io_, call(), asio::detached);
+        io_.run();
+    }
+
+    asio::io_context io_{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE};
+    connection_watch watch_;
+    backend_connections connections_{io_, watch_};
+    tcp_acceptor server_{io_};
+    call_request request_;
+    std::size_t received_ = 0;
+    bool answered_ = true;
+};
+
+TEST_F(http_call_test, call_in_time_is_sent)
+{
+    run();
+    EXPECT_GT(received_, 0U);
+    EXPECT_FALSE(answered_);
+}
+
+// Guards against an order that leaves after its holder's lease has ended, because the
+// connection to the runner took long to open.
+TEST_F(http_call_test, call_whose_time_has_passed_is_not_sent)
+{
+    request_.send_before = boot_now();
+    run();
+    EXPECT_EQ(received_, 0U);
+    EXPECT_FALSE(answered_);
+}
+
+} // namespace
+} // namespace carawayturn::entry
