Use the project's stable hash for signatures and affinity on the platform

state/hash.hpp had a stable 64-bit hash for rendezvous hashing; the instance on the platform wrote FNV-1a twice again and mixed std::hash, which need not be equal on all machines, for the choice of a runner. stable_hash has files of its own now, so that this program does not link OpenSSL.

Hash values change, their use does not: equal requests have equal signatures, requests that share a prompt's parts prefer the same runner.

--- a/src/coordination/detail/authority_state.cpp
+++ b/src/coordination/detail/authority_state.cpp
@@ -1,6 +1,6 @@
 #include "coordination/detail/authority_state.hpp"
 
-#include "state/hash.hpp"
+#include "state/stable_hash.hpp"
 
 #include <boost/json.hpp>
 
--- a/src/coordination/detail/gossip_sender.cpp
+++ b/src/coordination/detail/gossip_sender.cpp
@@ -1,6 +1,6 @@
 #include "coordination/detail/gossip_sender.hpp"
 
-#include "state/hash.hpp"
+#include "state/stable_hash.hpp"
 
 #include <algorithm>
 
--- a/src/coordination/detail/owner_election.cpp
+++ b/src/coordination/detail/owner_election.cpp
@@ -1,6 +1,6 @@
 #include "coordination/detail/owner_election.hpp"
 
-#include "state/hash.hpp"
+#include "state/stable_hash.hpp"
 
 namespace carawayturn::detail
 {
--- a/src/coordination/entry/backend_board.cpp
+++ b/src/coordination/entry/backend_board.cpp
@@ -1,10 +1,10 @@
 #include "coordination/entry/backend_board.hpp"
 
 #include "state/entry/time_units.hpp"
+#include "state/stable_hash.hpp"
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 
 namespace carawayturn::entry
 {
@@ -51,12 +51,8 @@
 /// Rendezvous weight in [0, 1) of a server for a shared prompt.
 double affinity_of(std::uint64_t affinity, std::string const& id)
 {
-    std::uint64_t mixed = affinity ^ std::hash<std::string>{}(id);
-    mixed ^= mixed >> 33U;
-    mixed *= 0xff51afd7ed558ccdULL;
-    mixed ^= mixed >> 33U;
     constexpr double scale = 1.0 / 9007199254740992.0;
-    return static_cast<double>(mixed >> 11U) * scale;
+    return static_cast<double>(stable_hash(id, affinity) >> 11U) * scale;
 }
 
 } // namespace
--- a/src/coordination/entry/crash_ledger.cpp
+++ b/src/coordination/entry/crash_ledger.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/crash_ledger.hpp"
 
+#include "state/stable_hash.hpp"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -29,15 +31,7 @@
 std::uint64_t request_signature(std::string_view target, std::string_view organisation,
                                 std::string_view body)
 {
-    std::uint64_t hash = 14695981039346656037ULL;
-    for (auto const part : {target, organisation, body})
-    {
-        for (char const c : part)
-            hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-        // Separates the parts, so that bytes cannot move from one to the next.
-        hash = (hash ^ 0xffU) * 1099511628211ULL;
-    }
-    return hash;
+    return stable_hash(body, stable_hash(organisation, stable_hash(target)));
 }
 
 void crash_ledger::broke(std::string const& server, std::uint64_t signature,
--- a/src/coordination/flow/dispatch.cpp
+++ b/src/coordination/flow/dispatch.cpp
@@ -1,5 +1,5 @@
 #include "coordination/flow/flow_engine.hpp"
-#include "state/hash.hpp"
+#include "state/stable_hash.hpp"
 
 #include <algorithm>
 
--- a/src/coordination/placement/pool_ownership.cpp
+++ b/src/coordination/placement/pool_ownership.cpp
@@ -1,5 +1,5 @@
 #include "coordination/placement/pool_owner.hpp"
-#include "state/hash.hpp"
+#include "state/stable_hash.hpp"
 
 #include <algorithm>
 
--- a/src/protocol/caller_codec.cpp
+++ b/src/protocol/caller_codec.cpp
@@ -1,6 +1,6 @@
 #include "protocol/caller_codec.hpp"
 
-#include "state/hash.hpp"
+#include "state/stable_hash.hpp"
 #include "state/json_fields.hpp"
 #include "state/strict_json.hpp"
 
--- a/src/state/hash.hpp
+++ b/src/state/hash.hpp
@@ -2,7 +2,6 @@
 
 #include "state/identifiers.hpp"
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -18,8 +17,4 @@
 /// Compares two byte strings in a time that does not depend on their content.
 [[nodiscard]] bool equal_in_constant_time(std::string_view left, std::string_view right);
 
-/// A fast, stable 64-bit hash (FNV-1a with a final mix), equal on all machines. For
-/// rendezvous hashing and affinity, not for security.
-[[nodiscard]] std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
-
 } // namespace carawayturn
