Ask one place for a missing configuration, time conversions and level names

"A newer version is known to exist" was computed in five places from two getters; config_authority::behind() answers it. The names and spdlog values of log levels stood in both logs.

--- a/src/coordination/entry/config_authority.hpp
+++ b/src/coordination/entry/config_authority.hpp
@@ -35,6 +35,8 @@
     /// The newest version that was ever heard of; above version() while it is missing.
     [[nodiscard]] std::uint64_t newest_heard() const { return newest_heard_; }
     void hear_of(std::uint64_t version);
+    /// Whether a newer version than the one in force is known to exist.
+    [[nodiscard]] bool behind() const { return newest_heard_ > version(); }
 
     /// Age of the last confirmation.
     [[nodiscard]] duration age(time_point now) const;
--- a/src/state/entry/time_units.hpp
+++ b/src/state/entry/time_units.hpp
@@ -17,6 +17,12 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+[[nodiscard]] inline duration from_ms(double ms)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(ms));
+}
+
 /// Whole milliseconds, for logs and dumps.
 [[nodiscard]] inline std::int64_t to_ms(duration time)
 {
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -1,6 +1,7 @@
 #include "state/log_catalogue.hpp"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace carawayturn
@@ -114,6 +115,13 @@
 
 } // namespace
 
+std::string_view name_of(log_level level)
+{
+    static constexpr std::array<std::string_view, 4> names{"debug", "info", "warning",
+                                                           "error"};
+    return names.at(static_cast<std::size_t>(level));
+}
+
 std::span<log_event const> log_events()
 {
     return events;
--- a/src/state/log_catalogue.hpp
+++ b/src/state/log_catalogue.hpp
@@ -15,6 +15,8 @@
     error
 };
 
+[[nodiscard]] std::string_view name_of(log_level level);
+
 /// A numbered log event. Numbers are stable; docs/OPERATIONS.md lists them with cause and
 /// remedy.
 struct log_event
--- a/src/transport/entry/decision_log.cpp
+++ b/src/transport/entry/decision_log.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/decision_log.hpp"
 
 #include "state/log_catalogue.hpp"
+#include "transport/spdlog_level.hpp"
 
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/logger.h>
@@ -10,7 +11,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <climits>
 
 namespace carawayturn::entry
@@ -97,11 +97,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-constexpr std::array<std::string_view, 4> level_names{"debug", "info", "warning",
-                                                      "error"};
-constexpr std::array spdlog_levels{spdlog::level::debug, spdlog::level::info,
-                                   spdlog::level::warn, spdlog::level::err};
-
 } // namespace
 
 struct decision_log::state
@@ -131,12 +126,11 @@
     auto const* const listed = find_log_event(number);
     if (listed == nullptr)
         return;
-    auto const level = static_cast<std::size_t>(listed->level);
     std::string line = "{\"time_ms\":" + std::to_string(unix_ms());
     line += ",\"number\":" + std::to_string(number) + ",\"event\":";
     append_text(line, listed->name);
     line += ",\"level\":";
-    append_text(line, level_names.at(level));
+    append_text(line, name_of(listed->level));
     line += ",\"instance\":";
     append_text(line, state_->instance);
     for (auto const& field : fields)
@@ -147,7 +141,7 @@
         std::visit(append_value{line}, field.value);
     }
     line += '}';
-    state_->logger.log(spdlog_levels.at(level), spdlog::string_view_t(line));
+    state_->logger.log(spdlog_level(listed->level), spdlog::string_view_t(line));
 }
 
 void decision_log::flush()
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/order_codec.hpp"
 #include "platform/server_codec.hpp"
+#include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/caller_session.hpp"
 #include "transport/entry/http_call.hpp"
@@ -273,8 +274,7 @@
 
 bool entry_node::config_out_of_reach() const
 {
-    return !store_.answering() &&
-           (!authority_.current() || authority_.newest_heard() > authority_.version());
+    return !store_.answering() && (!authority_.current() || authority_.behind());
 }
 
 std::optional<std::string> entry_node::peer_to_ask()
@@ -294,7 +294,7 @@
                 {"fence", update.lease_fence},
                 {"hub_changed", std::int64_t{lease_.row_version() != before}},
                 {"config_version", authority_.version()},
-                {"config_age_ms", authority_.age(boot_now()).count() / 1000}});
+                {"config_age_ms", to_ms(authority_.age(boot_now()))}});
     follow_hub_role();
 }
 
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -88,7 +88,7 @@
     log_.write(entry_event::readiness_changed,
                {{"ready", std::int64_t{now_ready}},
                 {"config_version", authority_.version()},
-                {"config_age_ms", authority_.age(boot_now()).count() / 1000},
+                {"config_age_ms", to_ms(authority_.age(boot_now()))},
                 {"servers", std::uint64_t{board_.all().size()}}});
 }
 
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/peer_link.hpp"
 
 #include "protocol/entry/node_codec.hpp"
+#include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -184,8 +185,7 @@
         if (hub_answered_)
             services_.log.write(
                 entry_event::hub_lost,
-                {{"peer", address},
-                 {"silent_ms", (boot_now() - last_update_).count() / 1000}});
+                {{"peer", address}, {"silent_ms", to_ms(boot_now() - last_update_)}});
         co_await due_.wait(pause);
     }
 }
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -49,8 +49,7 @@
     if (!config_)
         return refusal{503, "no_configuration", soon};
     // A denial has to be true under the newest configuration.
-    bool const current =
-        authority.may_serve_keyed(now) && authority.newest_heard() <= authority.version();
+    bool const current = authority.may_serve_keyed(now) && !authority.behind();
     route_ = config_->find_route(head_.host, head_.path);
     if (route_ == nullptr)
         return current ? refusal{404, "route_unknown", {}}
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/config_codec.hpp"
 #include "platform/server_codec.hpp"
+#include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -46,24 +47,21 @@
 void store_reader::set_active(bool active)
 {
     auto const& authority = services_.authority;
-    bool const behind = authority.newest_heard() > authority.version();
-    if (active == active_ && !behind)
+    if (active == active_ && !authority.behind())
         return;
     if (active != active_)
-        services_.log.write(
-            entry_event::own_reading_changed,
-            {{"active", std::int64_t{active}},
-             {"hub_answers", std::int64_t{services_.hub.connected()}},
-             {"config_age_ms", authority.age(boot_now()).count() / 1000}});
+        services_.log.write(entry_event::own_reading_changed,
+                            {{"active", std::int64_t{active}},
+                             {"hub_answers", std::int64_t{services_.hub.connected()}},
+                             {"config_age_ms", to_ms(authority.age(boot_now()))}});
     active_ = active;
     activity_.notify();
 }
 
 duration store_reader::retry_interval() const
 {
-    auto const& authority = services_.authority;
-    bool const behind = authority.newest_heard() > authority.version();
-    return hub_tries_ && !behind ? patient_retry_interval : eager_retry_interval;
+    bool const patient = hub_tries_ && !services_.authority.behind();
+    return patient ? patient_retry_interval : eager_retry_interval;
 }
 
 bool store_reader::listed() const
@@ -75,8 +73,7 @@
 {
     for (;;)
     {
-        auto const& authority = services_.authority;
-        bool const behind = authority.newest_heard() > authority.version();
+        bool const behind = services_.authority.behind();
         if (!active_ && !behind)
         {
             co_await activity_.wait(inactive_wait);
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -1,11 +1,12 @@
 #include "transport/event_log.hpp"
 
+#include "transport/spdlog_level.hpp"
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <spdlog/logger.h>
 #include <spdlog/sinks/ostream_sink.h>
 
-#include <array>
 #include <utility>
 
 namespace carawayturn
@@ -16,20 +17,6 @@
 
 constexpr log_event unlisted{0, log_level::error, "unlisted_event"};
 
-std::string_view name_of(log_level level)
-{
-    static constexpr std::array<std::string_view, 4> names{"debug", "info", "warning",
-                                                           "error"};
-    return names.at(static_cast<std::size_t>(level));
-}
-
-spdlog::level::level_enum spdlog_level(log_level level)
-{
-    static constexpr std::array levels{spdlog::level::debug, spdlog::level::info,
-                                       spdlog::level::warn, spdlog::level::err};
-    return levels.at(static_cast<std::size_t>(level));
-}
-
 } // namespace
 
 struct event_log::state
