Open connections, send updates and read peers' messages in one place each

Connecting with a deadline stood in backend_connections and peer_link, sending an update with what it told of the directory twice in peer_link, and the log line for an unreadable message for each kind of message.

--- a/src/transport/entry/backend_connections.cpp
+++ b/src/transport/entry/backend_connections.cpp
@@ -30,16 +30,9 @@
         if (quiet_and_open(socket->socket()))
             co_return backend_connection{std::move(socket), true};
     }
-    auto const endpoint = parse_endpoint(address);
-    if (!endpoint)
-        co_return backend_connection{};
-    auto socket = std::make_shared<watched_socket>(watch_, tcp_socket(io_));
-    socket->set_deadline(std::min(deadline, boot_now() + connect_timeout));
     ++opened_;
-    auto const [failure] = co_await socket->socket().async_connect(*endpoint, use_task);
-    if (failure || !socket->socket().is_open())
-        co_return backend_connection{};
-    set_connection_options(socket->socket());
+    auto const limit = std::min(deadline, boot_now() + connect_timeout);
+    auto socket = co_await connect_to(io_, watch_, address, limit);
     co_return backend_connection{std::move(socket), false};
 }
 
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -71,6 +71,22 @@
     }
 }
 
+task<std::shared_ptr<watched_socket>> connect_to(asio::io_context& io,
+                                                 connection_watch& watch,
+                                                 std::string address, time_point deadline)
+{
+    auto const endpoint = parse_endpoint(address);
+    if (!endpoint)
+        co_return nullptr;
+    auto socket = std::make_shared<watched_socket>(watch, tcp_socket(io));
+    socket->set_deadline(deadline);
+    auto const [failure] = co_await socket->socket().async_connect(*endpoint, use_task);
+    if (failure || !socket->socket().is_open())
+        co_return nullptr;
+    set_connection_options(socket->socket());
+    co_return socket;
+}
+
 bool quiet_and_open(tcp_socket& socket)
 {
     if (!socket.is_open())
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -77,6 +78,13 @@
     std::set<watched_socket*> sockets_;
 };
 
+/// Opens a connection before the deadline, which stays set on the socket; null if that
+/// fails or the address is malformed.
+[[nodiscard]] task<std::shared_ptr<watched_socket>> connect_to(asio::io_context& io,
+                                                               connection_watch& watch,
+                                                               std::string address,
+                                                               time_point deadline);
+
 /// Whether a kept connection is still open and silent, so that it may carry a request.
 [[nodiscard]] bool quiet_and_open(tcp_socket& socket);
 
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -37,6 +37,16 @@
 {
 }
 
+template <class Message>
+std::optional<Message> peer_link::readable(result<Message> decoded)
+{
+    if (succeeded(decoded))
+        return std::get<Message>(std::move(decoded));
+    services_.log.write(entry_event::peer_message_unreadable,
+                        {{"detail", std::get<error>(decoded).detail}});
+    return std::nullopt;
+}
+
 void peer_link::start(tcp_acceptor& acceptor)
 {
     asio::co_spawn(services_.io, accept(acceptor), asio::detached);
@@ -94,56 +104,48 @@
         auto const bytes = co_await peer_connection::read(connection);
         if (!bytes)
             break;
-        auto const decoded = decode_status(*bytes);
-        if (!succeeded(decoded))
-        {
-            services_.log.write(entry_event::peer_message_unreadable,
-                                {{"detail", std::get<error>(decoded).detail}});
+        auto const read = readable(decode_status(*bytes));
+        if (!read)
             break;
-        }
-        auto const& status = std::get<node_status>(decoded);
+        auto const& status = *read;
         if (!hub_.serving())
         {
             members_.erase(key);
             peer_connection::send(connection, encode(hub_.refer(status)));
             continue;
         }
-        auto const update = hub_.reply(status);
         auto& peer = members_[key];
         peer.connection = connection;
         peer.last.node = status.node;
         peer.last.incarnation = status.incarnation;
-        peer.last.directory_hub = update.directory_hub;
-        peer.last.directory_revision = update.directory_revision;
-        peer_connection::send(connection, encode(update));
+        send_update(peer, status);
     }
     members_.erase(key);
     connection->close();
 }
 
+void peer_link::send_update(member& peer, node_status const& status)
+{
+    auto const update = hub_.reply(status);
+    peer.last.directory_hub = update.directory_hub;
+    peer.last.directory_revision = update.directory_revision;
+    peer_connection::send(peer.connection, encode(update));
+}
+
 void peer_link::push_all()
 {
     for (auto& [key, peer] : members_)
     {
-        auto const update = hub_.reply(peer.last);
-        peer.last.directory_hub = update.directory_hub;
-        peer.last.directory_revision = update.directory_revision;
-        peer_connection::send(peer.connection, encode(update));
+        send_update(peer, peer.last);
     }
 }
 
 task<std::shared_ptr<peer_connection>> peer_link::connect(std::string address)
 {
-    auto const endpoint = parse_endpoint(address);
-    if (!endpoint)
+    auto socket = co_await connect_to(services_.io, services_.watch, std::move(address),
+                                      boot_now() + connect_timeout);
+    if (!socket)
         co_return nullptr;
-    auto socket =
-        std::make_shared<watched_socket>(services_.watch, tcp_socket(services_.io));
-    socket->set_deadline(boot_now() + connect_timeout);
-    auto const [failure] = co_await socket->socket().async_connect(*endpoint, use_task);
-    if (failure || !socket->socket().is_open())
-        co_return nullptr;
-    set_connection_options(socket->socket());
     socket->set_deadline(time_point::max());
     co_return std::make_shared<peer_connection>(std::move(socket));
 }
@@ -210,7 +212,7 @@
         auto const bytes = co_await peer_connection::read(connection);
         if (!bytes)
             break;
-        auto const update = decoded(*bytes);
+        auto const update = readable(decode_update(*bytes));
         if (!update)
             break;
         if (!update->from_hub)
@@ -231,16 +233,6 @@
     due_.notify();
 }
 
-std::optional<node_update> peer_link::decoded(std::string const& bytes)
-{
-    auto update = decode_update(bytes);
-    if (succeeded(update))
-        return std::get<node_update>(std::move(update));
-    services_.log.write(entry_event::peer_message_unreadable,
-                        {{"detail", std::get<error>(update).detail}});
-    return std::nullopt;
-}
-
 task<void> peer_link::ask_peers()
 {
     steady_timer timer(services_.io);
@@ -264,7 +256,7 @@
     connection->close();
     if (!bytes)
         co_return;
-    if (auto const update = decoded(*bytes))
+    if (auto const update = readable(decode_update(*bytes)))
         sink_.referred(*update);
 }
 
--- a/src/transport/entry/peer_link.hpp
+++ b/src/transport/entry/peer_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/order_lease.hpp"
+#include "state/result.hpp"
 #include "transport/entry/entry_services.hpp"
 #include "transport/entry/peer_connection.hpp"
 
@@ -97,8 +98,10 @@
     [[nodiscard]] task<void> read_updates(std::shared_ptr<peer_connection> connection);
     [[nodiscard]] task<void> ask_peers();
     [[nodiscard]] task<void> ask_peer(std::string address);
-    /// Logs an error and returns nothing for bytes that are no update.
-    [[nodiscard]] std::optional<node_update> decoded(std::string const& bytes);
+    /// The message; an error is logged.
+    template <class Message>
+    [[nodiscard]] std::optional<Message> readable(result<Message> decoded);
+    void send_update(member& peer, node_status const& status);
     [[nodiscard]] task<std::shared_ptr<peer_connection>> connect(std::string address);
     [[nodiscard]] task<void> send_statuses(std::shared_ptr<peer_connection> connection,
                                            std::string address);
