Carry the lease row whole in messages; decide in one place when to ask peers

An update had the lease row's four fields under names of its own, filled and read field by field. peer_book decides alone when another instance is asked: the condition that the store does not answer stood at its caller, outside its tests.

--- a/src/coordination/entry/order_lease.hpp
+++ b/src/coordination/entry/order_lease.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/entry/lease_row.hpp"
 #include "state/time.hpp"
 
 #include <cstdint>
@@ -8,18 +9,6 @@
 namespace carawayturn::entry
 {
 
-/// Contents of the lease row: who gives orders to runners and serves as hub.
-struct lease_row
-{
-    /// IP address and port for other instances; empty after a release.
-    std::string holder_address;
-    std::string holder_name;
-    /// Distinguishes processes of one name.
-    std::uint64_t holder_incarnation = 0;
-    /// Grows with each change of the holder.
-    std::uint64_t fence = 0;
-};
-
 /// The lease that makes one instance the hub. The holder counts its time from when it
 /// sent the renewal, everybody else from when they saw it, so two holders never overlap.
 class order_lease
--- a/src/coordination/entry/peer_book.cpp
+++ b/src/coordination/entry/peer_book.cpp
@@ -27,9 +27,11 @@
         addresses_.pop_front();
 }
 
-std::optional<std::string> peer_book::next(duration confirmation_age, bool behind)
+std::optional<std::string> peer_book::next(bool store_answers, duration confirmation_age,
+                                           bool behind)
 {
-    if (addresses_.empty() || (confirmation_age <= patience_ && !behind))
+    bool const needed = !store_answers && (confirmation_age > patience_ || behind);
+    if (!needed || addresses_.empty())
         return std::nullopt;
     auto const address = addresses_.front();
     addresses_.pop_front();
--- a/src/coordination/entry/peer_book.hpp
+++ b/src/coordination/entry/peer_book.hpp
@@ -25,9 +25,11 @@
 
     void heard_of(std::vector<std::string> const& addresses);
 
-    /// The instance to ask now, in turn; nothing if none is needed or known. `behind`
-    /// tells that a newer configuration is known of and the store does not answer.
-    [[nodiscard]] std::optional<std::string> next(duration confirmation_age, bool behind);
+    /// The instance to ask now, in turn; nothing if none is needed or known. None is
+    /// while the store answers, as the instance's own reading then confirms the
+    /// configuration. `behind` tells that a newer configuration is known to exist.
+    [[nodiscard]] std::optional<std::string> next(bool store_answers,
+                                                  duration confirmation_age, bool behind);
 
 private:
     duration patience_;
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -79,6 +79,13 @@
     archive(value.backend, value.model);
 }
 
+template <class Archive>
+void serialize(Archive& archive, lease_row& value)
+{
+    archive(value.holder_address, value.holder_name, value.holder_incarnation,
+            value.fence);
+}
+
 template <class Archive>
 void serialize(Archive& archive, node_status& value)
 {
@@ -92,8 +99,7 @@
 void serialize(Archive& archive, node_update& value)
 {
     archive(value.from_hub, value.echo_us, value.confirmation_age_us,
-            value.config_version, value.directory_age_us, value.lease_address,
-            value.lease_holder, value.lease_incarnation, value.lease_fence,
+            value.config_version, value.directory_age_us, value.lease,
             value.lease_version, value.lease_remaining_us, value.instances,
             value.config_text, value.config_row, value.directory_hub,
             value.directory_revision, value.whole_directory, value.records, value.removed,
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/entry/backend_record.hpp"
+#include "state/entry/lease_row.hpp"
 
 #include <cstdint>
 #include <string>
@@ -119,12 +120,9 @@
     std::uint64_t config_version = 0;
     /// Time since the hub last read the backend servers from the store.
     std::int64_t directory_age_us = 0;
-    /// The lease row as the hub wrote it last, and its version; 0 for none. The whole
-    /// row: a holder that claims again keeps its address and raises the fence.
-    std::string lease_address;
-    std::string lease_holder;
-    std::uint64_t lease_incarnation = 0;
-    std::uint64_t lease_fence = 0;
+    /// The lease row as the sender knows it, and its version; 0 for none. The whole row:
+    /// a holder that claims again keeps its address and raises the fence.
+    lease_row lease;
     std::uint64_t lease_version = 0;
     std::int64_t lease_remaining_us = 0;
     std::uint32_t instances = 1;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -54,7 +54,7 @@
       board_(settings_.failure_domain, incarnation), connections_(io_, watch_),
       retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
-      lease_(own_address(), settings_.name, incarnation, lease_term),
+      lease_(own_address(settings_.peer_port), settings_.name, incarnation, lease_term),
       hub_(incarnation), services_{io_,        settings_,      watch_,
                                    authority_, board_,         connections_,
                                    quota_,     retries_,       demand_,
@@ -72,9 +72,9 @@
 
 entry_node::~entry_node() = default;
 
-std::string entry_node::own_address() const
+std::string entry_node::own_address(std::uint16_t port) const
 {
-    return settings_.ip + ":" + std::to_string(settings_.peer_port);
+    return settings_.ip + ":" + std::to_string(port);
 }
 
 result<std::monostate> entry_node::listen(tcp_acceptor& acceptor,
@@ -98,11 +98,10 @@
 
 result<std::monostate> entry_node::run()
 {
-    auto const own = settings_.ip + ":";
-    for (auto const& opened :
-         {listen(callers_, settings_.caller_address),
-          listen(readiness_, settings_.ready_address), listen(peers_, own_address()),
-          listen(scrapes_, own + std::to_string(settings_.metrics_port))})
+    for (auto const& opened : {listen(callers_, settings_.caller_address),
+                               listen(readiness_, settings_.ready_address),
+                               listen(peers_, own_address(settings_.peer_port)),
+                               listen(scrapes_, own_address(settings_.metrics_port))})
         if (!succeeded(opened))
             return opened;
     signals_.add(SIGTERM);
@@ -195,7 +194,7 @@
 {
     node_status status;
     status.node = settings_.name;
-    status.address = own_address();
+    status.address = own_address(settings_.peer_port);
     status.wants_config = config_out_of_reach();
     status.incarnation = incarnation_;
     status.sent_at_us = boot_now().time_since_epoch().count();
@@ -242,11 +241,7 @@
 
 void entry_node::add_beliefs(node_status const& status, node_update& update) const
 {
-    auto const& row = lease_.row();
-    update.lease_address = row.holder_address;
-    update.lease_holder = row.holder_name;
-    update.lease_incarnation = row.holder_incarnation;
-    update.lease_fence = row.fence;
+    update.lease = lease_.row();
     update.lease_version = lease_.row_version();
     update.lease_remaining_us = lease_.remaining(boot_now()).count();
     if (!status.wants_config || status.config_version >= authority_.version())
@@ -258,9 +253,7 @@
 void entry_node::take_beliefs(node_update const& update)
 {
     if (update.lease_version != 0)
-        lease_.observe({update.lease_address, update.lease_holder,
-                        update.lease_incarnation, update.lease_fence},
-                       update.lease_version, boot_now(),
+        lease_.observe(update.lease, update.lease_version, boot_now(),
                        duration(update.lease_remaining_us));
     authority_.hear_of(update.config_version);
     if (!update.config_text.empty())
@@ -279,10 +272,8 @@
 
 std::optional<std::string> entry_node::peer_to_ask()
 {
-    // Otherwise this instance's own reading confirms the configuration.
-    if (store_.answering())
-        return std::nullopt;
-    return peer_book_.next(authority_.age(boot_now()), config_out_of_reach());
+    return peer_book_.next(store_.answering(), authority_.age(boot_now()),
+                           config_out_of_reach());
 }
 
 void entry_node::referred(node_update const& update)
@@ -290,8 +281,8 @@
     auto const before = lease_.row_version();
     take_beliefs(update);
     log_.write(entry_event::peer_asked,
-               {{"hub", update.lease_holder},
-                {"fence", update.lease_fence},
+               {{"hub", update.lease.holder_name},
+                {"fence", update.lease.fence},
                 {"hub_changed", std::int64_t{lease_.row_version() != before}},
                 {"config_version", authority_.version()},
                 {"config_age_ms", to_ms(authority_.age(boot_now()))}});
@@ -418,9 +409,10 @@
     {
         auto const answer = co_await http_call(connections_, std::move(call));
         if (answer)
+        {
             status = answer->status;
-        if (answer)
-            outcome = platform::decode_order_status(answer->status);
+            outcome = platform::decode_order_status(status);
+        }
     }
     else
     {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -60,8 +60,7 @@
     [[nodiscard]] std::optional<std::string> peer_to_ask() override;
 
 private:
-    /// Where other instances reach this one.
-    [[nodiscard]] std::string own_address() const;
+    [[nodiscard]] std::string own_address(std::uint16_t port) const;
     [[nodiscard]] result<std::monostate> listen(tcp_acceptor& acceptor,
                                                 std::string const& address);
     [[nodiscard]] task<void> tick();
--- a/tests/entry/peer_book_test.cpp
+++ b/tests/entry/peer_book_test.cpp
@@ -21,21 +21,27 @@
 // Guards against instances that ask each other all the time.
 TEST_F(peer_book_test, fresh_confirmation_asks_nobody)
 {
-    EXPECT_FALSE(book_.next(milliseconds(1900), false));
+    EXPECT_FALSE(book_.next(false, milliseconds(1900), false));
+}
+
+// Guards against questions whose answer the instance's own reading gives.
+TEST_F(peer_book_test, answering_store_asks_nobody)
+{
+    EXPECT_FALSE(book_.next(true, milliseconds(2100), true));
 }
 
 // Guards against an instance that goes on asking one that is cut off, too.
 TEST_F(peer_book_test, old_confirmation_asks_one_after_the_other)
 {
-    EXPECT_EQ(book_.next(milliseconds(2100), false), "10.0.0.1:1");
-    EXPECT_EQ(book_.next(milliseconds(2100), false), "10.0.0.2:1");
-    EXPECT_EQ(book_.next(milliseconds(2100), false), "10.0.0.1:1");
+    EXPECT_EQ(book_.next(false, milliseconds(2100), false), "10.0.0.1:1");
+    EXPECT_EQ(book_.next(false, milliseconds(2100), false), "10.0.0.2:1");
+    EXPECT_EQ(book_.next(false, milliseconds(2100), false), "10.0.0.1:1");
 }
 
 // Guards against a configuration that is known of and never fetched.
 TEST_F(peer_book_test, missing_configuration_asks_at_once)
 {
-    EXPECT_TRUE(book_.next(milliseconds(100), true));
+    EXPECT_TRUE(book_.next(false, milliseconds(100), true));
 }
 
 // Guards against memory that grows with the fleet, and against stale addresses.
@@ -44,9 +50,9 @@
     for (int i = 10; i < 30; ++i)
         book_.heard_of({"10.0.0." + std::to_string(i) + ":1"});
     for (int i = 22; i < 30; ++i)
-        EXPECT_EQ(book_.next(milliseconds(2100), false),
+        EXPECT_EQ(book_.next(false, milliseconds(2100), false),
                   "10.0.0." + std::to_string(i) + ":1");
-    EXPECT_EQ(book_.next(milliseconds(2100), false), "10.0.0.22:1");
+    EXPECT_EQ(book_.next(false, milliseconds(2100), false), "10.0.0.22:1");
 }
 
 // Guards against updates that name the same instances each time, and the asker itself.
