Name the reasons of refusals in one table

A refusal carried its status and its name as a bare string at each of 22 places. Charging the quota noted the charged units in three branches; they are the request's units or nothing.

--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -47,27 +47,27 @@
     auto& authority = services_.authority;
     config_ = authority.current();
     if (!config_)
-        return refusal{503, "no_configuration", soon};
+        return refusal{refusal_reason::no_configuration, soon};
     // A denial has to be true under the newest configuration.
     bool const current = authority.may_serve_keyed(now) && !authority.behind();
     route_ = config_->find_route(head_.host, head_.path);
     if (route_ == nullptr)
-        return current ? refusal{404, "route_unknown", {}}
-                       : refusal{503, "configuration_stale", soon};
+        return current ? refusal{refusal_reason::route_unknown, {}}
+                       : refusal{refusal_reason::configuration_stale, soon};
     if (config_->keys_required() && !route_->open)
     {
         if (!authority.may_serve_keyed(now))
-            return refusal{503, "configuration_stale", later};
+            return refusal{refusal_reason::configuration_stale, later};
         organisation_ = config_->find_organisation(head_.key);
         if (organisation_ == nullptr)
-            return current ? refusal{401, "key_unknown", {}}
-                           : refusal{503, "configuration_stale", soon};
+            return current ? refusal{refusal_reason::key_unknown, {}}
+                           : refusal{refusal_reason::configuration_stale, soon};
     }
     signature_ =
         request_signature({request_.target().data(), request_.target().size()},
                           organisation_ ? organisation_->name : "", request_.body());
     if (services_.crashes.blocked(signature_))
-        return refusal{500, "request_crashes_servers", {}};
+        return refusal{refusal_reason::request_crashes_servers, {}};
     std::uint32_t total = 0;
     for (auto const& target : route_->targets)
         total += target.weight;
@@ -80,7 +80,7 @@
         pick -= target.weight;
     }
     if (service_ == nullptr)
-        return refusal{503, "service_unknown", later};
+        return refusal{refusal_reason::service_unknown, later};
     if (!service_->engine)
         head_.model = {};
     set_deadlines();
@@ -109,47 +109,47 @@
     units_ = 1;
     if (organisation_->by_tokens)
         units_ = head_.tokens > 0 ? head_.tokens : organisation_->plain_tokens;
-    auto const units = units_;
+    auto const refused = co_await spend_units();
+    charged_ = !refused;
+    co_return refused;
+}
+
+task<std::optional<request_flow::refusal>> request_flow::spend_units()
+{
     auto const& name = organisation_->name;
-    auto const now = boot_now();
-    if (services_.quota.spend(name, units))
-    {
-        charged_ = units;
+    if (services_.quota.spend(name, units_))
         co_return std::nullopt;
-    }
-    auto const blocked = services_.quota.blocked_for(name, units, now);
+    auto const blocked = services_.quota.blocked_for(name, units_, boot_now());
     if (blocked > duration::zero())
-        co_return refusal{429, "over_rate", blocked};
+        co_return refusal{refusal_reason::over_rate, blocked};
     auto const instances = services_.hub.instances();
     double const reserve =
         organisation_->rate * quota_reserve_s / static_cast<double>(instances);
     std::optional<quota_reply> reply;
     if (services_.hub.connected())
-        reply = co_await services_.hub.ask_quota(name, units, reserve);
+        reply = co_await services_.hub.ask_quota(name, units_, reserve);
     if (!reply)
     {
         quota_terms const terms{organisation_->rate, organisation_->burst};
-        if (!services_.quota.spend_alone(name, terms, units, instances, boot_now()))
-            co_return refusal{429, "over_rate_alone", later};
-        charged_ = units;
-        co_return std::nullopt;
+        if (services_.quota.spend_alone(name, terms, units_, instances, boot_now()))
+            co_return std::nullopt;
+        co_return refusal{refusal_reason::over_rate_alone, later};
     }
-    if (reply->units >= units)
+    if (reply->units >= units_)
     {
-        services_.quota.deposit(name, reply->units - units);
-        charged_ = units;
+        services_.quota.deposit(name, reply->units - units_);
         co_return std::nullopt;
     }
     duration const wait(reply->retry_after_us);
-    services_.quota.block(name, units, boot_now() + wait);
-    co_return refusal{429, "over_rate", wait};
+    services_.quota.block(name, units_, boot_now() + wait);
+    co_return refusal{refusal_reason::over_rate, wait};
 }
 
 void request_flow::refund_quota()
 {
-    if (charged_ > 0 && runs_ == 0)
-        services_.quota.deposit(organisation_->name, charged_);
-    charged_ = 0;
+    if (charged_ && runs_ == 0)
+        services_.quota.deposit(organisation_->name, units_);
+    charged_ = false;
 }
 
 task<bool> request_flow::run()
@@ -201,22 +201,22 @@
                               time_point now) const
 {
     if (now >= start_deadline_)
-        return refusal{503, "deadline_unreachable", later};
+        return refusal{refusal_reason::deadline_unreachable, later};
     // Another instance can wait for it longer than this one lives.
     if (services_.draining)
-        return refusal{503, "draining", now_elsewhere};
+        return refusal{refusal_reason::draining, now_elsewhere};
     if (outcome == choice_outcome::full)
-        return refusal{503, "backends_full", later};
+        return refusal{refusal_reason::backends_full, later};
     if (outcome == choice_outcome::no_backend)
-        return refusal{503, "no_backend", later};
+        return refusal{refusal_reason::no_backend, later};
     if (outcome != choice_outcome::model_absent)
         return std::nullopt;
     auto const ready = services_.demand.ready_in(service_->name, head_.model.model, now);
     if (ready && now + *ready > start_deadline_)
-        return refusal{503, "model_too_late", *ready};
+        return refusal{refusal_reason::model_too_late, *ready};
     auto const asked_since = std::max(waiting_since, services_.hub.last_without_orders());
     if (!ready && now - asked_since > estimate_patience)
-        return refusal{503, "model_not_placed", later};
+        return refusal{refusal_reason::model_not_placed, later};
     return std::nullopt;
 }
 
@@ -245,7 +245,7 @@
         }
         refused = waiting_refusal(choice.outcome, began, now);
         if (!refused && abandoned_)
-            refused = refusal{503, "caller_gone", {}};
+            refused = refusal{refusal_reason::caller_gone, {}};
         if (refused)
             break;
         if (!waiting)
@@ -332,12 +332,12 @@
         co_return false;
     case attempt_end::not_run:
         if (runs_ == 0)
-            co_return co_await refuse({503, "not_run_by_backends", soon});
-        co_return co_await refuse({502, "backend_failed", {}});
+            co_return co_await refuse({refusal_reason::not_run_by_backends, soon});
+        co_return co_await refuse({refusal_reason::backend_failed, {}});
     case attempt_end::late:
-        co_return co_await refuse({504, "deadline_passed", {}});
+        co_return co_await refuse({refusal_reason::deadline_passed, {}});
     case attempt_end::unknown:
-        co_return co_await refuse({502, "backend_failed", {}});
+        co_return co_await refuse({refusal_reason::backend_failed, {}});
     case attempt_end::stream_broken:
         log_end("stream_broken", 0);
         co_return false;
@@ -345,28 +345,26 @@
     co_return false;
 }
 
-task<bool> request_flow::refuse(refusal reason)
+task<bool> request_flow::refuse(refusal why)
 {
     http::response_header<> head;
-    head.result(reason.status);
+    head.result(status_of(why.reason));
     head.set(http::field::content_type, "application/json");
     platform::set_request_id(head, head_.id);
-    if (reason.retry_after > duration::zero())
+    if (why.retry_after > duration::zero())
     {
         // Spreads the returning callers, so that they do not come back as one.
         double const spread =
             1.0 + static_cast<double>(services_.random() % 250) / 1000.0;
-        double const seconds = to_seconds(reason.retry_after) * spread;
+        double const seconds = to_seconds(why.retry_after) * spread;
         std::array<char, 32> text{};
         std::snprintf(text.data(), text.size(), "%.2f", std::max(seconds, 0.01));
         head.set(http::field::retry_after, text.data());
     }
-    std::string body = R"({"error":{"code":")";
-    body += reason.reason;
-    body += R"("}})";
-    services_.metrics.count("refused_total{reason=\"" + std::string(reason.reason) +
-                            "\"}");
-    log_end(reason.reason, reason.status);
+    std::string const name(entry::name_of(why.reason));
+    std::string body = R"({"error":{"code":")" + name + R"("}})";
+    services_.metrics.count("refused_total{reason=\"" + name + "\"}");
+    log_end(name, status_of(why.reason));
     co_return co_await writer_.write(std::move(head), std::move(body));
 }
 
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/request_codec.hpp"
 #include "protocol/entry/event_splitter.hpp"
+#include "state/entry/refusal_reason.hpp"
 #include "transport/entry/backend_exchange.hpp"
 #include "transport/entry/entry_services.hpp"
 
@@ -72,8 +73,7 @@
     };
     struct refusal
     {
-        unsigned status = 503;
-        std::string_view reason;
+        refusal_reason reason = refusal_reason::no_configuration;
         /// Zero for none.
         duration retry_after{};
     };
@@ -81,6 +81,7 @@
     [[nodiscard]] static std::string_view name_of(attempt_end end);
     [[nodiscard]] std::optional<refusal> admit();
     [[nodiscard]] task<std::optional<refusal>> charge_quota();
+    [[nodiscard]] task<std::optional<refusal>> spend_units();
     void refund_quota();
     void set_deadlines();
     [[nodiscard]] task<bool> attempts();
@@ -97,7 +98,7 @@
     [[nodiscard]] attempt_end rejected(platform::answer_facts const& facts);
     [[nodiscard]] bool may_repeat(attempt_end end);
     [[nodiscard]] task<bool> answer_end(attempt_end end);
-    [[nodiscard]] task<bool> refuse(refusal reason);
+    [[nodiscard]] task<bool> refuse(refusal why);
     [[nodiscard]] time_point first_byte_deadline() const;
     [[nodiscard]] backend_wish wish() const;
     void log_end(std::string_view outcome, unsigned status);
@@ -115,8 +116,7 @@
     std::uint64_t signature_ = 0;
     /// What the request costs of the organisation's quota.
     double units_ = 0;
-    /// The part of it that was charged.
-    double charged_ = 0;
+    bool charged_ = false;
     /// End of all work.
     time_point deadline_{};
     /// Until then the first event or the answer has to begin.
--- /dev/null
+++ b/tests/entry/refusal_reason_test.cpp
@@ -0,0 +1,35 @@
+#include "state/entry/refusal_reason.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+// Guards against a reason that operators meet in a log and find nowhere explained.
+TEST(refusal_reason_test, every_reason_stands_on_the_operators_page)
+{
+    std::ostringstream page;
+    page << std::ifstream(CARAWAYTURN_OPERATIONS_PAGE).rdbuf();
+    for (int i = 0; i <= static_cast<int>(refusal_reason::deadline_passed); ++i)
+    {
+        auto const reason = static_cast<refusal_reason>(i);
+        EXPECT_NE(page.str().find("`" + std::string(name_of(reason)) + "`"),
+                  std::string::npos)
+            << name_of(reason);
+    }
+}
+
+// Guards against a promise that a request has not run where it may have.
+TEST(refusal_reason_test, failures_after_a_send_promise_nothing)
+{
+    EXPECT_EQ(status_of(refusal_reason::backend_failed), 502U);
+    EXPECT_EQ(status_of(refusal_reason::deadline_passed), 504U);
+}
+
+} // namespace
+} // namespace carawayturn::entry
