Tell instances of a server only when something changed that they are told

The directory gave each change of the weights that a runner keeps a new revision, which was pushed to all instances with exactly these lists cut out. What instances are told is decided and compared in directory_log now. The result of publish() was used by nobody, and the number of wanted copies was worked out twice for each model in a plan.

--- a/src/coordination/entry/directory_log.cpp
+++ b/src/coordination/entry/directory_log.cpp
@@ -3,17 +3,26 @@
 namespace carawayturn::entry
 {
 
-bool directory_log::put(backend_record record)
-{
-    auto const found = entries_.find(record.id);
-    record.number =
-        found != entries_.end() ? found->second.record.number : ++last_number_;
-    if (found != entries_.end() && !found->second.removed &&
-        found->second.record == record)
-        return false;
-    auto const id = record.id;
-    entries_[id] = {std::move(record), ++revision_, false};
-    return true;
+namespace
+{
+
+backend_record as_told(backend_record record)
+{
+    record.cached_in_memory.clear();
+    record.cached_on_disk.clear();
+    return record;
+}
+
+} // namespace
+
+void directory_log::put(backend_record record)
+{
+    auto& known = entries_[record.id];
+    record.number = known.revision != 0 ? known.record.number : ++last_number_;
+    if (known.revision == 0 || known.removed || as_told(known.record) != as_told(record))
+        known.revision = ++revision_;
+    known.removed = false;
+    known.record = std::move(record);
 }
 
 std::uint16_t directory_log::number_of(std::string const& id) const
@@ -45,7 +54,7 @@
         if (!update.whole_directory && item.revision <= known_revision)
             continue;
         if (!item.removed)
-            update.records.push_back(item.record);
+            update.records.push_back(as_told(item.record));
         else if (!update.whole_directory)
             update.removed.push_back(id);
     }
--- a/src/coordination/entry/directory_log.hpp
+++ b/src/coordination/entry/directory_log.hpp
@@ -17,8 +17,9 @@
 public:
     explicit directory_log(std::uint64_t hub_incarnation) : hub_(hub_incarnation) {}
 
-    /// Gives the record a number. Returns whether anything changed.
-    bool put(backend_record record);
+    /// Gives the record a number, and a revision if it changed for other instances. They
+    /// are not told which weights a server keeps, since only the hub places models.
+    void put(backend_record record);
     /// The server's number, or 0.
     [[nodiscard]] std::uint16_t number_of(std::string const& id) const;
     void remove(std::string const& id);
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -77,17 +77,6 @@
     return {ask.ask_id, granted.units, granted.retry_after.count()};
 }
 
-void hub_state::add_directory(node_status const& known, node_update& update) const
-{
-    directory_.add_changes(known.directory_hub, known.directory_revision, update);
-    for (auto& record : update.records)
-    {
-        // Only the hub places models.
-        record.cached_in_memory.clear();
-        record.cached_on_disk.clear();
-    }
-}
-
 void hub_state::follow_fleet(time_point now)
 {
     fleet_.expire(now);
@@ -110,7 +99,7 @@
             update.quota.push_back(grant(ask, *authority.current(), now));
     crashes_.add(status.crashes, now);
     crashes_.survived(status.survived, now);
-    add_directory(status, update);
+    directory_.add_changes(status.directory_hub, status.directory_revision, update);
     update.complete = status.complete;
     if (!status.complete)
         return update;
@@ -148,13 +137,11 @@
     return orders;
 }
 
-bool hub_state::publish()
+void hub_state::publish()
 {
-    bool changed = false;
     for (auto const& id : planner_.take_changed())
         if (auto const* const view = planner_.view(id))
-            changed = directory_.put(*view) || changed;
-    return changed;
+            directory_.put(*view);
 }
 
 } // namespace carawayturn::entry
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -43,15 +43,14 @@
                                                  time_point now);
 
     [[nodiscard]] placement_planner& planner() { return planner_; }
-    /// Moves what the planner learned into the directory; true if anything changed.
-    bool publish();
+    /// Moves what the planner learned into the directory.
+    void publish();
     [[nodiscard]] std::uint64_t revision() const { return directory_.revision(); }
     [[nodiscard]] std::size_t instances() const;
     [[nodiscard]] std::map<std::string, backend_record> servers() const
     {
         return directory_.records();
     }
-    void add_directory(node_status const& known, node_update& update) const;
 
 private:
     [[nodiscard]] bool is_runner(backend_record const& record) const;
--- a/src/coordination/entry/placement_choice.cpp
+++ b/src/coordination/entry/placement_choice.cpp
@@ -155,9 +155,9 @@
         auto const demand = demand_of(service.name, model.name);
         auto const counts = counts_of(service.name, model.name);
         auto const copies = counts.copies + counts.planned;
-        if (copies >= wanted_copies(service, model.name))
-            continue;
         double const requests = demand.waiting + demand.in_flight - copies * per_copy;
+        if (requests <= 0)
+            continue;
         auto const reason = copies == 0 ? load_reason::absent : load_reason::crowded;
         needed.push_back({&model, requests, reason});
     }
--- a/tests/entry/placement_planner_test.cpp
+++ b/tests/entry/placement_planner_test.cpp
@@ -447,6 +447,24 @@
     EXPECT_TRUE(second.records[0].draining);
 }
 
+// Guards against updates to all instances at each load of weights: they carried what
+// instances are not told, and nothing else had changed.
+TEST_F(hub_state_test, kept_weights_alone_are_no_change_for_instances)
+{
+    auto record = plain_server(false);
+    hub_.put_server(record, at(0));
+    auto const revision = hub_.revision();
+    record.cached_on_disk = {"m1"};
+    hub_.put_server(record, at(10));
+    EXPECT_EQ(hub_.revision(), revision);
+    EXPECT_EQ(hub_.servers().at("p1").cached_on_disk, record.cached_on_disk);
+    node_status status;
+    status.node = "n1";
+    auto const update = hub_.answer(status, authority_, at(20));
+    ASSERT_EQ(update.records.size(), 1U);
+    EXPECT_TRUE(update.records[0].cached_on_disk.empty());
+}
+
 class directory_follower_test : public testing::Test
 {
 protected:
