Move the hub's duties out of entry_node.cpp; add members in one place in tests

What an instance does to become the hub and as hub (lease, orders, reports, pushes) is in entry_hub.cpp, unchanged. The process tests waited for a member in five places; add_member() does, and also waits in the two tests that did not until it relies on the hub.

--- a/src/protocol/caller_codec.cpp
+++ b/src/protocol/caller_codec.cpp
@@ -1,7 +1,7 @@
 #include "protocol/caller_codec.hpp"
 
-#include "state/stable_hash.hpp"
 #include "state/json_fields.hpp"
+#include "state/stable_hash.hpp"
 #include "state/strict_json.hpp"
 
 #include <boost/json/serialize.hpp>
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -1,11 +1,8 @@
 #include "transport/entry/entry_node.hpp"
 
-#include "platform/order_codec.hpp"
-#include "platform/server_codec.hpp"
 #include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/caller_session.hpp"
-#include "transport/entry/http_call.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,18 +18,9 @@
 
 /// Validity of the hub's lease.
 constexpr duration lease_term = std::chrono::milliseconds(2400);
-/// The hub sends no order with less of its lease left.
-constexpr duration order_margin = std::chrono::milliseconds(200);
 /// The settings file may change without a signal.
 constexpr duration settings_check_interval = std::chrono::seconds(1);
 constexpr duration tick_interval = std::chrono::milliseconds(50);
-/// The hub plans this often without a cause, and waits this long after each plan.
-constexpr duration plan_interval = std::chrono::milliseconds(50);
-constexpr duration idle_plan_interval = std::chrono::milliseconds(500);
-constexpr duration least_plan_pause = std::chrono::milliseconds(5);
-constexpr duration plan_pause_per_instance = std::chrono::microseconds(400);
-constexpr duration order_timeout = std::chrono::milliseconds(1000);
-constexpr duration report_timeout = std::chrono::milliseconds(500);
 /// A hub that has not read the store for longer is not relied on; each instance then
 /// reads itself. The hub asks for servers every 400 ms and waits 800 ms for the
 /// configuration.
@@ -341,154 +329,6 @@
     changes_.notify();
 }
 
-task<void> entry_node::keep_lease()
-{
-    for (;;)
-    {
-        bool const hub_holds =
-            link_.connected() && lease_.remaining(boot_now()) > duration::zero();
-        auto const pause = co_await keeper_.step(hub_holds);
-        follow_hub_role();
-        steady_timer timer(io_);
-        timer.expires_after(pause);
-        co_await timer.async_wait(use_task);
-    }
-}
-
-void entry_node::follow_hub_role()
-{
-    // Without the store nobody can claim the lease, and the last holder goes on granting
-    // quotas and telling what it knows; its orders end with the lease.
-    bool const own = lease_.own_row() && !draining_;
-    if (own == hub_active_)
-        return;
-    hub_active_ = own;
-    metrics_.set_gauge("hub", own ? 1 : 0);
-    if (!own)
-    {
-        log_.write(entry_event::lease_lost, {{"fence", lease_.fence()}});
-        return;
-    }
-    auto const servers = hub_.servers();
-    hub_.start(keeper_.first_holder());
-    for (auto const& [id, record] : servers)
-        hub_.put_server(record, boot_now());
-    pushed_revision_ = hub_.revision();
-    link_.hurry();
-}
-
-void entry_node::plan_orders()
-{
-    auto const now = boot_now();
-    if (!hub_active_ || !lease_.held(now, order_margin) || !reader_.listed())
-        return;
-    for (auto& order : hub_.plan(authority_, now))
-        asio::co_spawn(io_, send_order(std::move(order)), asio::detached);
-    for (auto const& id : hub_.planner().wanted_reports(now))
-        asio::co_spawn(io_, ask_report(id), asio::detached);
-    hub_.publish();
-}
-
-task<void> entry_node::send_order(runner_order order)
-{
-    call_request call;
-    call.peer = order.runner;
-    call.address = order.address;
-    call.method = boost::beast::http::verb::post;
-    call.target = platform::order_target;
-    call.body = platform::encode_order(order, settings_.name, lease_.fence());
-    call.server_id = order.runner;
-    call.timeout = order_timeout;
-    auto const now = boot_now();
-    call.send_before = now + lease_.remaining(now) - order_margin;
-    auto const target = order.target.str();
-    bool const load = order.what == runner_order::action::load;
-    auto outcome = order_outcome::unknown;
-    unsigned status = 0;
-    if (lease_.held(boot_now(), order_margin))
-    {
-        auto const answer = co_await http_call(connections_, std::move(call));
-        if (answer)
-        {
-            status = answer->status;
-            outcome = platform::decode_order_status(status);
-        }
-    }
-    else
-    {
-        outcome = order_outcome::conflict;
-    }
-    metrics_.count("orders_total");
-    log_.write(entry_event::order_ended, {{"server", order.runner},
-                                          {"model", target},
-                                          {"load", std::int64_t{load}},
-                                          {"reason", name_of(order.reason)},
-                                          {"from_store", std::int64_t{order.from_store}},
-                                          {"expected_count", order.expected_count},
-                                          {"fence", lease_.fence()},
-                                          {"status", std::uint64_t{status}}});
-    hub_.planner().order_answered(order, outcome, boot_now());
-    plan_due_.notify();
-}
-
-task<void> entry_node::ask_report(std::string id)
-{
-    auto const* const record = hub_.planner().view(id);
-    if (record == nullptr)
-        co_return;
-    call_request call;
-    call.peer = id;
-    call.address = record->address;
-    call.target = platform::report_target;
-    call.server_id = id;
-    call.timeout = report_timeout;
-    metrics_.count("reports_total");
-    auto const answer = co_await http_call(connections_, std::move(call));
-    auto const now = boot_now();
-    if (!answer || answer->status != 200)
-    {
-        hub_.planner().report_failed(id, now);
-        co_return;
-    }
-    auto const report = platform::decode_report(id, answer->body);
-    if (!succeeded(report))
-    {
-        log_.write(entry_event::report_unreadable,
-                   {{"server", id}, {"detail", std::get<error>(report).detail}});
-        hub_.planner().report_failed(id, now);
-        co_return;
-    }
-    hub_.planner().reported(id, std::get<runner_report>(report), now);
-}
-
-void entry_node::push_changes()
-{
-    if (!hub_active_ ||
-        (hub_.revision() == pushed_revision_ && authority_.version() == pushed_config_))
-        return;
-    pushed_revision_ = hub_.revision();
-    pushed_config_ = authority_.version();
-    link_.push_all();
-    updated(reply(status(false)));
-}
-
-task<void> entry_node::plan_as_hub()
-{
-    steady_timer timer(io_);
-    for (;;)
-    {
-        co_await plan_due_.wait(hub_active_ ? plan_interval : idle_plan_interval);
-        if (!hub_active_)
-            continue;
-        plan_orders();
-        push_changes();
-        // Bounds the work of a hub with many instances.
-        timer.expires_after(least_plan_pause +
-                            plan_pause_per_instance * static_cast<int>(hub_.instances()));
-        co_await timer.async_wait(use_task);
-    }
-}
-
 task<void> entry_node::tick()
 {
     steady_timer timer(io_);
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -37,6 +37,16 @@
         for service in [*self.plain, *self.runners, self.store]:
             service.close()
 
+    def add_member(self, name: str) -> Instance:
+        """Adds an instance; returns once it relies on the hub."""
+        member = Instance(self.store, name)
+        self.instances.append(member)
+        wait_until(lambda: member.state().get("hub", {}).get("answers"),
+                   f"{name} found the hub")
+        wait_until(lambda: not member.state()["store"]["read_by_this_instance"],
+                   f"{name} relies on the hub")
+        return member
+
     def runs(self) -> list[dict]:
         return [run for server in self.plain + self.runners for run in server.ran]
 
@@ -204,9 +214,7 @@
     def test_hub_that_claimed_again_successor_raises_its_fence(self) -> None:
         """Guards against two holders under one fence: the second instance knew the row's
         version but not the fence of a hub that had claimed again (trouble-3, ONE)."""
-        second = Instance(self.store, "n2")
-        self.instances.append(second)
-        wait_until(lambda: second.state().get("hub", {}).get("answers"), "n2 found the hub")
+        second = self.add_member("n2")
         self.instance.stop()
         self.instance.start()
         wait_until(lambda: self.store.get("carawayturn", "hub")["fence"] == 2,
@@ -220,11 +228,7 @@
     def test_instance_that_begins_to_read_lists_the_servers(self) -> None:
         """Guards against a feed that replays, a part at a time, every change since this
         instance read last, and shows servers that are long gone."""
-        second = Instance(self.store, "n2")
-        self.instances.append(second)
-        wait_until(lambda: second.state().get("hub", {}).get("answers"), "n2 found the hub")
-        wait_until(lambda: not second.state()["store"]["read_by_this_instance"],
-                   "n2 relies on the hub")
+        second = self.add_member("n2")
         second.door.calls.clear()
         self.instance.stop()
 
@@ -236,9 +240,7 @@
 
     def test_store_turns_the_hub_away_leaving_server_is_seen(self) -> None:
         """Guards against members that rely on a hub which cannot read (scale-2, DRAIN)."""
-        second = Instance(self.store, "n2")
-        self.instances.append(second)
-        wait_until(lambda: second.state().get("hub", {}).get("answers"), "n2 found the hub")
+        second = self.add_member("n2")
         self.instance.door.refuse = True
         self.plain[0].record("draining")
         wait_until(lambda: any(server["id"] == "p0" and server["draining"]
@@ -248,13 +250,8 @@
     def test_store_turns_hub_and_member_away_member_finds_the_next_hub(self) -> None:
         """Guards against a member that stays with a hub which lost its lease without
         knowing: both were turned away by the store (incident inc-e2ed)."""
-        second, third = Instance(self.store, "n2"), Instance(self.store, "n3")
-        self.instances += [second, third]
+        second, third = self.add_member("n2"), self.add_member("n3")
         for member in (second, third):
-            wait_until(lambda m=member: m.state().get("hub", {}).get("answers"),
-                       "the member found the hub")
-            wait_until(lambda m=member: not m.state()["store"]["read_by_this_instance"],
-                       "the member relies on the hub")
             wait_until(lambda m=member: m.state()["hub"]["peers_known"] == 2,
                        "the member knows both other instances")
         self.instance.door.refuse = third.door.refuse = True
@@ -269,11 +266,7 @@
     def test_absent_store_is_tried_by_the_hub_more_than_by_members(self) -> None:
         """Guards against a fleet that sends its calls to a store which refuses all of
         them: with 142 instances they were half of a day's calls."""
-        second = Instance(self.store, "n2")
-        self.instances.append(second)
-        wait_until(lambda: second.state().get("hub", {}).get("answers"), "n2 found the hub")
-        wait_until(lambda: not second.state()["store"]["read_by_this_instance"],
-                   "n2 relies on the hub")
+        second = self.add_member("n2")
         self.store.refuse = True
         second.door.calls.clear()
         wait_until(lambda: len(second.door.calls) >= 2, "n2 tries the store itself")
