Pass long answers on as they arrive; bound events; progress of a stream is an event

Now: 64 KB are kept, what is longer is passed on; 256 KB for an event, each byte searched once; only events with data count as progress; a stream that may not go on elsewhere keeps its time. Found by the new tests on the way: an empty piece was written as the last chunk, so that an endless answer looked complete; a break-off towards an HTTP/1.0 caller looks complete without a reset.

--- a/src/protocol/entry/event_splitter.cpp
+++ b/src/protocol/entry/event_splitter.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Longest mark of an event's end.
+constexpr std::size_t longest_blank = 3;
+
 /// Position after the last blank line, or 0.
 std::size_t end_of_events(std::string_view bytes)
 {
@@ -40,6 +43,19 @@
     return {};
 }
 
+/// Whether a line of the events begins with this field.
+bool has_field(std::string_view events, std::string_view field)
+{
+    auto found = events.find(field);
+    while (found != std::string_view::npos)
+    {
+        if (found == 0 || events[found - 1] == '\n')
+            return true;
+        found = events.find(field, found + 1);
+    }
+    return false;
+}
+
 } // namespace
 
 void event_splitter::append(std::string_view bytes)
@@ -49,14 +65,19 @@
 
 std::string event_splitter::take_events()
 {
-    auto const end = end_of_events(pending_);
+    auto const begin = searched_ - std::min(searched_, longest_blank - 1);
+    auto const end = end_of_events(std::string_view(pending_).substr(begin));
+    searched_ = pending_.size();
+    took_data_ = false;
     if (end == 0)
         return {};
-    std::string events = pending_.substr(0, end);
-    pending_.erase(0, end);
+    std::string events = pending_.substr(0, begin + end);
+    pending_.erase(0, begin + end);
+    searched_ = pending_.size();
     auto const id = last_id_in(events);
     if (!id.empty())
         last_id_ = id;
+    took_data_ = !id.empty() || has_field(events, "data");
     return events;
 }
 
--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -6,6 +6,9 @@
 namespace carawayturn::entry
 {
 
+/// Longest event, in bytes.
+inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+
 /// Cuts a text/event-stream into whole events, so that a stream that breaks off in the
 /// middle of an event can go on at another backend server.
 class event_splitter
@@ -15,17 +18,28 @@
 
     /// Takes all whole events; empty if there is none.
     [[nodiscard]] std::string take_events();
+    /// Whether the events taken last carry data or an id; comment lines do not.
+    [[nodiscard]] bool took_data() const { return took_data_; }
+    /// Whether the event that has not ended is longer than any sound one.
+    [[nodiscard]] bool overlong() const { return pending_.size() > max_event_bytes; }
 
     /// The id of the last event taken; empty before the first one with an id.
     [[nodiscard]] std::string const& last_id() const { return last_id_; }
     /// Bytes of an event that has not ended.
     [[nodiscard]] std::string const& rest() const { return pending_; }
     /// Forgets an event that has not ended.
-    void drop_rest() { pending_.clear(); }
+    void drop_rest()
+    {
+        pending_.clear();
+        searched_ = 0;
+    }
 
 private:
     std::string pending_;
+    /// Bytes of it in which no end of an event was found, so that each is searched once.
+    std::size_t searched_ = 0;
     std::string last_id_;
+    bool took_data_ = false;
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -153,6 +153,14 @@
     co_return read_outcome::failed;
 }
 
+std::optional<std::uint64_t> backend_exchange::length() const
+{
+    auto const told = parser_->content_length();
+    if (!told)
+        return std::nullopt;
+    return *told;
+}
+
 void backend_exchange::note_failure(boost::system::error_code failure)
 {
     failure_ = socket_->expired() ? "deadline passed" : failure.message();
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -41,12 +41,17 @@
     [[nodiscard]] task<read_outcome> read_head();
     [[nodiscard]] http::response_header<> const& head() const { return parser_->get(); }
 
+    /// Length of the answer's body, if its head tells.
+    [[nodiscard]] std::optional<std::uint64_t> length() const;
+
     /// Reads on; on `more` body() holds the next piece, which may be empty.
     [[nodiscard]] task<read_outcome> read_body();
     [[nodiscard]] std::string_view body() const { return {piece_.data(), piece_size_}; }
 
     /// Why reading or writing failed, for the log; empty if it did not.
     [[nodiscard]] std::string const& failure() const { return failure_; }
+    /// Notes why the answer is not used.
+    void fail(std::string reason) { failure_ = std::move(reason); }
     void set_deadline(time_point deadline) { socket_->set_deadline(deadline); }
     void close() { socket_->close(); }
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -48,7 +48,8 @@
     task<void> run();
 
     task<bool> write(http::response_header<> head, std::string body) override;
-    task<bool> begin(http::response_header<> head) override;
+    task<bool> begin(http::response_header<> head,
+                     std::optional<std::uint64_t> length) override;
     task<bool> append(std::string_view bytes) override;
     task<bool> end() override;
 
@@ -70,6 +71,10 @@
     boost::beast::flat_buffer buffer_;
     bool keep_alive_ = true;
     bool head_request_ = false;
+    /// The caller speaks HTTP/1.0 and knows no chunks.
+    bool old_caller_ = false;
+    /// The answer that is passed on goes out in chunks.
+    bool chunked_ = false;
 };
 
 caller_limits caller_session::limits() const
@@ -164,12 +169,20 @@
     co_return !failure;
 }
 
-task<bool> caller_session::begin(http::response_header<> head)
+task<bool> caller_session::begin(http::response_header<> head,
+                                 std::optional<std::uint64_t> length)
 {
+    chunked_ = !length && !old_caller_;
+    // Without chunks and length only the connection's end ends the answer.
+    if (!length && old_caller_)
+        keep_alive_ = false;
     set_persistence(head);
     http::response<http::empty_body> answer(std::move(head));
     answer.version(11);
-    answer.chunked(true);
+    if (length)
+        answer.content_length(*length);
+    else
+        answer.chunked(chunked_);
     http::response_serializer<http::empty_body> serializer(answer);
     socket_->set_deadline(boot_now() + write_timeout);
     auto const [failure, size] =
@@ -179,15 +192,26 @@
 
 task<bool> caller_session::append(std::string_view bytes)
 {
+    // An empty chunk would end the answer.
+    if (bytes.empty())
+        co_return true;
     socket_->set_deadline(boot_now() + write_timeout);
-    auto const [failure, size] = co_await asio::async_write(
-        socket_->socket(), http::make_chunk(asio::buffer(bytes.data(), bytes.size())),
-        use_task);
+    auto const piece = asio::buffer(bytes.data(), bytes.size());
+    if (!chunked_)
+    {
+        auto const [failure, size] =
+            co_await asio::async_write(socket_->socket(), piece, use_task);
+        co_return !failure;
+    }
+    auto const [failure, size] =
+        co_await asio::async_write(socket_->socket(), http::make_chunk(piece), use_task);
     co_return !failure;
 }
 
 task<bool> caller_session::end()
 {
+    if (!chunked_)
+        co_return true;
     socket_->set_deadline(boot_now() + write_timeout);
     auto const [failure, size] =
         co_await asio::async_write(socket_->socket(), http::make_chunk_last(), use_task);
@@ -217,11 +241,15 @@
 {
     keep_alive_ = request.keep_alive();
     head_request_ = request.method() == http::verb::head;
+    old_caller_ = request.version() < 11;
     socket_->set_deadline(time_point::max());
     auto const flow = std::make_shared<request_flow>(services_, request, *this, arrival);
     if (buffer_.size() == 0)
         asio::co_spawn(services_.io, watch_caller(socket_, flow), asio::detached);
     bool const usable = co_await flow->run();
+    // An answer that ends with its connection looks complete unless that is reset.
+    if (!usable && old_caller_)
+        socket_->reset();
     co_return usable&& keep_alive_;
 }
 
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -59,6 +59,13 @@
     socket_.close(ignored);
 }
 
+void watched_socket::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void connection_watch::sweep(time_point now)
 {
     for (auto* const watched : sockets_)
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -57,6 +57,8 @@
     void set_deadline(time_point deadline) { deadline_ = deadline; }
     [[nodiscard]] bool expired() const { return expired_; }
     void close();
+    /// Closes with a reset: bytes that the other side has not taken are discarded.
+    void reset();
 
 private:
     friend class connection_watch;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -12,11 +12,23 @@
 
 using namespace flow;
 
+bool request_flow::another_run_allowed() const
+{
+    return route_->repeatable() && runs_ < route_->max_attempts;
+}
+
+time_point request_flow::silence_limit(time_point progress) const
+{
+    // A stream that cannot go on elsewhere is not cut while its caller waits.
+    if (!another_run_allowed())
+        return deadline_;
+    return progress + std::max(silent_gaps * route_->gap_objective, least_silence);
+}
+
 time_point request_flow::first_byte_deadline() const
 {
-    bool const may_go_on = route_->repeatable() && runs_ < route_->max_attempts;
     auto const now = boot_now();
-    if (!may_go_on)
+    if (!another_run_allowed())
         return start_deadline_;
     // Leaves half of the time for another server.
     return now + std::max((start_deadline_ - now) / 2, duration(1000));
@@ -101,7 +113,7 @@
         return attempt_end::caller_gone;
     if (boot_now() >= start_deadline_ && !stream_begun_)
         return attempt_end::late;
-    return stream_begun_ ? attempt_end::stream_broken : attempt_end::unknown;
+    return stream_begun_ ? attempt_end::broken_off : attempt_end::unknown;
 }
 
 request_flow::attempt_end request_flow::rejected(platform::answer_facts const& facts)
@@ -141,7 +153,7 @@
         co_return co_await take_stream();
     // A failure instead of the rest of a stream that has begun.
     if (stream_begun_)
-        co_return attempt_end::stream_broken;
+        co_return attempt_end::broken_off;
     exchange_->set_deadline(deadline_);
     answer_head_ = platform::encode_answer(exchange_->head());
     answer_body_.clear();
@@ -153,25 +165,65 @@
         if (read == read_outcome::more)
             answer_body_.append(exchange_->body());
         if (answer_body_.size() > max_kept_answer)
-            co_return failed_end();
+            co_return co_await pass_on_answer();
     }
     if (read == read_outcome::failed)
     {
         services_.board.failed(server_.id, boot_now());
         co_return failed_end();
     }
+    answer_kept_ = true;
+    if (status < 500)
+        co_return delivered();
+    keep_connection();
+    services_.board.failed(server_.id, boot_now());
+    co_return attempt_end::server_failure;
+}
+
+void request_flow::keep_connection()
+{
     duration keep{};
     if (auto kept = exchange_->take_connection(keep))
         services_.connections.give_back(server_.id, std::move(kept), keep, boot_now());
-    answer_kept_ = true;
-    if (status >= 500)
+}
+
+request_flow::attempt_end request_flow::delivered()
+{
+    keep_connection();
+    services_.board.succeeded(server_.id, boot_now());
+    services_.crashes.survived(signature_);
+    return attempt_end::delivered;
+}
+
+task<request_flow::attempt_end> request_flow::pass_on_answer()
+{
+    auto const length = exchange_->length();
+    if (length.value_or(0) > max_answer)
     {
         services_.board.failed(server_.id, boot_now());
-        co_return attempt_end::server_failure;
+        co_return failed_end();
     }
-    services_.board.succeeded(server_.id, boot_now());
-    services_.crashes.survived(signature_);
-    co_return attempt_end::delivered;
+    answer_begun_ = true;
+    bool taken = co_await writer_.begin(answer_head_, length);
+    std::size_t passed = 0;
+    auto read = read_outcome::more;
+    while (taken && read == read_outcome::more && passed <= max_answer)
+    {
+        taken = co_await writer_.append(answer_body_);
+        passed += answer_body_.size();
+        answer_body_.clear();
+        read = co_await exchange_->read_body();
+        if (read == read_outcome::more)
+            answer_body_.append(exchange_->body());
+    }
+    if (taken && read == read_outcome::complete)
+        taken = co_await writer_.end();
+    if (!taken)
+        co_return attempt_end::caller_gone;
+    if (read == read_outcome::complete)
+        co_return delivered();
+    services_.board.failed(server_.id, boot_now());
+    co_return attempt_end::broken_off;
 }
 
 task<request_flow::attempt_end> request_flow::take_stream()
@@ -179,12 +231,11 @@
     bool const resuming = stream_begun_;
     if (!resuming)
         answer_head_ = platform::encode_answer(exchange_->head());
-    auto const gap_limit =
-        std::max(silent_gaps * route_->gap_objective, duration(std::chrono::seconds(1)));
+    auto progress = boot_now();
     for (;;)
     {
-        auto const now = boot_now();
-        auto const limit = stream_begun_ ? now + gap_limit : first_byte_deadline();
+        auto const limit =
+            stream_begun_ ? silence_limit(progress) : first_byte_deadline();
         exchange_->set_deadline(std::min(deadline_, limit));
         auto const read = co_await exchange_->read_body();
         if (read == read_outcome::failed)
@@ -195,16 +246,24 @@
         if (read == read_outcome::complete)
             co_return co_await finish_stream();
         events_.append(exchange_->body());
+        if (events_.overlong())
+        {
+            exchange_->fail("an event without end");
+            services_.board.failed(server_.id, boot_now());
+            co_return failed_end();
+        }
         auto const events = events_.take_events();
         if (events.empty())
             continue;
+        if (events_.took_data())
+            progress = boot_now();
         if (!stream_begun_)
         {
             stream_begun_ = true;
             first_event_after_ = boot_now() - arrival_;
             last_event_ = boot_now();
             services_.metrics.first_event(first_event_after_);
-            bool const begun = co_await writer_.begin(answer_head_);
+            bool const begun = co_await writer_.begin(answer_head_, std::nullopt);
             if (!begun)
                 co_return attempt_end::caller_gone;
         }
@@ -220,7 +279,7 @@
 {
     bool taken = true;
     if (!stream_begun_)
-        taken = co_await writer_.begin(answer_head_);
+        taken = co_await writer_.begin(answer_head_, std::nullopt);
     stream_begun_ = true;
     if (taken && !events_.rest().empty())
         taken = co_await writer_.append(events_.rest());
@@ -228,12 +287,7 @@
         taken = co_await writer_.end();
     if (!taken)
         co_return attempt_end::caller_gone;
-    duration keep{};
-    if (auto kept = exchange_->take_connection(keep))
-        services_.connections.give_back(server_.id, std::move(kept), keep, boot_now());
-    services_.board.succeeded(server_.id, boot_now());
-    services_.crashes.survived(signature_);
-    co_return attempt_end::delivered;
+    co_return delivered();
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -14,8 +14,8 @@
 std::string_view request_flow::name_of(attempt_end end)
 {
     static constexpr std::array<std::string_view, 7> names{
-        "delivered",      "caller_gone",   "not_run", "unknown",
-        "server_failure", "stream_broken", "late"};
+        "delivered",      "caller_gone", "not_run", "unknown",
+        "server_failure", "broken_off",  "late"};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -269,7 +269,7 @@
 {
     auto const now = boot_now();
     bool allowed = false;
-    if (services_.crashes.blocked(signature_))
+    if (services_.crashes.blocked(signature_) || answer_begun_)
         return false;
     switch (end)
     {
@@ -278,7 +278,7 @@
         break;
     case attempt_end::unknown:
     case attempt_end::server_failure:
-    case attempt_end::stream_broken:
+    case attempt_end::broken_off:
         allowed = route_->repeatable() && runs_ < route_->max_attempts;
         break;
     case attempt_end::delivered:
@@ -307,10 +307,10 @@
 
 task<bool> request_flow::answer_end(attempt_end end)
 {
-    // The head of a stream has left; nothing but its own events may follow.
-    if (stream_begun_ && end != attempt_end::delivered)
+    // The head of the answer has left; nothing but its own bytes may follow.
+    if ((stream_begun_ || answer_begun_) && end != attempt_end::delivered)
     {
-        log_end("stream_broken", 0);
+        log_end(stream_begun_ ? "stream_broken" : "answer_broken", 0);
         co_return false;
     }
     switch (end)
@@ -319,9 +319,9 @@
     case attempt_end::server_failure:
     {
         services_.metrics.answered(boot_now() - arrival_);
-        if (stream_begun_)
+        if (stream_begun_ || answer_begun_)
         {
-            log_end("streamed", 200);
+            log_end(stream_begun_ ? "streamed" : "passed_on", answer_head_.result_int());
             co_return true;
         }
         log_end("answered", answer_head_.result_int());
@@ -338,8 +338,8 @@
         co_return co_await refuse({refusal_reason::deadline_passed, {}});
     case attempt_end::unknown:
         co_return co_await refuse({refusal_reason::backend_failed, {}});
-    case attempt_end::stream_broken:
-        log_end("stream_broken", 0);
+    case attempt_end::broken_off:
+        log_end("answer_broken", 0);
         co_return false;
     }
     co_return false;
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -29,8 +29,10 @@
     /// Writes a complete answer.
     [[nodiscard]] virtual task<bool> write(http::response_header<> head,
                                            std::string body) = 0;
-    /// Begins an answer whose length is not known.
-    [[nodiscard]] virtual task<bool> begin(http::response_header<> head) = 0;
+    /// Begins an answer that is passed on in pieces; `length` is that of its body, if it
+    /// is known.
+    [[nodiscard]] virtual task<bool> begin(http::response_header<> head,
+                                           std::optional<std::uint64_t> length) = 0;
     [[nodiscard]] virtual task<bool> append(std::string_view bytes) = 0;
     /// Ends a begun answer. Without this call it must not look complete to the caller.
     [[nodiscard]] virtual task<bool> end() = 0;
@@ -66,8 +68,8 @@
         unknown,
         /// A complete failure answer of the server is kept.
         server_failure,
-        /// The stream broke after its head went to the caller.
-        stream_broken,
+        /// The answer broke off after its head went to the caller.
+        broken_off,
         /// The time is over.
         late
     };
@@ -92,6 +94,11 @@
     [[nodiscard]] task<attempt_end> attempt();
     [[nodiscard]] task<attempt_end> exchange_on(backend_connection connection);
     [[nodiscard]] task<attempt_end> take_answer(platform::answer_facts facts);
+    /// Passes on an answer that is too long to be kept, as it arrives.
+    [[nodiscard]] task<attempt_end> pass_on_answer();
+    /// Gives the connection back for the next request, if the exchange left it usable.
+    void keep_connection();
+    [[nodiscard]] attempt_end delivered();
     [[nodiscard]] task<attempt_end> take_stream();
     [[nodiscard]] task<attempt_end> finish_stream();
     [[nodiscard]] attempt_end failed_end() const;
@@ -99,7 +106,11 @@
     [[nodiscard]] bool may_repeat(attempt_end end);
     [[nodiscard]] task<bool> answer_end(attempt_end end);
     [[nodiscard]] task<bool> refuse(refusal why);
+    /// Whether the request may run again after an attempt with an unknown outcome.
+    [[nodiscard]] bool another_run_allowed() const;
     [[nodiscard]] time_point first_byte_deadline() const;
+    /// When a stream whose last event came at `progress` is moved to another server.
+    [[nodiscard]] time_point silence_limit(time_point progress) const;
     [[nodiscard]] backend_wish wish() const;
     void log_end(std::string_view outcome, unsigned status);
 
@@ -136,6 +147,8 @@
     http::response_header<> answer_head_;
     std::string answer_body_;
     bool answer_kept_ = false;
+    /// The head of a long answer went to the caller.
+    bool answer_begun_ = false;
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -17,16 +17,22 @@
 inline constexpr duration abandon_least = std::chrono::seconds(2);
 /// The answer leaves this long before the time is over, so that it still arrives.
 inline constexpr duration answer_margin = std::chrono::milliseconds(20);
-/// A silent stream is moved to another server after this many gap objectives.
+/// A stream without an event is moved to another server after this many gap objectives,
+/// and not before a fixed time.
 inline constexpr int silent_gaps = 5;
+inline constexpr duration least_silence = std::chrono::seconds(1);
 /// Sends of one request in all, with those that servers denied.
 inline constexpr std::uint32_t max_sends = 4;
 /// The hub answers with an estimate within this time if it can place the model at all.
 inline constexpr duration estimate_patience = std::chrono::milliseconds(1500);
 /// How often a waiting request looks by itself.
 inline constexpr duration wait_interval = std::chrono::milliseconds(200);
-/// Longest answer that is kept whole before it is passed on.
-inline constexpr std::size_t max_kept_answer = std::size_t{16} << 20U;
+/// An answer up to this length is kept whole before the caller gets any of it, so that
+/// one that breaks off can still be replaced. A longer one is passed on as it arrives.
+inline constexpr std::size_t max_kept_answer = std::size_t{64} * 1024;
+/// Longest answer that is passed on. One that never ends would else hold the process
+/// until its deadline.
+inline constexpr std::size_t max_answer = std::size_t{16} << 20U;
 /// A runner that denies that it holds a model is avoided for it this long.
 inline constexpr duration model_denied_pause = std::chrono::milliseconds(60);
 /// A server that is not the expected one is avoided until the directory catches up.
--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -382,6 +382,18 @@
     return play
 
 
+def long_answer(framing: str, body: bytes, cut: bool):
+    """Returns a way that sends this body, or half of it and a reset."""
+    def play(connection: Connection, request: Request) -> None:
+        connection.send(head(request.id, framing) + body[: len(body) // (2 if cut else 1)])
+        if cut:
+            time.sleep(0.02)
+            connection.reset()
+        if not framing:
+            connection.finish()
+    return play
+
+
 class MisbehavingServer:
     """Answers each request in the way that is set."""
 
--- /dev/null
+++ b/tests/entry/event_splitter_test.cpp
@@ -0,0 +1,64 @@
+#include "protocol/entry/event_splitter.hpp"
+
+#include <gtest/gtest.h>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+class event_splitter_test : public testing::Test
+{
+protected:
+    event_splitter events_;
+};
+
+// Guards against an end of an event that is missed because it came in two pieces.
+TEST_F(event_splitter_test, blank_line_in_pieces_ends_the_event)
+{
+    for (std::string_view const text : {"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n"})
+    {
+        std::string taken;
+        for (char const c : text)
+        {
+            events_.append({&c, 1});
+            taken += events_.take_events();
+        }
+        EXPECT_EQ(taken, text);
+        EXPECT_TRUE(events_.rest().empty());
+    }
+    EXPECT_EQ(events_.last_id(), "2");
+}
+
+// Guards against a stalled stream whose comment lines count as its progress.
+TEST_F(event_splitter_test, comment_line_is_no_data)
+{
+    events_.append(": still here\n\n");
+    EXPECT_FALSE(events_.take_events().empty());
+    EXPECT_FALSE(events_.took_data());
+    events_.append("data: x\n\n");
+    EXPECT_FALSE(events_.take_events().empty());
+    EXPECT_TRUE(events_.took_data());
+    events_.append("data: y");
+    EXPECT_TRUE(events_.take_events().empty());
+    EXPECT_FALSE(events_.took_data());
+}
+
+// Guards against pending bytes without limit.
+TEST_F(event_splitter_test, event_without_end_becomes_overlong)
+{
+    std::string const piece(4096, 'd');
+    while (!events_.overlong())
+    {
+        events_.append(piece);
+        ASSERT_TRUE(events_.take_events().empty());
+        ASSERT_LE(events_.rest().size(), max_event_bytes + piece.size());
+    }
+    events_.drop_rest();
+    EXPECT_FALSE(events_.overlong());
+    events_.append("id: 3\n\n");
+    EXPECT_EQ(events_.take_events(), "id: 3\n\n");
+}
+
+} // namespace
+} // namespace carawayturn::entry
