--- a/src/coordination/entry/order_lease.hpp
+++ b/src/coordination/entry/order_lease.hpp
@@ -38,6 +38,8 @@
     [[nodiscard]] bool held(time_point now, duration margin = duration::zero()) const;
     [[nodiscard]] bool renewal_due(time_point now) const;
     [[nodiscard]] duration remaining(time_point now) const;
+    /// For the holder the end of its right, for others the earliest time of a claim.
+    [[nodiscard]] time_point end() const { return end_; }
     /// Whether this process holds the row, or held it when it was last seen.
     [[nodiscard]] bool own_row() const;
     /// Whether the row is one of a former process of this instance.
@@ -55,7 +57,6 @@
     lease_row row_;
     std::uint64_t row_version_ = 0;
     bool known_ = false;
-    /// For the holder the end of its right, for others the earliest time of a claim.
     time_point end_{};
 };
 
--- a/src/transport/entry/backend_connections.cpp
+++ b/src/transport/entry/backend_connections.cpp
@@ -30,6 +30,12 @@
         if (quiet_and_open(socket->socket()))
             co_return backend_connection{std::move(socket), true};
     }
+    co_return co_await open(address, deadline);
+}
+
+task<backend_connection> backend_connections::open(std::string const& address,
+                                                   time_point deadline)
+{
     ++opened_;
     auto const limit = std::min(deadline, boot_now() + connect_timeout);
     auto socket = co_await connect_to(io_, watch_, address, limit);
--- a/src/transport/entry/backend_connections.hpp
+++ b/src/transport/entry/backend_connections.hpp
@@ -29,6 +29,10 @@
     [[nodiscard]] task<backend_connection>
     obtain(std::string const& server, std::string const& address, time_point deadline);
 
+    /// Opens a connection.
+    [[nodiscard]] task<backend_connection> open(std::string const& address,
+                                                time_point deadline);
+
     /// Keeps a connection with no request on it for up to `keep`.
     void give_back(std::string const& server, std::shared_ptr<watched_socket> socket,
                    duration keep, time_point now);
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-/// The hub sends no order with less of its lease left.
-constexpr duration order_margin = std::chrono::milliseconds(200);
 /// The hub plans this often without a cause, and waits this long after each plan.
 constexpr duration plan_interval = std::chrono::milliseconds(50);
 constexpr duration idle_plan_interval = std::chrono::milliseconds(500);
@@ -66,7 +64,7 @@
 void entry_node::plan_orders()
 {
     auto const now = boot_now();
-    if (!hub_active_ || !lease_.held(now, order_margin) || !reader_.listed())
+    if (!hub_active_ || !order_right_.lasts(now) || !reader_.listed())
         return;
     for (auto& order : hub_.plan(authority_, now))
         asio::co_spawn(io_, send_order(std::move(order)), asio::detached);
@@ -84,26 +82,29 @@
     call.target = platform::order_target;
     call.body = platform::encode_order(order, settings_.name, lease_.fence());
     call.server_id = order.runner;
-    call.timeout = order_timeout;
-    auto const now = boot_now();
-    call.send_before = now + lease_.remaining(now) - order_margin;
+    call.own_connection = true;
     auto const target = order.target.str();
     bool const load = order.what == runner_order::action::load;
-    auto outcome = order_outcome::unknown;
+    // An order that did not leave changed nothing at the runner.
+    auto outcome = order_outcome::conflict;
     unsigned status = 0;
-    if (lease_.held(boot_now(), order_margin))
+    if (auto share = order_right_.take(boot_now()))
     {
+        call.timeout = std::min(order_timeout, share->limit() - boot_now());
+        call.may_leave = [&share, &outcome]
+        {
+            bool const leaves = share->leave(boot_now());
+            outcome = leaves ? order_outcome::unknown : order_outcome::conflict;
+            return leaves;
+        };
         auto const answer = co_await http_call(connections_, std::move(call));
         if (answer)
         {
+            share->answered();
             status = answer->status;
             outcome = platform::decode_order_status(status);
         }
     }
-    else
-    {
-        outcome = order_outcome::conflict;
-    }
     metrics_.count("orders_total");
     log_.write(entry_event::order_ended, {{"server", order.runner},
                                           {"model", target},
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -18,6 +18,8 @@
 
 /// Validity of the hub's lease.
 constexpr duration lease_term = std::chrono::milliseconds(2400);
+/// The hub sends no order with less of its lease left.
+constexpr duration order_margin = std::chrono::milliseconds(200);
 /// The settings file may change without a signal.
 constexpr duration settings_check_interval = std::chrono::seconds(1);
 constexpr duration tick_interval = std::chrono::milliseconds(50);
@@ -43,6 +45,7 @@
       retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
       lease_(own_address(settings_.peer_port), settings_.name, incarnation, lease_term),
+      order_right_(lease_, order_margin, lease_term),
       hub_(incarnation), services_{io_,        settings_,      watch_,
                                    authority_, board_,         connections_,
                                    quota_,     retries_,       demand_,
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/directory_follower.hpp"
 #include "coordination/entry/hub_state.hpp"
+#include "coordination/entry/order_right.hpp"
 #include "coordination/entry/peer_book.hpp"
 #include "state/result.hpp"
 #include "transport/entry/entry_services.hpp"
@@ -72,6 +73,9 @@
     [[nodiscard]] std::string readiness_page() const;
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
+    /// Gives the lease back once no order can leave or arrive any more; keeps it to its
+    /// end if that takes longer.
+    [[nodiscard]] task<void> give_lease_back();
     [[nodiscard]] std::string page(std::string_view target);
     void refuse_new_callers();
     /// Reads the settings anew if that was asked for or the file has changed.
@@ -112,6 +116,7 @@
     std::set<watched_socket*> idle_callers_;
     crash_ledger crashes_;
     order_lease lease_;
+    order_right order_right_;
     hub_state hub_;
     bool hub_active_ = false;
     entry_services services_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -186,6 +186,19 @@
         idle->close();
 }
 
+task<void> entry_node::give_lease_back()
+{
+    order_right_.end();
+    steady_timer timer(io_);
+    while (lease_.held(boot_now()) && !order_right_.settled(boot_now()))
+    {
+        timer.expires_after(drain_poll);
+        co_await timer.async_wait(use_task);
+    }
+    co_await keeper_.release();
+    follow_hub_role();
+}
+
 task<void> entry_node::drain()
 {
     auto const began = boot_now();
@@ -194,8 +207,7 @@
                {{"open_requests", std::uint64_t{open_requests_}}});
     follow_readiness();
     auto const last = began + settings_.bounds.shutdown_grace - grace_margin;
-    co_await keeper_.release();
-    follow_hub_role();
+    co_await give_lease_back();
     steady_timer timer(io_);
     while (boot_now() < last && (open_requests_ > 0 || boot_now() - began < notice_time))
     {
--- a/src/transport/entry/http_call.cpp
+++ b/src/transport/entry/http_call.cpp
@@ -20,9 +20,16 @@
                                            call_request request)
 {
     auto const deadline = boot_now() + request.timeout;
-    auto connection =
-        co_await connections.obtain(request.peer, request.address, deadline);
-    if (!connection.socket || boot_now() >= request.send_before)
+    backend_connection connection;
+    if (request.own_connection)
+        connection = co_await connections.open(request.address, deadline);
+    else
+        connection = co_await connections.obtain(request.peer, request.address, deadline);
+    if (!connection.socket)
+        co_return std::nullopt;
+    if (request.own_connection)
+        connection.socket->reset_on_close();
+    if (request.may_leave && !request.may_leave())
         co_return std::nullopt;
     connection.socket->set_deadline(deadline);
     backend_exchange exchange(std::move(connection.socket), "");
@@ -46,6 +53,8 @@
     }
     if (read == read_outcome::failed)
         co_return std::nullopt;
+    if (request.own_connection)
+        co_return answer;
     duration keep{};
     if (auto kept = exchange.take_connection(keep))
         connections.give_back(request.peer, std::move(kept), keep, boot_now());
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/verb.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -21,9 +22,12 @@
     /// The call is rejected by any other server; empty for the store.
     std::string server_id;
     duration timeout{};
-    /// The call is not sent from then on. A connection may take long to open, and what
-    /// allows the call may have ended meanwhile.
-    time_point send_before = time_point::max();
+    /// Asked right before the call is written, if set: a connection may take long to
+    /// open, and what allows the call may have ended meanwhile.
+    std::function<bool()> may_leave;
+    /// The call has a connection of its own, which ends with a reset unless the answer
+    /// came: bytes that wait for the other side do not arrive later.
+    bool own_connection = false;
 };
 
 struct call_answer
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -59,10 +59,16 @@
     socket_.close(ignored);
 }
 
-void watched_socket::reset()
+void watched_socket::reset_on_close()
 {
+    // A socket that has ended already cannot be set.
     boost::system::error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+void watched_socket::reset()
+{
+    reset_on_close();
     close();
 }
 
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -57,7 +57,9 @@
     void set_deadline(time_point deadline) { deadline_ = deadline; }
     [[nodiscard]] bool expired() const { return expired_; }
     void close();
-    /// Closes with a reset: bytes that the other side has not taken are discarded.
+    /// From now on a close is a reset: bytes that the other side has not taken are
+    /// discarded, also when the process is killed.
+    void reset_on_close();
     void reset();
 
 private:
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -177,7 +177,7 @@
         "services": [
             {"name": "plain"},
             {"name": "llm", "engine": {
-                "slots": 4, "weights_mb": 200, "adapter_slots": 2, "loads_per_s": 10,
+                "slots": 4, "weights_mb": 220, "adapter_slots": 2, "loads_per_s": 10,
                 "models": [{"name": name, "weights_mb": 100, "load_time_s": 0.1,
                             "disk_s": 0.1, "warm_s": 0.1, "adapters": 1,
                             "adapter_size_mb": 1} for name in models]}}],
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -220,6 +220,8 @@
         self.is_runner = models is not None
         self.order_count = 0
         self.orders: list[dict] = []
+        # Seconds by which each of the next orders is carried out late.
+        self.order_holds: list[float] = []
         self.overloads: list[list[str]] = []
         self.ran: list[dict] = []
         self.mode = "good"
@@ -257,14 +259,18 @@
             self._run(call, body)
 
     def _order(self, call: _Handler, order: dict) -> None:
+        if self.order_holds:
+            time.sleep(self.order_holds.pop())
         with self.lock:
             self.orders.append(order)
             if order["expected"] != self.order_count:
                 call.answer_json(409, {})
                 return
             self.order_count += 1
-            if "adapter" in order:
+            if "adapter" in order and order["op_type"] == "model_load":
                 self.models[order["model"]].append(order["adapter"])
+            elif "adapter" in order:
+                self.models[order["model"]].remove(order["adapter"])
             elif order["op_type"] == "model_load":
                 self.models[order["model"]] = []
                 if len(self.models) > MODELS_THAT_FIT:
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -9,6 +9,8 @@
 import http.client
 import signal
 import sys
+import threading
+import time
 import unittest
 from pathlib import Path
 
@@ -17,6 +19,10 @@
 from platform_fleet import BackendServer, Store  # noqa: E402
 
 
+# `bounds.lease_ms` of the instances, and some time for their start.
+ORDER_LEASE_S = 3.2
+
+
 class EntryProcessTest(unittest.TestCase):
     """One store, two plain servers, two runners and one instance for each test."""
 
@@ -225,6 +231,30 @@
         wait_until(lambda: second.state()["hub"]["this_instance"], "n2 is the hub")
         self.assertEqual(self.store.get("carawayturn", "hub")["fence"], 3)
 
+    def test_holder_that_stops_its_orders_and_the_next_holders_do_not_cross(self) -> None:
+        """Guards against orders of two holders in turn: a runner carries out an order late,
+        after its holder gave the lease back on SIGTERM (grown/nilerest-ops-grown,
+        trouble-2, ONE)."""
+        second = self.add_member("n2")
+        self.runners[1].record("draining")
+        wait_until(lambda: any(server["id"] == "r1" and server["draining"]
+                               for server in second.state()["backend_servers"]),
+                   "only one runner takes orders")
+        # An instance that has just started claims no lease for `bounds.lease_ms`.
+        time.sleep(ORDER_LEASE_S)
+        self.runners[0].order_holds = [1.5]
+        threading.Thread(target=self.instance.request, args=("/draft/a",), daemon=True,
+                         kwargs={"headers": {"X-Model": "m1/a1"}, "id": "late"}).start()
+        wait_until(lambda: not self.runners[0].order_holds, "the order is on its way")
+        self.instance.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: second.state()["hub"]["this_instance"], "n2 is the hub")
+        second.request("/draft/a", headers={"X-Model": "m1/a2"}, id="next")
+        wait_until(lambda: {"a1", "a2"} <= {order.get("adapter")
+                                            for order in self.runners[0].orders},
+                   "orders of both holders arrived")
+        fences = [order["fencing_token"] for order in self.runners[0].orders]
+        self.assertEqual(fences, sorted(fences))
+
     def test_instance_that_begins_to_read_lists_the_servers(self) -> None:
         """Guards against a feed that replays, a part at a time, every change since this
         instance read last, and shows servers that are long gone."""
--- a/tests/entry/http_call_test.cpp
+++ b/tests/entry/http_call_test.cpp
@@ -60,6 +60,7 @@
     call_request request_;
     std::size_t received_ = 0;
     bool answered_ = true;
+    bool asked_ = false;
 };
 
 TEST_F(http_call_test, call_in_time_is_sent)
@@ -71,10 +72,11 @@
 
 // Guards against an order that leaves after its holder's lease has ended, because the
 // connection to the runner took long to open.
-TEST_F(http_call_test, call_whose_time_has_passed_is_not_sent)
+TEST_F(http_call_test, call_that_may_no_longer_leave_is_not_sent)
 {
-    request_.send_before = boot_now();
+    request_.may_leave = [this] { return asked_ = true, false; };
     run();
+    EXPECT_TRUE(asked_);
     EXPECT_EQ(received_, 0U);
     EXPECT_FALSE(answered_);
 }
