--- a/tests/entry/backend_board_test.cpp
+++ b/tests/entry/backend_board_test.cpp
@@ -1,6 +1,5 @@
 #include "coordination/entry/backend_board.hpp"
 #include "coordination/entry/fleet_status.hpp"
-#include "protocol/entry/event_splitter.hpp"
 #include "protocol/entry/node_codec.hpp"
 
 #include <gtest/gtest.h>
@@ -166,27 +165,6 @@
     EXPECT_EQ(fleet_.connected(), 1U);
 }
 
-// Guards against a stream that goes on in the middle of an event.
-TEST(event_splitter_test, broken_event_is_held_back)
-{
-    event_splitter events;
-    events.append("id: 1\ndata: a\n\nid: 2\nda");
-    EXPECT_EQ(events.take_events(), "id: 1\ndata: a\n\n");
-    EXPECT_EQ(events.last_id(), "1");
-    events.append("ta: b\n\n");
-    EXPECT_EQ(events.take_events(), "id: 2\ndata: b\n\n");
-    EXPECT_EQ(events.last_id(), "2");
-}
-
-// Guards against an id inside the data that is taken for the event's id.
-TEST(event_splitter_test, id_in_data_is_not_the_event_id)
-{
-    event_splitter events;
-    events.append("id: 7\ndata: id: 9\n\n");
-    static_cast<void>(events.take_events());
-    EXPECT_EQ(events.last_id(), "7");
-}
-
 // Guards against messages between instances that change on the way through the codec.
 TEST(node_codec_test, update_is_read_back)
 {
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -60,5 +60,24 @@
     EXPECT_EQ(events_.take_events(), "id: 3\n\n");
 }
 
+// Guards against a stream that goes on in the middle of an event.
+TEST_F(event_splitter_test, broken_event_is_held_back)
+{
+    events_.append("id: 1\ndata: a\n\nid: 2\nda");
+    EXPECT_EQ(events_.take_events(), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events_.last_id(), "1");
+    events_.append("ta: b\n\n");
+    EXPECT_EQ(events_.take_events(), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events_.last_id(), "2");
+}
+
+// Guards against an id inside the data that is taken for the event's id.
+TEST_F(event_splitter_test, id_in_data_is_not_the_event_id)
+{
+    events_.append("id: 7\ndata: id: 9\n\n");
+    static_cast<void>(events_.take_events());
+    EXPECT_EQ(events_.last_id(), "7");
+}
+
 } // namespace
 } // namespace carawayturn::entry
