Refuse requests whose length, host or id is in doubt; bound numbers from outside

A transfer coding that the parser does not know was taken for none, and the body was read as the next request; a request without an id got the answer of whichever request came; a deadline of 1e300 overflowed and answered 504 after the request had run. Ranges of numbers from callers, rows and servers stand in one table; settings outside are errors, the rest is moved inside. A request whose time is over before it is sent is refused and does not run.

--- a/src/state/entry/refusal_reason.cpp
+++ b/src/state/entry/refusal_reason.cpp
@@ -16,7 +16,8 @@
 };
 
 /// Ordered like the enumeration.
-constexpr std::array<refusal_text, 18> texts{{{"no_configuration", 503},
+constexpr std::array<refusal_text, 19> texts{{{"no_configuration", 503},
+                                              {"request_id_missing", 400},
                                               {"configuration_stale", 503},
                                               {"route_unknown", 404},
                                               {"key_unknown", 401},
--- a/src/state/entry/refusal_reason.hpp
+++ b/src/state/entry/refusal_reason.hpp
@@ -12,6 +12,8 @@
 {
     /// No configuration has been read yet.
     no_configuration,
+    /// The request names itself by no id, or by more than one.
+    request_id_missing,
     /// The configuration in force is not confirmed as the newest one.
     configuration_stale,
     /// The newest configuration has no such route.
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -1,6 +1,8 @@
 #include "transport/entry/backend_exchange.hpp"
 
 #include "platform/request_codec.hpp"
+#include "protocol/entry/bounded_number.hpp"
+#include "state/entry/time_units.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,8 +10,6 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <charconv>
-
 namespace carawayturn::entry
 {
 
@@ -40,12 +40,12 @@
     constexpr std::string_view parameter = "timeout=";
     std::string_view const text(found->value().data(), found->value().size());
     auto const begin = text.find(parameter);
-    int seconds = 0;
     if (begin == std::string_view::npos)
         return default_keep;
-    std::from_chars(text.data() + begin + parameter.size(), text.data() + text.size(),
-                    seconds);
-    return std::chrono::seconds(seconds) - keep_margin;
+    auto const value = text.substr(begin + parameter.size());
+    auto const seconds =
+        parse_bounded(value.substr(0, value.find_first_of(", ")), seconds_range);
+    return seconds ? from_seconds(*seconds) - keep_margin : default_keep;
 }
 
 } // namespace
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/caller_session.hpp"
 
+#include "protocol/entry/request_framing.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/request_flow.hpp"
 
@@ -31,6 +32,14 @@
 /// Limits before the first configuration is known.
 constexpr caller_limits default_limits{};
 
+/// Whether reading failed because of the bytes, and not because the connection ended.
+bool malformed(boost::system::error_code failure)
+{
+    return failure.category() == make_error_code(http::error::bad_method).category() &&
+           failure != http::error::end_of_stream &&
+           failure != http::error::partial_message;
+}
+
 /// One caller's connection and the answer that is written on it.
 class caller_session final : public answer_writer
 {
@@ -59,7 +68,7 @@
     [[nodiscard]] caller_limits limits() const;
     [[nodiscard]] task<bool> wait_for_request();
     [[nodiscard]] task<bool> read_request(parser& in);
-    [[nodiscard]] task<bool> reject(unsigned status);
+    [[nodiscard]] task<bool> reject(unsigned status, std::string_view fault = {});
     [[nodiscard]] task<bool> serve(http::request<http::string_body>& request,
                                    time_point arrival);
     void set_persistence(http::response_header<>& head);
@@ -110,13 +119,10 @@
     if (failure == http::error::body_limit)
         co_return co_await reject(413);
     if (failure)
-    {
-        bool const malformed =
-            failure.category() == make_error_code(http::error::bad_method).category() &&
-            failure != http::error::end_of_stream &&
-            failure != http::error::partial_message;
-        co_return malformed ? co_await reject(400) : false;
-    }
+        co_return malformed(failure) ? co_await reject(400) : false;
+    auto const fault = find_framing_fault(in.get());
+    if (fault != framing_fault::none)
+        co_return co_await reject(status_of(fault), name_of(fault));
     if (boost::beast::iequals(in.get()[http::field::expect], "100-continue"))
     {
         constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -130,17 +136,19 @@
         co_await http::async_read(socket_->socket(), buffer_, in, use_task);
     if (broken == http::error::body_limit)
         co_return co_await reject(413);
-    co_return !broken;
+    if (broken)
+        co_return malformed(broken) ? co_await reject(400) : false;
+    co_return true;
 }
 
-task<bool> caller_session::reject(unsigned status)
+task<bool> caller_session::reject(unsigned status, std::string_view fault)
 {
     keep_alive_ = false;
     http::response_header<> head;
     head.result(status);
     services_.metrics.count("malformed_total");
     services_.log.write(entry_event::request_malformed,
-                        {{"status", std::uint64_t{status}}});
+                        {{"status", std::uint64_t{status}}, {"fault", fault}});
     co_await write(std::move(head), {});
     co_return false;
 }
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -48,6 +48,9 @@
     config_ = authority.current();
     if (!config_)
         return refusal{refusal_reason::no_configuration, soon};
+    // Without an id of its own the answer could not be told from another request's.
+    if (head_.id.empty())
+        return refusal{refusal_reason::request_id_missing, {}};
     // A denial has to be true under the newest configuration.
     bool const current = authority.may_serve_keyed(now) && !authority.behind();
     route_ = config_->find_route(head_.host, head_.path);
@@ -84,6 +87,8 @@
     if (!service_->engine)
         head_.model = {};
     set_deadlines();
+    if (start_deadline_ <= now)
+        return refusal{refusal_reason::deadline_unreachable, {}};
     return std::nullopt;
 }
 
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -8,6 +8,7 @@
 
 import http.client
 import signal
+import socket
 import sys
 import threading
 import time
@@ -316,6 +317,47 @@
         wait_until(lambda: self.instance.events(1164),
                    "the changed file is read without a signal")
 
+    def raw(self, text: str) -> bytes:
+        """Sends bytes as they are and returns all that comes until the connection ends."""
+        with socket.create_connection(("127.0.0.1", self.instance.front),
+                                      HANG_LIMIT_S) as caller:
+            caller.sendall(text.encode("latin-1"))
+            caller.shutdown(socket.SHUT_WR)
+            received = b""
+            while piece := caller.recv(65536):
+                received += piece
+            return received
+
+    def test_request_whose_length_is_in_doubt_is_denied(self) -> None:
+        """Guards against a request that is smuggled inside another one: what follows an
+        unknown transfer coding was read as the next request."""
+        inner = ("POST /book/inner HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: inner\r\n"
+                 "Authorization: Token k1\r\nContent-Length: 0\r\n\r\n")
+        for coding, status in (("xchunked", b"501"), ("chunked, gzip", b"501"),
+                               ("chunked\r\nContent-Length: 1", b"400")):
+            answer = self.raw("POST /book/a HTTP/1.1\r\nHost: h.example\r\n"
+                              "X-Request-Id: outer\r\nAuthorization: Token k1\r\n"
+                              f"Transfer-Encoding: {coding}\r\n\r\n{inner}")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 " + status), (coding, answer))
+            self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+        self.assertEqual(self.runs(), [])
+
+    def test_request_without_an_id_of_its_own_is_denied(self) -> None:
+        """Guards against answers that cannot be told from those of other requests."""
+        for ids in ("", "X-Request-Id: a\r\nX-Request-Id: b\r\n"):
+            answer = self.raw("POST /book/a HTTP/1.1\r\nHost: h.example\r\n" + ids +
+                              "Authorization: Token k1\r\nContent-Length: 0\r\n\r\n")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 400"), answer)
+        self.assertEqual(self.runs(), [])
+
+    def test_deadline_out_of_range_is_moved_into_it(self) -> None:
+        """Guards against a deadline that overflows: the request ran and got 504."""
+        for deadline, status in (("99999999999999999999", 200), ("1e300", 200), ("x", 200),
+                                 ("-1", 503), ("0", 503)):
+            answer = self.instance.request("/book/a", headers={"X-Deadline-Ms": deadline})
+            self.assertEqual(answer[0], status, deadline)
+        self.assertEqual(len(self.runs()), 3)
+
     def test_log_and_metrics_lead_from_a_request_to_its_cause(self) -> None:
         """Guards against a failed request that nobody can explain afterwards."""
         for server in self.plain:
