--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -129,10 +129,9 @@
             co_return;
         if (failure)
             continue;
-        tasks_.run(
-            "answer probe", peer_of(socket),
-            answer_probe(std::make_shared<watched_socket>(watch_, std::move(socket)),
-                         answer));
+        auto const peer = peer_of(socket);
+        auto watched = std::make_shared<watched_socket>(watch_, std::move(socket));
+        tasks_.run("answer probe", peer, answer_probe(std::move(watched), answer));
     }
 }
 
