Log a lease that was not given back as such; wake the reader only by changes

A configuration that is missing and cannot be had woke the reader at each tick of 50 ms, in place of its retry interval; found by reading, no test plays it.

--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -29,6 +29,7 @@
     lease_row_unreadable = 1151,
     lease_released = 1152,
     lease_lost = 1153,
+    lease_not_released = 1154,
     instance_started = 1160,
     instance_draining = 1161,
     instance_stopped = 1162,
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -103,6 +103,7 @@
     {1151, warning, "lease_row_unreadable"},
     {1152, info, "lease_released"},
     {1153, warning, "lease_lost"},
+    {1154, warning, "lease_not_released"},
     {1160, info, "instance_started"},
     {1161, info, "instance_draining"},
     {1162, info, "instance_stopped"},
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -122,7 +122,11 @@
     if (!lease_.held(boot_now()))
         co_return;
     co_await write(lease_.released_row());
-    services_.log.write(entry_event::lease_released, {{"fence", lease_.fence()}});
+    // Without an answer the lease lapses; the row may be released all the same.
+    bool const released = lease_.row().holder_address.empty();
+    services_.log.write(released ? entry_event::lease_released
+                                 : entry_event::lease_not_released,
+                        {{"fence", lease_.fence()}});
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -284,7 +284,7 @@
     case attempt_end::unknown:
     case attempt_end::server_failure:
     case attempt_end::broken_off:
-        allowed = route_->repeatable() && runs_ < route_->max_attempts;
+        allowed = another_run_allowed();
         break;
     case attempt_end::delivered:
     case attempt_end::caller_gone:
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -44,9 +44,11 @@
 void store_reader::follow(bool active, bool config_due)
 {
     auto const& authority = services_.authority;
-    config_due_ = config_due;
-    if (active == active_ && !config_due)
+    // Only a change wakes the reader: a missing configuration that the store does not
+    // give is asked for at the retry interval.
+    if (active == active_ && config_due == config_due_)
         return;
+    config_due_ = config_due;
     if (active != active_)
         services_.log.write(entry_event::own_reading_changed,
                             {{"active", std::int64_t{active}},
