Claim the lease later on a narrow link; pack a configuration once

Only the processor's share decided who claims, and links there are of 10 to 200 Mbit/s; each instance packed each version anew.

--- a/src/protocol/entry/packed_text.cpp
+++ b/src/protocol/entry/packed_text.cpp
@@ -28,8 +28,8 @@
     for (unsigned i = 0; i < length_bytes; ++i)
         packed.at(i) = static_cast<char>((text.size() >> (bits_in_byte * i)) & 0xffU);
     // Fails only if the output has less room than compressBound() told.
-    ::compress(reinterpret_cast<Bytef*>(packed.data() + length_bytes), &size,
-               as_bytes(text.data()), text.size());
+    ::compress2(reinterpret_cast<Bytef*>(packed.data() + length_bytes), &size,
+                as_bytes(text.data()), text.size(), Z_BEST_SPEED);
     packed.resize(length_bytes + size);
     return packed;
 }
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -52,9 +52,8 @@
                                    draining_,  open_requests_, idle_callers_,
                                    crashes_,   tasks_},
       link_(services_, lease_, *this, *this), store_(services_),
-      reader_(services_, store_, *this),
-      keeper_(services_, store_, lease_, settings_.processor_share), callers_(io_),
-      readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
+      reader_(services_, store_, *this), keeper_(services_, store_, lease_),
+      callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
       peer_book_(trusted_confirmation_age), reading_(boot_now())
 {
 }
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -1,9 +1,8 @@
 #include "transport/entry/lease_keeper.hpp"
 
+#include "coordination/entry/claim_delay.hpp"
 #include "transport/entry/boot_clock.hpp"
 
-#include <algorithm>
-
 namespace carawayturn::entry
 {
 
@@ -13,19 +12,13 @@
 constexpr duration call_timeout = std::chrono::milliseconds(700);
 constexpr duration step_interval = std::chrono::milliseconds(100);
 constexpr duration retry_interval = std::chrono::milliseconds(200);
-/// An instance with a whole core waits this long before it claims a vacant lease, one
-/// with a part of a core in proportion longer: the hub works for all others.
-constexpr std::chrono::duration<double> claim_delay_of_a_core =
-    std::chrono::milliseconds(60);
-constexpr double least_share = 0.05;
 
 } // namespace
 
 lease_keeper::lease_keeper(entry_services& services, store_client& store,
-                           order_lease& lease, double processor_share)
+                           order_lease& lease)
     : services_(services), store_(store), lease_(lease), started_at_(boot_now()),
-      claim_delay_(std::chrono::duration_cast<duration>(
-          claim_delay_of_a_core / std::clamp(processor_share, least_share, 1.0)))
+      claim_delay_(claim_delay(services.settings))
 {
 }
 
--- a/src/transport/entry/lease_keeper.hpp
+++ b/src/transport/entry/lease_keeper.hpp
@@ -12,9 +12,7 @@
 class lease_keeper
 {
 public:
-    /// @param processor_share part of a core that this instance has.
-    lease_keeper(entry_services& services, store_client& store, order_lease& lease,
-                 double processor_share);
+    lease_keeper(entry_services& services, store_client& store, order_lease& lease);
 
     /// Runs one step, at most one call to the store; returns when the next is due.
     /// @param hub_answers whether the present hub answers this instance.
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -100,7 +100,7 @@
     {
         if (row.key != platform::configuration_key)
             continue;
-        take_config(row.value, row.version);
+        take_config(row.value, {}, row.version);
         found = true;
     }
     services_.authority.confirm(services_.authority.version(), asked_at);
@@ -121,7 +121,7 @@
         co_return false;
     for (auto const& row : reply->answer.rows)
         if (row.key == platform::configuration_key && !row.removed)
-            take_config(row.value, row.version);
+            take_config(row.value, {}, row.version);
     config_version_ = std::max(config_version_, reply->answer.version);
     services_.authority.confirm(services_.authority.version(), asked_at);
     co_return true;
@@ -134,13 +134,14 @@
         return;
     auto const text = unpack(packed, max_config_bytes);
     if (succeeded(text))
-        take_config(std::get<std::string>(text), row_version);
+        take_config(std::get<std::string>(text), packed, row_version);
     else
         services_.log.write(entry_event::configuration_unreadable,
                             {{"detail", to_string(std::get<error>(text))}});
 }
 
-void store_reader::take_config(std::string const& value, std::uint64_t row_version)
+void store_reader::take_config(std::string const& value, std::string const& packed,
+                               std::uint64_t row_version)
 {
     if (row_version <= config_row_)
         return;
@@ -152,7 +153,7 @@
         return;
     }
     config_row_ = row_version;
-    packed_config_ = pack(value);
+    packed_config_ = packed.empty() ? pack(value) : packed;
     auto config = std::get<std::shared_ptr<serving_config const>>(std::move(decoded));
     auto const version = config->version;
     if (!services_.authority.accept(std::move(config)))
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -66,7 +66,9 @@
     change_signal activity_;
     [[nodiscard]] duration retry_interval() const;
 
-    void take_config(std::string const& value, std::uint64_t row_version);
+    /// @param packed the same packed, or empty: packing costs more than reading it.
+    void take_config(std::string const& value, std::string const& packed,
+                     std::uint64_t row_version);
 
     bool active_ = false;
     bool config_due_ = false;
