--- a/src/coordination/entry/reading_rule.cpp
+++ b/src/coordination/entry/reading_rule.cpp
@@ -45,6 +45,8 @@
 
 bool reading_rule::reads(time_point now, duration period) const
 {
+    if (hub_cannot_read_)
+        return true;
     if (heard_at_ == time_point{})
         return now - started_at_ >= start_patience;
     return now - heard_at_ >=
--- a/src/coordination/entry/reading_rule.hpp
+++ b/src/coordination/entry/reading_rule.hpp
@@ -17,7 +17,13 @@
     explicit reading_rule(time_point started_at) : started_at_(started_at) {}
 
     /// A hub that reads the store told what it read.
-    void heard(time_point now) { heard_at_ = now; }
+    void heard(time_point now)
+    {
+        heard_at_ = now;
+        hub_cannot_read_ = false;
+    }
+    /// The hub told that it cannot read the store; its word is old already.
+    void heard_that_hub_cannot_read() { hub_cannot_read_ = true; }
 
     /// Whether to read now.
     /// @param period interval of the hub's updates.
@@ -37,6 +43,7 @@
 private:
     time_point started_at_;
     time_point heard_at_{};
+    bool hub_cannot_read_ = false;
     time_point behind_since_{};
 };
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -340,6 +340,8 @@
     // What the hub cannot read, this instance reads itself.
     if (hub_reads_)
         reading_.heard(now);
+    else
+        reading_.heard_that_hub_cannot_read();
     if (update.directory_hub != 0 && (hub_active_ || hub_reads_))
         apply_directory(update);
     if (update.complete)
--- a/tests/entry/reading_rule_test.cpp
+++ b/tests/entry/reading_rule_test.cpp
@@ -41,6 +41,17 @@
         EXPECT_FALSE(rule_.reads(at(ms), period)) << ms;
 }
 
+// Guards against a request at a server that left 2.2 s ago: the hub's word was a second
+// old when it told that it cannot read, and the instance waited another second.
+TEST_F(reading_rule_test, hub_that_cannot_read_instance_reads_at_once)
+{
+    rule_.heard(at(1000));
+    rule_.heard_that_hub_cannot_read();
+    EXPECT_TRUE(rule_.reads(at(1001), period));
+    rule_.heard(at(1100));
+    EXPECT_FALSE(rule_.reads(at(1200), period));
+}
+
 // Guards against a leaving server that is not seen in time because the hub is frozen.
 TEST_F(reading_rule_test, silent_hub_instance_reads_after_its_patience)
 {
