--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -361,7 +361,7 @@
     stream_without_end_of_event, stream_without_first_event, trickled_stream,
     commented_stream, slow_stream)}
 
-# A whole answer of `own_body` in each framing; how each may end early is in `cut_answers`.
+# A whole answer of `own_body` in each framing; `cut_answer` ends one early.
 FRAMINGS = {
     "length": lambda request: with_length(request.id, own_body(request)),
     "chunked": lambda request: head(request.id, CHUNKED) + chunk(own_body(request)) + END,
