Take the hub's word that the store answers again

Asked again, they took the store for one that had just returned, and kept a server whose entry was gone for the 2.3 s in which lapsed entries may come back. Seen in 1121 with status 410 beside instances that removed it at once. The new process test fails before and passes now.

--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -339,7 +339,12 @@
                  update.confirmation_age_us <= trusted_confirmation_age.count();
     // What the hub cannot read, this instance reads itself.
     if (hub_reads_)
+    {
         reading_.heard(now);
+        // The hub knows by its own questions.
+        if (!hub_active_)
+            store_.heard_that_it_answers();
+    }
     else
         reading_.heard_that_hub_cannot_read();
     if (update.directory_hub != 0 && (hub_active_ || hub_reads_))
--- a/src/transport/entry/store_client.cpp
+++ b/src/transport/entry/store_client.cpp
@@ -19,6 +19,11 @@
         {{"peer", services_.settings.store_address}, {"status", std::uint64_t{status}}});
 }
 
+void store_client::heard_that_it_answers()
+{
+    follow(true, 0);
+}
+
 task<std::optional<store_reply>> store_client::call(platform::store_call request,
                                                     duration timeout)
 {
--- a/src/transport/entry/store_client.hpp
+++ b/src/transport/entry/store_client.hpp
@@ -25,7 +25,11 @@
     [[nodiscard]] task<std::optional<store_reply>> call(platform::store_call request,
                                                         duration timeout);
 
-    /// Whether the last call was answered.
+    /// The hub told that the store answers it. What this instance knows of the store may
+    /// be from a question in an outage that has passed.
+    void heard_that_it_answers();
+
+    /// Whether the last call was answered, or the hub told so since.
     [[nodiscard]] bool answering() const { return answering_; }
     /// When the store last began to answer again.
     [[nodiscard]] time_point regained_at() const { return regained_at_; }
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -24,6 +24,8 @@
 ORDER_LEASE_S = 3.2
 # Shortest pause of an instance between tries of an absent store.
 SHORTEST_RETRY_S = 0.25
+# An entry that is missing this soon after the store's return may come back.
+LAPSE_GRACE_S = 2.3
 # Tries to make an instance ask for a history that is gone.
 ROUNDS = 6
 
@@ -221,6 +223,31 @@
         wait_until(lambda: len(questions()) > index + 1, "n2 asks again")
         self.assertLess(questions()[index + 1][0] - questions()[index][0], SHORTEST_RETRY_S)
 
+    def test_store_that_returned_long_ago_removed_server_is_gone_at_once(self) -> None:
+        """Guards against an instance that takes a store for one that has just returned,
+        because its own last question was in an outage long ago: it kept a server that had
+        left as one whose entry the outage had lost (further/sbr-floor, store-refuses,
+        DRAIN)."""
+        second = self.add_member("n2")
+        for door in (self.instance.door, second.door):
+            door.refuse = True
+        wait_until(lambda: not second.state()["store"]["answering"], "n2 misses the store")
+        self.instance.door.refuse = False
+        wait_until(lambda: not second.state()["store"]["read_by_this_instance"],
+                   "n2 relies on the hub")
+        second.door.refuse = False
+        time.sleep(LAPSE_GRACE_S)
+        self.instance.door.refuse = True
+        self.store.remove("servers", "p0")
+
+        def removals() -> list[int]:
+            return [event["time_ms"] for event in second.events(1132)
+                    if event["server"] == "p0"]
+
+        wait_until(removals, "p0 is gone at n2")
+        began = max(event["time_ms"] for event in second.events(1123) if event["active"])
+        self.assertLess(removals()[0] - began, 1000 * LAPSE_GRACE_S / 2)
+
     def test_rows_of_other_writers_name_no_server(self) -> None:
         """Guards against foreign rows that end the directory or are used."""
         self.store.put("servers", "x1", {"service": "plain"})
