Keep one view_buffer, and the hub's word on its reading in one place

Behaviour is unchanged: both archives had the same stream over foreign bytes, and entry_node kept beside reading_rule whether the hub reads.

--- a/src/coordination/entry/reading_rule.hpp
+++ b/src/coordination/entry/reading_rule.hpp
@@ -24,6 +24,8 @@
     }
     /// The hub told that it cannot read the store; its word is old already.
     void heard_that_hub_cannot_read() { hub_cannot_read_ = true; }
+    /// Whether that is the last word of a hub.
+    [[nodiscard]] bool hub_cannot_read() const { return hub_cannot_read_; }
 
     /// Whether to read now.
     /// @param period interval of the hub's updates.
--- a/src/protocol/entry/node_archive.hpp
+++ b/src/protocol/entry/node_archive.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "protocol/view_buffer.hpp"
+
 #include <cereal/archives/portable_binary.hpp>
 
 #include <array>
@@ -8,7 +10,6 @@
 #include <istream>
 #include <sstream>
 #include <stdexcept>
-#include <streambuf>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -33,22 +34,6 @@
 /// Bytes of the greatest integer.
 inline constexpr std::size_t longest_integer = 10;
 
-/// A read-only stream over bytes that belong to somebody else.
-class view_buffer : public std::streambuf
-{
-public:
-    explicit view_buffer(std::string_view bytes)
-    {
-        // setg() needs mutable pointers; an input buffer never writes through them.
-        auto* const begin = const_cast<char*>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-    [[nodiscard]] std::size_t remaining() const
-    {
-        return static_cast<std::size_t>(egptr() - gptr());
-    }
-};
-
 class message_writer
 {
 public:
--- a/src/protocol/peer_archive.hpp
+++ b/src/protocol/peer_archive.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/view_buffer.hpp"
 #include "state/fleet.hpp"
 #include "state/fleet_config.hpp"
 #include "state/identifiers.hpp"
@@ -14,7 +15,6 @@
 #include <map>
 #include <set>
 #include <sstream>
-#include <streambuf>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -44,22 +44,6 @@
     return 2;
 }
 
-/// A read-only stream over bytes that it does not copy.
-class view_buffer : public std::streambuf
-{
-public:
-    explicit view_buffer(std::string_view bytes)
-    {
-        // setg takes mutable pointers; nothing writes through them.
-        char* const begin = const_cast<char*>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-    [[nodiscard]] std::size_t remaining() const
-    {
-        return static_cast<std::size_t>(egptr() - gptr());
-    }
-};
-
 class peer_writer
 {
 public:
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -335,10 +335,10 @@
         take_beliefs(update);
     peer_book_.heard_of(update.peers);
     retries_.set_instances(update.instances);
-    hub_reads_ = update.directory_age_us <= trusted_directory_age.count() &&
-                 update.confirmation_age_us <= trusted_confirmation_age.count();
+    bool const hub_reads = update.directory_age_us <= trusted_directory_age.count() &&
+                           update.confirmation_age_us <= trusted_confirmation_age.count();
     // What the hub cannot read, this instance reads itself.
-    if (hub_reads_)
+    if (hub_reads)
     {
         reading_.heard(now);
         // The hub knows by its own questions.
@@ -347,7 +347,7 @@
     }
     else
         reading_.heard_that_hub_cannot_read();
-    if (update.directory_hub != 0 && (hub_active_ || hub_reads_))
+    if (update.directory_hub != 0 && (hub_active_ || hub_reads))
         apply_directory(update);
     if (update.complete)
     {
@@ -382,7 +382,8 @@
         follow_hub_role();
         reader_.follow(hub_active_ || reading_.reads(now, link_.period()),
                        reading_.reads_config(now, authority_.behind()));
-        reader_.set_hub_tries(!hub_active_ && link_.connected() && !hub_reads_);
+        reader_.set_hub_tries(!hub_active_ && link_.connected() &&
+                              reading_.hub_cannot_read());
         follow_readiness();
         if (now >= next_settings_check_)
         {
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -145,8 +145,6 @@
     std::uint64_t pushed_config_ = 0;
     time_point next_settings_check_{};
     bool was_ready_ = false;
-    /// The hub reads the store, as it told last.
-    bool hub_reads_ = false;
 };
 
 } // namespace carawayturn::entry
