Let an organisation that is inside its rate use half of its burst while no hub answers

An instance's part of a second (984 units of 93,462 on 95 instances) is less than one request, and a request waited until the part or its own size had accrued again. The hub now names the organisations that have less than half of their burst left. They start from nothing when it is lost; they got a whole burst before, on top of what the hub had granted. The others start from half of the burst. So the sum for an organisation above its rate falls by one burst, and one inside it gets at most what the hub still held. Ruled out: a second member that grants while the hub is gone (a connection more for each instance, and two holders of one bucket).

--- a/fuzz/entry_peer_fuzz.cpp
+++ b/fuzz/entry_peer_fuzz.cpp
@@ -92,6 +92,7 @@
     update.estimates = {{"s", "m1", 6000000}};
     update.retiring = {{"s1", "m1"}};
     update.quota = {{7, 1460.5, 12}};
+    update.drained = {"o1"};
     update.crashes = {{99, 2}};
     update.peers = {"10.0.0.2:7600"};
     return {sample(0, encode(status)), sample(1, encode(update)),
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -125,6 +125,7 @@
                 {found->first.first, found->first.second, found->second.count()});
     }
     update.peers = fleet_.addresses_without(status.node, peers_told, peers_turn_++);
+    update.drained = ledger_.drained(now);
     update.crashes = crashes_.suspects(now);
     update.survived = crashes_.cleared(now);
     for (auto const& [backend, model] : planner_.retiring())
--- a/src/coordination/entry/quota.cpp
+++ b/src/coordination/entry/quota.cpp
@@ -10,10 +10,9 @@
 namespace
 {
 
-/// An instance that has not heard of a hub for longer than this starts its own part of
-/// the rate from nothing.
-constexpr duration alone_gap = std::chrono::seconds(2);
-/// Burst of an instance that is alone, in seconds of its part of the rate.
+/// Below this share of its burst an organisation counts as drained.
+constexpr double drained_share = 0.5;
+/// Most that accrues to an instance that is alone, in seconds of its part of the rate.
 constexpr double alone_burst_s = 1.0;
 
 } // namespace
@@ -34,13 +33,28 @@
 {
     auto& entry = buckets_[organisation];
     if (entry.fresh)
-        entry = {terms.burst * initial_fill_, now, false};
-    entry.level += to_seconds(now - entry.last) * terms.rate * share_;
-    entry.level = std::min(entry.level, terms.burst);
+        entry = {terms.burst * initial_fill_, terms, now, false};
+    entry.terms = terms;
+    entry.level = level_at(entry, now);
     entry.last = now;
     return entry;
 }
 
+double quota_ledger::level_at(bucket const& entry, time_point now) const
+{
+    double const accrued = to_seconds(now - entry.last) * entry.terms.rate * share_;
+    return std::min(entry.level + accrued, entry.terms.burst);
+}
+
+std::vector<std::string> quota_ledger::drained(time_point now) const
+{
+    std::vector<std::string> names;
+    for (auto const& [organisation, entry] : buckets_)
+        if (level_at(entry, now) < entry.terms.burst * drained_share)
+            names.push_back(organisation);
+    return names;
+}
+
 quota_grant quota_ledger::ask(std::string const& organisation, quota_terms const& terms,
                               double units, double reserve, time_point now)
 {
@@ -72,24 +86,47 @@
     accounts_[organisation].balance += units;
 }
 
+void quota_account::set_drained(std::vector<std::string> const& organisations,
+                                time_point now)
+{
+    drained_ = {organisations.begin(), organisations.end()};
+    hub_word_ = now;
+}
+
 bool quota_account::spend_alone(std::string const& organisation, quota_terms const& terms,
                                 double units, std::size_t instances, time_point now)
 {
-    auto& entry = accounts_[organisation];
     double const part =
         terms.rate / static_cast<double>(std::max<std::size_t>(instances, 1));
-    if (entry.alone_since == time_point{} || now - entry.alone_since > alone_gap)
-        entry.alone = std::min(entry.alone, part * alone_burst_s);
-    double const waited = std::min(to_seconds(now - entry.alone_since), alone_burst_s);
-    entry.alone = std::min(entry.alone + waited * part, part * alone_burst_s);
-    entry.alone_since = now;
-    double const needed = std::min(units, part * alone_burst_s);
-    if (entry.alone < needed)
+    accrue_alone(organisation, part, now);
+    auto& entry = accounts_[organisation];
+    if (entry.alone <= 0)
         return false;
     entry.alone -= units;
     return true;
 }
 
+void quota_account::accrue_alone(std::string const& organisation, double part,
+                                 time_point now)
+{
+    auto& entry = accounts_[organisation];
+    double const most = part * alone_burst_s;
+    // What the hub left is the start; a debt of the last time alone counts on.
+    auto const word = hub_word_.value_or(now);
+    if (!entry.alone_at || *entry.alone_at < word)
+    {
+        double const left = drained_.contains(organisation) ? 0 : most * drained_share;
+        double const paid =
+            entry.alone_at
+                ? std::min(entry.alone + to_seconds(word - *entry.alone_at) * part, left)
+                : left;
+        entry.alone = paid;
+        entry.alone_at = word;
+    }
+    entry.alone = std::min(entry.alone + to_seconds(now - *entry.alone_at) * part, most);
+    entry.alone_at = now;
+}
+
 void quota_account::block(std::string const& organisation, double units, time_point until)
 {
     auto& entry = accounts_[organisation];
--- a/src/coordination/entry/quota.hpp
+++ b/src/coordination/entry/quota.hpp
@@ -4,7 +4,10 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace carawayturn::entry
 {
@@ -44,13 +47,19 @@
                                   quota_terms const& terms, double units, double reserve,
                                   time_point now);
 
+    /// Organisations that have less than half of their burst left, by name. Only those
+    /// that were asked for since the last reset.
+    [[nodiscard]] std::vector<std::string> drained(time_point now) const;
+
 private:
     struct bucket
     {
         double level = 0;
+        quota_terms terms;
         time_point last{};
         bool fresh = true;
     };
+    [[nodiscard]] double level_at(bucket const& entry, time_point now) const;
     bucket& refreshed(std::string const& organisation, quota_terms const& terms,
                       time_point now);
 
@@ -60,7 +69,9 @@
 };
 
 /// What an instance may spend by itself: what the hub granted beyond single requests, and
-/// its own part of the rate while no hub answers.
+/// its own part of the rate while no hub answers. Answers the load pattern "the hub is
+/// gone for seconds, and one request is larger than what an instance's part of the rate
+/// brings in a second": a request passes while anything is left and leaves a debt.
 class quota_account
 {
 public:
@@ -68,8 +79,12 @@
     [[nodiscard]] bool spend(std::string const& organisation, double units);
     void deposit(std::string const& organisation, double units);
 
-    /// Spends from the part of the rate that accrues to one of `instances` while the hub
-    /// does not answer.
+    /// Takes the hub's word of who has little left: they start from nothing when the hub
+    /// is lost, the others from half of their burst.
+    void set_drained(std::vector<std::string> const& organisations, time_point now);
+
+    /// Spends from the part of the rate that accrues to one of `instances` since the
+    /// hub's last word.
     [[nodiscard]] bool spend_alone(std::string const& organisation,
                                    quota_terms const& terms, double units,
                                    std::size_t instances, time_point now);
@@ -83,12 +98,17 @@
     struct account
     {
         double balance = 0;
+        /// Left of the own part of the rate; below zero after a request that was larger.
         double alone = 0;
-        time_point alone_since{};
+        std::optional<time_point> alone_at;
         double blocked_units = 0;
         time_point blocked_until{};
     };
+    void accrue_alone(std::string const& organisation, double part, time_point now);
+
     std::map<std::string, account> accounts_;
+    std::set<std::string> drained_;
+    std::optional<time_point> hub_word_;
 };
 
 } // namespace carawayturn::entry
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -101,7 +101,8 @@
        value.instances, value.packed_config, value.config_row, value.directory_hub,
        value.directory_revision, value.brings_in_step, value.replaced_buckets,
        value.records, value.removed, value.complete, value.totals, value.estimates,
-       value.retiring, value.quota, value.crashes, value.survived, value.peers);
+       value.retiring, value.quota, value.drained, value.crashes, value.survived,
+       value.peers);
 }
 
 namespace
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -148,6 +148,8 @@
     std::vector<model_estimate> estimates;
     std::vector<retiring_model> retiring;
     std::vector<quota_reply> quota;
+    /// Organisations that have little left of their quota.
+    std::vector<std::string> drained;
     std::vector<crash_count> crashes;
     /// Signatures that are no longer under suspicion.
     std::vector<std::uint64_t> survived;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -357,6 +357,7 @@
             if (auto const found = ids_.find(total.server);
                 found != ids_.end() && !found->second.empty())
                 board_.others_told(found->second, total.others);
+        quota_.set_drained(update.drained, now);
         crashes_.told(update.crashes, update.survived, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.retiring)
--- a/tests/entry/quota_test.cpp
+++ b/tests/entry/quota_test.cpp
@@ -63,6 +63,16 @@
     EXPECT_EQ(ledger_.ask("org", terms, 1, 0, at(2100)).units, 1);
 }
 
+// Guards against instances that are not told that an organisation has used up its burst.
+TEST_F(quota_ledger_test, organisation_below_half_of_its_burst_is_named_as_drained)
+{
+    ledger_.reset(1.0);
+    static_cast<void>(ledger_.ask("used", terms, 600, 0, at(0)));
+    static_cast<void>(ledger_.ask("filled", terms, 400, 0, at(0)));
+    EXPECT_EQ(ledger_.drained(at(0)), std::vector<std::string>{"used"});
+    EXPECT_TRUE(ledger_.drained(at(200)).empty());
+}
+
 // Guards against two parts of one rate while some instances accrue their own.
 TEST_F(quota_ledger_test, silent_instances_take_their_part_of_the_rate)
 {
@@ -88,6 +98,71 @@
     EXPECT_LE(spent, 8 * terms.rate + terms.burst);
 }
 
+// Guards against refusals inside the rate while no hub answers: requests that are larger
+// than an instance's part of one second come twice in a row, then at half of the rate.
+TEST(quota_account_test,
+     organisation_with_a_filled_bucket_alone_is_served_at_half_its_rate)
+{
+    constexpr std::size_t instances = 100;
+    constexpr double units = 15;
+    quota_account account;
+    account.set_drained({}, at(0));
+    EXPECT_TRUE(account.spend_alone("org", terms, units, instances, at(2000)));
+    int refused = 0;
+    for (int ms = 5000; ms < 35000; ms += 3000)
+        refused += account.spend_alone("org", terms, units, instances, at(ms)) ? 0 : 1;
+    EXPECT_EQ(refused, 0);
+}
+
+TEST(quota_account_test, two_requests_at_once_alone_are_served_from_what_is_left)
+{
+    quota_account account;
+    account.set_drained({}, at(0));
+    EXPECT_TRUE(account.spend_alone("org", terms, 60, 10, at(200)));
+    EXPECT_TRUE(account.spend_alone("org", terms, 60, 10, at(200)));
+    EXPECT_FALSE(account.spend_alone("org", terms, 60, 10, at(200)));
+}
+
+// Guards against an organisation that used up its burst at the hub and gets another one
+// from the instances together when the hub is lost.
+TEST(quota_account_test, drained_organisation_alone_gets_only_what_accrues)
+{
+    constexpr std::size_t instances = 20;
+    constexpr double units = 10;
+    double spent = 0;
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        quota_account account;
+        account.set_drained({"org"}, at(0));
+        for (int ms = 0; ms < 3000; ms += 3)
+            if (account.spend_alone("org", terms, units, instances, at(ms)))
+                spent += units;
+    }
+    // Each instance may end with one request as its debt.
+    EXPECT_LE(spent, 3 * terms.rate + instances * units);
+    EXPECT_GE(spent, 2.5 * terms.rate);
+}
+
+// Guards against a burst for each time that the hub's word is late.
+TEST(quota_account_test, hub_that_comes_and_goes_does_not_renew_the_burst)
+{
+    constexpr std::size_t instances = 20;
+    constexpr double units = 10;
+    double spent = 0;
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        quota_account account;
+        for (int ms = 0; ms < 8000; ms += 4)
+        {
+            if (ms % 100 == 0)
+                account.set_drained({}, at(ms));
+            if (account.spend_alone("org", terms, units, instances, at(ms)))
+                spent += units;
+        }
+    }
+    EXPECT_LE(spent, 8 * terms.rate + terms.burst);
+}
+
 // Guards against an ask to the hub for each request of an organisation that is over its
 // rate.
 TEST(quota_account_test, blocked_organisation_is_not_asked_for_again)
