Bound the bodies of all requests of an instance; let a refused caller read its answer

Each body was bounded by the configuration alone, so that many callers could fill the process together. All bodies now keep to a quarter of limits.memory_mb (byte_budget); what does not fit is refused with bodies_full before the body is read, and a body without a length where the quarter ends. The rest is read and discarded for a second or 64 MB.

--- a/src/state/entry/node_settings.hpp
+++ b/src/state/entry/node_settings.hpp
@@ -39,6 +39,8 @@
     std::string store_address;
     /// Part of a core that the process may use.
     double processor_share = 1;
+    /// Memory that the process may use.
+    double memory_mb = 256;
     /// Bandwidth of the machine's link.
     double link_mbps = 1000;
     service_bounds bounds;
--- a/src/state/entry/refusal_reason.cpp
+++ b/src/state/entry/refusal_reason.cpp
@@ -16,8 +16,9 @@
 };
 
 /// Ordered like the enumeration.
-constexpr std::array<refusal_text, 19> texts{{{"no_configuration", 503},
+constexpr std::array<refusal_text, 20> texts{{{"no_configuration", 503},
                                               {"request_id_missing", 400},
+                                              {"bodies_full", 503},
                                               {"configuration_stale", 503},
                                               {"route_unknown", 404},
                                               {"key_unknown", 401},
--- a/src/state/entry/refusal_reason.hpp
+++ b/src/state/entry/refusal_reason.hpp
@@ -14,6 +14,8 @@
     no_configuration,
     /// The request names itself by no id, or by more than one.
     request_id_missing,
+    /// The bodies of other requests take all memory that there is for them.
+    bodies_full,
     /// The configuration in force is not confirmed as the newest one.
     configuration_stale,
     /// The newest configuration has no such route.
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -16,6 +16,8 @@
 
 #include <sys/socket.h>
 
+#include <array>
+
 namespace carawayturn::entry
 {
 
@@ -27,6 +29,11 @@
 /// Bytes read and not yet parsed. Bounds what has no limit of its own in the parser:
 /// chunk extensions and trailers.
 constexpr std::size_t request_buffer_limit = std::size_t{256} * 1024;
+/// How long, and for how many bytes, a caller that was refused may go on sending. Closing
+/// earlier would reset the connection, and the answer could be lost with it.
+constexpr duration discard_time = std::chrono::seconds(1);
+constexpr std::size_t discard_limit = std::size_t{64} << 20U;
+constexpr std::size_t discard_piece = std::size_t{16} * 1024;
 /// Limits before the first configuration is known.
 constexpr caller_limits default_limits{};
 
@@ -65,7 +72,10 @@
 
     [[nodiscard]] caller_limits limits() const;
     [[nodiscard]] task<bool> wait_for_request();
-    [[nodiscard]] task<bool> read_request(parser& in);
+    [[nodiscard]] task<bool> read_request(parser& in, byte_reservation& kept);
+    [[nodiscard]] task<bool> read_body(parser& in, byte_reservation& kept);
+    [[nodiscard]] task<bool> refuse_body(parser& in);
+    task<void> discard_rest();
     [[nodiscard]] task<bool> reject(unsigned status, std::string_view fault = {});
     [[nodiscard]] task<bool> serve(http::request<http::string_body>& request,
                                    time_point arrival);
@@ -105,7 +115,7 @@
     co_return !failure;
 }
 
-task<bool> caller_session::read_request(parser& in)
+task<bool> caller_session::read_request(parser& in, byte_reservation& kept)
 {
     auto const bounds = limits();
     in.header_limit(bounds.header_bytes);
@@ -122,6 +132,8 @@
     auto const fault = find_framing_fault(in.get());
     if (fault != framing_fault::none)
         co_return co_await reject(status_of(fault), name_of(fault));
+    if (!kept.grow_to(in.content_length().value_or(0)))
+        co_return co_await refuse_body(in);
     if (boost::beast::iequals(in.get()[http::field::expect], "100-continue"))
     {
         constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -131,15 +143,34 @@
             co_return false;
     }
     socket_->set_deadline(boot_now() + bounds.idle_timeout);
-    auto const [broken, body_size] =
-        co_await http::async_read(socket_->socket(), buffer_, in, use_task);
-    if (broken == http::error::body_limit)
-        co_return co_await reject(413);
-    if (broken)
-        co_return malformed(broken) ? co_await reject(400) : false;
+    co_return co_await read_body(in, kept);
+}
+
+task<bool> caller_session::read_body(parser& in, byte_reservation& kept)
+{
+    while (!in.is_done())
+    {
+        auto const [broken, size] =
+            co_await http::async_read_some(socket_->socket(), buffer_, in, use_task);
+        if (broken == http::error::body_limit)
+            co_return co_await reject(413);
+        if (broken)
+            co_return malformed(broken) ? co_await reject(400) : false;
+        if (!kept.grow_to(in.get().body().size()))
+            co_return co_await refuse_body(in);
+    }
     co_return true;
 }
 
+task<bool> caller_session::refuse_body(parser& in)
+{
+    keep_alive_ = false;
+    request_flow flow(services_, in.get(), *this, boot_now());
+    co_await flow.refuse_body();
+    co_await discard_rest();
+    co_return false;
+}
+
 task<bool> caller_session::reject(unsigned status, std::string_view fault)
 {
     keep_alive_ = false;
@@ -149,9 +180,26 @@
     services_.log.write(entry_event::request_malformed,
                         {{"status", std::uint64_t{status}}, {"fault", fault}});
     co_await write(std::move(head), {});
+    co_await discard_rest();
     co_return false;
 }
 
+task<void> caller_session::discard_rest()
+{
+    boost::system::error_code failure;
+    socket_->socket().shutdown(tcp_socket::shutdown_send, failure);
+    socket_->set_deadline(boot_now() + discard_time);
+    std::array<char, discard_piece> piece{};
+    std::size_t discarded = 0;
+    while (!failure && discarded < discard_limit)
+    {
+        auto const [ended, size] =
+            co_await socket_->socket().async_read_some(asio::buffer(piece), use_task);
+        failure = ended;
+        discarded += size;
+    }
+}
+
 void caller_session::set_persistence(http::response_header<>& head)
 {
     if (services_.draining)
@@ -268,7 +316,8 @@
         if (!readable)
             co_return;
         parser in;
-        bool const whole = co_await read_request(in);
+        byte_reservation kept(services_.bodies);
+        bool const whole = co_await read_request(in, kept);
         if (!whole)
             co_return;
         auto request = in.release();
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -30,27 +30,36 @@
 /// names it anew while that holds.
 constexpr duration retiring_pause = std::chrono::milliseconds(600);
 constexpr int listen_backlog = 512;
+/// Share of the memory limit for requests' bodies; the rest is for connections, answers
+/// and the directory.
+constexpr double body_memory_share = 0.25;
+
+std::uint64_t body_capacity(node_settings const& settings)
+{
+    constexpr double megabyte = 1024.0 * 1024.0;
+    return static_cast<std::uint64_t>(settings.memory_mb * megabyte * body_memory_share);
+}
 
 } // namespace
 
 entry_node::entry_node(node_settings settings, settings_reader reread,
                        std::uint64_t incarnation)
     : settings_(std::move(settings)), reread_(std::move(reread)),
-      incarnation_(incarnation), io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE),
-      log_(settings_.name), tasks_(io_, log_, metrics_),
+      incarnation_(incarnation), bodies_(body_capacity(settings_)),
+      io_(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE), log_(settings_.name),
+      tasks_(io_, log_, metrics_),
       authority_(settings_.bounds.key_withdrawal - withdrawal_margin),
       board_(settings_.failure_domain, incarnation), connections_(io_, watch_),
       retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
       lease_(own_address(settings_.peer_port), settings_.name, incarnation, lease_term),
       order_right_(lease_, order_margin, lease_term),
-      hub_(incarnation), services_{io_,        settings_,      watch_,
-                                   authority_, board_,         connections_,
-                                   quota_,     retries_,       demand_,
-                                   changes_,   link_,          log_,
-                                   metrics_,   random_,        in_flight_,
-                                   draining_,  open_requests_, idle_callers_,
-                                   crashes_,   tasks_},
+      hub_(incarnation), services_{io_,        settings_,      watch_,        bodies_,
+                                   authority_, board_,         connections_,  quota_,
+                                   retries_,   demand_,        changes_,      link_,
+                                   log_,       metrics_,       random_,       in_flight_,
+                                   draining_,  open_requests_, idle_callers_, crashes_,
+                                   tasks_},
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this), keeper_(services_, store_, lease_),
       callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -103,6 +103,7 @@
     node_settings settings_;
     settings_reader reread_;
     std::uint64_t incarnation_;
+    byte_budget bodies_;
     asio::io_context io_;
     connection_watch watch_;
     decision_log log_;
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/backend_board.hpp"
+#include "coordination/entry/byte_budget.hpp"
 #include "coordination/entry/config_authority.hpp"
 #include "coordination/entry/crash_ledger.hpp"
 #include "coordination/entry/demand_book.hpp"
@@ -53,6 +54,8 @@
     asio::io_context& io;
     node_settings const& settings;
     connection_watch& watch;
+    /// Bytes of requests' bodies.
+    byte_budget& bodies;
     config_authority& authority;
     backend_board& board;
     backend_connections& connections;
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -350,6 +350,11 @@
     co_return false;
 }
 
+task<bool> request_flow::refuse_body()
+{
+    return refuse({refusal_reason::bodies_full, later});
+}
+
 task<bool> request_flow::refuse(refusal why)
 {
     http::response_header<> head;
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -52,6 +52,9 @@
     /// further, because an answer ended early or could not be written.
     [[nodiscard]] task<bool> run();
 
+    /// Refuses a request whose body is not read, because there is no memory for it.
+    [[nodiscard]] task<bool> refuse_body();
+
     /// The caller has closed its connection; stops all work for it.
     void abandon();
 
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -52,9 +52,12 @@
 class Instance:
     """One process of carawayturn-entry."""
 
-    def __init__(self, store: Store, name: str, store_address=None) -> None:
-        """`store_address` turns the door's address into the one that the process uses."""
+    def __init__(self, store: Store, name: str, store_address=None,
+                 more_settings: str = "") -> None:
+        """`store_address` turns the door's address into the one that the process uses;
+        `more_settings` are further lines of the settings file."""
         self.name = name
+        self.more_settings = more_settings
         self.door = StoreDoor(store)
         address = store_address(self.door.address) if store_address else self.door.address
         self.folder = tempfile.TemporaryDirectory()
@@ -78,7 +81,8 @@
             f"listen.ready=127.0.0.1:{self.ready_port}\n"
             f"internal_ports={self.peer},{self.peer + 1}\n"
             f"platform.address={store_address}\n"
-            "bounds.revoke_ms=5000\nbounds.grace_s=8\nbounds.lease_ms=3000\n",
+            "bounds.revoke_ms=5000\nbounds.grace_s=8\nbounds.lease_ms=3000\n"
+            + self.more_settings,
             encoding="utf-8")
 
     def _listens(self) -> bool:
--- /dev/null
+++ b/tests/entry/byte_budget_test.cpp
@@ -0,0 +1,54 @@
+#include "coordination/entry/byte_budget.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+// Guards against bodies that each keep to their own limit and fill the process together.
+TEST(byte_budget_test, many_long_bodies_hold_no_more_than_the_budget)
+{
+    byte_budget budget(1000);
+    std::vector<std::unique_ptr<byte_reservation>> requests;
+    int admitted = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        requests.push_back(std::make_unique<byte_reservation>(budget));
+        admitted += requests.back()->grow_to(150) ? 1 : 0;
+    }
+    EXPECT_EQ(admitted, 6);
+    EXPECT_EQ(budget.taken(), 900U);
+}
+
+// Guards against a body without a length that is counted anew with each piece.
+TEST(byte_budget_test, growing_body_holds_its_size_once)
+{
+    byte_budget budget(1000);
+    byte_reservation request(budget);
+    EXPECT_TRUE(request.grow_to(400));
+    EXPECT_TRUE(request.grow_to(300));
+    EXPECT_TRUE(request.grow_to(1000));
+    EXPECT_EQ(budget.taken(), 1000U);
+    EXPECT_FALSE(request.grow_to(1001));
+    EXPECT_EQ(budget.taken(), 1000U);
+}
+
+// Guards against a budget that shrinks with every request.
+TEST(byte_budget_test, ended_request_gives_its_bytes_back)
+{
+    byte_budget budget(1000);
+    {
+        byte_reservation const empty(budget);
+        byte_reservation request(budget);
+        EXPECT_TRUE(request.grow_to(1000));
+    }
+    EXPECT_EQ(budget.taken(), 0U);
+}
+
+} // namespace
+} // namespace carawayturn::entry
