--- /dev/null
+++ b/python/carawayturn_logs/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the structured log lines of instances."""
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -157,8 +157,20 @@
     charged_ = false;
 }
 
+task<void> request_flow::await_first_reading()
+{
+    if (arrival_ - services_.started_at > start_patience)
+        co_return;
+    auto const budget = head_.deadline.value_or(default_deadline) / 2;
+    auto const limit = arrival_ + std::min(budget, start_patience);
+    while ((!services_.authority.current() || services_.board.all().empty()) &&
+           !abandoned_ && boot_now() < limit)
+        co_await services_.changes.wait(limit - boot_now());
+}
+
 task<bool> request_flow::run()
 {
+    co_await await_first_reading();
     if (auto refused = admit())
         co_return co_await refuse(*refused);
     if (auto refused = co_await charge_quota())
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -59,6 +59,10 @@
     void abandon();
 
 private:
+    /// Answers the load pattern "all machines restart, and callers are there at once":
+    /// the configuration and the servers come a moment later.
+    [[nodiscard]] task<void> await_first_reading();
+
     enum class attempt_end
     {
         /// The caller got the answer.
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -301,6 +301,23 @@
         wait_until(lambda: second.state()["hub"]["this_instance"], "n2 is the hub")
         self.assertEqual(self.store.get("carawayturn", "hub")["fence"], 3)
 
+    def test_request_right_after_a_start_waits_for_the_first_reading(self) -> None:
+        """Guards against refusals for want of a configuration that comes a moment later:
+        111 requests after a restart of 142 instances."""
+        store = Store()
+        server = BackendServer(store, "p9", "plain")
+        started = Instance(store, "n9")
+        timer = threading.Timer(
+            0.1, lambda: store.put("op", "config", configuration(1, ["k1"])))
+        try:
+            timer.start()
+            status, body, _ = started.request("/open/a")
+            self.assertEqual(status, 200, body)
+        finally:
+            timer.join()
+            for service in (started, server, store):
+                service.close()
+
     def test_members_learn_of_the_next_holder_by_one_question_that_waits(self) -> None:
         """Guards against instances that look for the next holder after a fixed time, or
         try to claim a lease that another one has claimed: of 142 instances, 106 wrote and
