Refuse a body that never fits as too large; shorten the hub search

A request longer than all memory for bodies was told to come back, though it would never fit (caller_bodies_test: longer_than_all_memory). Bodies are read eagerly, as before the loop. hub_search kept a time of which only its presence was used.

--- a/src/coordination/entry/byte_budget.hpp
+++ b/src/coordination/entry/byte_budget.hpp
@@ -16,6 +16,7 @@
     [[nodiscard]] bool take(std::uint64_t bytes);
     void give_back(std::uint64_t bytes) { taken_ -= bytes; }
 
+    [[nodiscard]] std::uint64_t capacity() const { return capacity_; }
     [[nodiscard]] std::uint64_t taken() const { return taken_; }
 
 private:
--- a/src/coordination/entry/reading_rule.cpp
+++ b/src/coordination/entry/reading_rule.cpp
@@ -83,17 +83,9 @@
     return scaled(eager_retry, eager_retry_per_instance, greatest_eager_retry, instances);
 }
 
-void hub_search::follow(time_point now, bool hub_answers)
-{
-    if (hub_answers)
-        lost_at_ = time_point{};
-    else if (lost_at_ == time_point{})
-        lost_at_ = now;
-}
-
 bool hub_search::due(time_point now, time_point lease_end, std::size_t instances) const
 {
-    if (lost_at_ == time_point{} || now < lease_end)
+    if (hub_answers_ || now < lease_end)
         return false;
     return now - searched_at_ >= scaled(search_interval, search_interval_per_instance,
                                         greatest_search_interval, instances);
--- a/src/coordination/entry/reading_rule.hpp
+++ b/src/coordination/entry/reading_rule.hpp
@@ -61,7 +61,7 @@
 {
 public:
     /// Follows whether a hub answers whose lease has not run out; call often.
-    void follow(time_point now, bool hub_answers);
+    void follow(bool hub_answers) { hub_answers_ = hub_answers; }
 
     /// @param lease_end when another instance may claim the lease that was seen last.
     [[nodiscard]] bool due(time_point now, time_point lease_end,
@@ -69,7 +69,7 @@
     void searched(time_point now) { searched_at_ = now; }
 
 private:
-    time_point lost_at_{};
+    bool hub_answers_ = true;
     time_point searched_at_{};
 };
 
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -132,7 +132,11 @@
     auto const fault = find_framing_fault(in.get());
     if (fault != framing_fault::none)
         co_return co_await reject(status_of(fault), name_of(fault));
-    if (!kept.grow_to(in.content_length().value_or(0)))
+    auto const announced = in.content_length().value_or(0);
+    // It would not fit at any other time either.
+    if (announced > services_.bodies.capacity())
+        co_return co_await reject(413);
+    if (!kept.grow_to(announced))
         co_return co_await refuse_body(in);
     if (boost::beast::iequals(in.get()[http::field::expect], "100-continue"))
     {
@@ -148,6 +152,7 @@
 
 task<bool> caller_session::read_body(parser& in, byte_reservation& kept)
 {
+    in.eager(true);
     while (!in.is_done())
     {
         auto const [broken, size] =
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -48,7 +48,7 @@
     if (claimable && (lease_.own_row() || lease_.inherited_row() ||
                       now - claimable_since_ >= claim_delay_))
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
-    search_.follow(now, hub_answers || lease_.own_row());
+    search_.follow(hub_answers || lease_.own_row());
     auto const until_claim =
         claimable ? claimable_since_ + claim_delay_ - now : longest_watch;
     if (until_claim < step_interval ||
--- a/tests/entry/caller_bodies_test.py
+++ b/tests/entry/caller_bodies_test.py
@@ -113,6 +113,15 @@
             caller.send(b"%x\r\n%s\r\n" % (len(piece), piece))
         self.assert_refused_for_bodies(caller)
 
+    def test_body_longer_than_all_memory_for_bodies_is_too_large(self) -> None:
+        """Guards against a caller that is told to come back with what never fits."""
+        config = configuration(2, ["k1"])
+        config["limits"]["max_body_bytes"] = 10 * BODY_LIMIT
+        self.store.put("op", "config", config)
+        wait_until(lambda: self.instance.state()["configuration"]["version"] == 2,
+                   "the longer limit is in force")
+        self.assertEqual(self.caller(f"Content-Length: {5 * BODY_LIMIT}").answer()[0], 413)
+
     def test_ended_callers_give_their_bytes_back(self) -> None:
         """Guards against memory that stays counted after a caller has left."""
         for holder in self.fill():
--- a/tests/entry/reading_rule_test.cpp
+++ b/tests/entry/reading_rule_test.cpp
@@ -113,7 +113,7 @@
 
 TEST_F(hub_search_test, hub_that_answers_is_not_searched)
 {
-    search_.follow(at(0), true);
+    search_.follow(true);
     EXPECT_FALSE(search_.due(at(10000), at(0), 142));
 }
 
@@ -121,7 +121,7 @@
 // its end.
 TEST_F(hub_search_test, lease_that_nobody_may_claim_is_not_read)
 {
-    search_.follow(at(0), false);
+    search_.follow(false);
     EXPECT_FALSE(search_.due(at(1999), at(2000), 142));
     EXPECT_TRUE(search_.due(at(2000), at(2000), 142));
 }
@@ -130,8 +130,7 @@
 // question waits at the store instead, and is put again at an interval.
 TEST_F(hub_search_test, released_lease_is_watched_at_once)
 {
-    search_.follow(at(5000), true);
-    search_.follow(at(6000), false);
+    search_.follow(false);
     EXPECT_TRUE(search_.due(at(6000), at(6000), 142));
     search_.searched(at(6000));
     EXPECT_FALSE(search_.due(at(6500), at(6000), 142));
