Drop what a broken run left of an event before the next run begins

A server ended its stream within the first event; the next server's whole answer went to the caller behind the bytes of the first. The rest of an event was dropped only if an event had gone to the caller already. Ruled out: an answer of another request (ids are compared) and a connection that was in use again (the second server's own connection).

--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -313,11 +313,10 @@
     }
     if (end != attempt_end::not_run)
         excluded_.insert(server_.id);
+    // What the broken run left of an event is none of the next run's.
+    events_.drop_rest();
     if (stream_begun_)
-    {
-        events_.drop_rest();
         start_deadline_ = deadline_;
-    }
     services_.metrics.count("repeats_total");
     return true;
 }
--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -326,6 +326,12 @@
     connection.repeat(chunk(b"d" * PIECE))
 
 
+def stream_cut_in_first_event(connection: Connection, request: Request) -> None:
+    """Ends before anything that could go to the caller."""
+    connection.send(head(request.id, STREAM) + chunk(event(1)[:-1]))
+    raise Closed
+
+
 def trickled_stream(connection: Connection, request: Request) -> None:
     """Bytes of an event that does not end."""
     connection.send(head(request.id, STREAM) + chunk(event(1)))
@@ -359,6 +365,7 @@
     answer_before_body, bytes_after_answer, length_too_great, two_lengths, length_and_chunks,
     no_answer, no_bytes_then_end, no_bytes_then_reset, trickled_head, trickled_body, stream,
     stream_without_end_of_event, stream_without_first_event, trickled_stream,
+    stream_cut_in_first_event,
     commented_stream, slow_stream)}
 
 # A whole answer of `own_body` in each framing; `cut_answer` ends one early.
--- a/tests/entry/misbehaving_server_test.py
+++ b/tests/entry/misbehaving_server_test.py
@@ -241,6 +241,12 @@
         """Guards against a stalled stream that lives because a byte comes now and then."""
         self.assert_stream_goes_on_elsewhere("trickled_stream")
 
+    def test_stream_cut_in_its_first_event_is_answered_by_the_next_server_alone(self) -> None:
+        """Guards against the bytes of a broken run before those of the next one: they were
+        dropped only if the caller had an event already (garble on
+        further-grown/sbr-floor-grown, seed 444174999976)."""
+        self.assert_stream_goes_on_elsewhere("stream_cut_in_first_event")
+
     def test_slow_stream_that_cannot_go_on_elsewhere_is_not_cut(self) -> None:
         """Guards against a sound stream that is cut for a pause in it."""
         self.runner.play("slow_stream")
