Wake the connection's loop wherever a new holder of the lease is heard of

Only a row that was read from the store woke it; what another instance told did not. order_lease tells whether a row has another holder, and both callers act on it.

--- a/src/coordination/entry/order_lease.cpp
+++ b/src/coordination/entry/order_lease.cpp
@@ -21,18 +21,19 @@
 {
 }
 
-void order_lease::observe(lease_row const& row, std::uint64_t row_version,
+bool order_lease::observe(lease_row const& row, std::uint64_t row_version,
                           time_point seen_at, duration remaining)
 {
     if (known_ && row_version < row_version_)
-        return;
+        return false;
     if (known_ && row_version == row_version_)
     {
         if (!own_row() && remaining < term_)
             end_ = std::max(end_, seen_at + remaining);
-        return;
+        return false;
     }
     known_ = true;
+    bool const moved = row.holder_address != row_.holder_address;
     row_ = row;
     row_version_ = row_version;
     bool const released = row.holder_address.empty();
@@ -40,6 +41,7 @@
     // A former process of this instance has ended, or this one would not run.
     if (own_row() || row.holder_name == name_)
         end_ = time_point{};
+    return moved;
 }
 
 void order_lease::observe_absent()
--- a/src/coordination/entry/order_lease.hpp
+++ b/src/coordination/entry/order_lease.hpp
@@ -20,7 +20,9 @@
 
     /// The row as read from the store or told by its holder. `seen_at` is when it was
     /// received; `remaining` is the holder's own word on its validity, or the whole term.
-    void observe(lease_row const& row, std::uint64_t row_version, time_point seen_at,
+    /// Returns whether the row has another holder than the one before; the connection to
+    /// the former holder is of no use then.
+    bool observe(lease_row const& row, std::uint64_t row_version, time_point seen_at,
                  duration remaining);
     /// The store holds no row.
     void observe_absent();
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -275,9 +275,10 @@
 
 void entry_node::take_beliefs(node_update const& update)
 {
-    if (update.lease_version != 0)
+    if (update.lease_version != 0 &&
         lease_.observe(update.lease, update.lease_version, boot_now(),
-                       duration(update.lease_remaining_us));
+                       duration(update.lease_remaining_us)))
+        link_.hurry();
     authority_.hear_of(update.config_version);
     if (!update.packed_config.empty())
         reader_.take_packed_config(update.packed_config, update.config_row);
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -73,10 +73,7 @@
         }
         absent_ = false;
         auto const& lease = std::get<lease_row>(decoded);
-        bool const moved = lease.holder_address != lease_.row().holder_address;
-        lease_.observe(lease, row.version, boot_now(), duration::max());
-        // The link leaves the former holder at once, not with its next status.
-        if (moved)
+        if (lease_.observe(lease, row.version, boot_now(), duration::max()))
             services_.hub.hurry();
     }
 }
--- a/tests/entry/order_lease_test.cpp
+++ b/tests/entry/order_lease_test.cpp
@@ -42,6 +42,22 @@
     EXPECT_FALSE(first_.held(at(2100)));
 }
 
+// Guards against an instance that stays with a former holder until its next status is
+// due, whoever told it of the next one.
+TEST_F(order_lease_test, row_tells_once_that_the_holder_changed)
+{
+    first_.observe_absent();
+    auto row = first_.next_row(at(0));
+    EXPECT_TRUE(second_.observe(row, 7, at(0), duration::max()));
+    EXPECT_FALSE(second_.observe(row, 7, at(100), milliseconds(2000)));
+    EXPECT_FALSE(second_.observe(row, 8, at(800), duration::max()));
+    row.holder_address = "10.0.0.3:7600";
+    EXPECT_FALSE(second_.observe(row, 6, at(900), duration::max()));
+    EXPECT_TRUE(second_.observe(row, 9, at(900), duration::max()));
+    row.holder_address.clear();
+    EXPECT_TRUE(second_.observe(row, 10, at(1000), duration::max()));
+}
+
 // Guards against orders after a pause: the lease is measured from when the renewal was
 // sent, whatever happened until its answer.
 TEST_F(order_lease_test, answer_after_a_pause_gives_no_right)
