Take the time of the start once; wait for the first reading only right after a start

Every request began a coroutine that waits in the first second only; it is begun then alone. Its patience no longer bears the name of reading_rule's.

--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -63,7 +63,7 @@
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this), keeper_(services_, store_, lease_),
       callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
-      peer_book_(trusted_confirmation_age), reading_(boot_now())
+      peer_book_(trusted_confirmation_age), reading_(services_.started_at)
 {
 }
 
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -53,6 +53,7 @@
 {
     asio::io_context& io;
     node_settings const& settings;
+    /// When this process started.
     time_point started_at;
     connection_watch& watch;
     /// Bytes of requests' bodies.
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -22,7 +22,7 @@
 
 lease_keeper::lease_keeper(entry_services& services, store_client& store,
                            order_lease& lease)
-    : services_(services), store_(store), lease_(lease), started_at_(boot_now()),
+    : services_(services), store_(store), lease_(lease),
       claim_delay_(claim_delay(services.settings))
 {
 }
@@ -38,8 +38,9 @@
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
     // A machine that has just started may not take turns with the holder that followed
     // it.
-    bool const settled = absent_ || lease_.inherited_row() ||
-                         now - started_at_ >= services_.settings.bounds.order_lease;
+    bool const settled =
+        absent_ || lease_.inherited_row() ||
+        now - services_.started_at >= services_.settings.bounds.order_lease;
     bool const claimable = settled && lease_.may_claim(now) && store_.answering();
     if (!claimable)
         claimable_since_ = time_point{};
--- a/src/transport/entry/lease_keeper.hpp
+++ b/src/transport/entry/lease_keeper.hpp
@@ -32,7 +32,6 @@
     entry_services& services_;
     store_client& store_;
     order_lease& lease_;
-    time_point started_at_;
     duration claim_delay_;
     /// Since when the lease could be claimed.
     time_point claimable_since_{};
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -159,10 +159,8 @@
 
 task<void> request_flow::await_first_reading()
 {
-    if (arrival_ - services_.started_at > start_patience)
-        co_return;
     auto const budget = head_.deadline.value_or(default_deadline) / 2;
-    auto const limit = arrival_ + std::min(budget, start_patience);
+    auto const limit = arrival_ + std::min(budget, first_reading_patience);
     while ((!services_.authority.current() || services_.board.all().empty()) &&
            !abandoned_ && boot_now() < limit)
         co_await services_.changes.wait(limit - boot_now());
@@ -170,7 +168,8 @@
 
 task<bool> request_flow::run()
 {
-    co_await await_first_reading();
+    if (arrival_ - services_.started_at <= first_reading_patience)
+        co_await await_first_reading();
     if (auto refused = admit())
         co_return co_await refuse(*refused);
     if (auto refused = co_await charge_quota())
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -41,7 +41,7 @@
 inline constexpr double quota_reserve_s = 0.2;
 /// An instance that started within this time knows configuration and servers soon; a
 /// request waits for them as long at most.
-inline constexpr duration start_patience = std::chrono::milliseconds(1000);
+inline constexpr duration first_reading_patience = std::chrono::milliseconds(1000);
 /// Times to come back after refusals whose cause passes by itself.
 inline constexpr duration now_elsewhere = std::chrono::milliseconds(20);
 inline constexpr duration soon = std::chrono::milliseconds(300);
