--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -84,7 +84,7 @@
     search_.searched(boot_now());
     auto const reply = co_await store_.call(
         platform::read_table(platform::store_table::lease, {}), call_timeout);
-    if (!reply || reply->status != 200)
+    if (!reply || !reply->done())
         co_return false;
     absent_ = true;
     observe_rows(reply->answer);
@@ -102,10 +102,9 @@
     auto const reply = co_await store_.call(
         platform::watch_table(platform::store_table::lease, after, longest),
         longest + call_timeout);
-    // The history since then is gone.
-    if (reply && reply->status == 410)
+    if (reply && reply->history_gone())
         co_return co_await read();
-    if (!reply || reply->status != 200)
+    if (!reply || !reply->done())
         co_return false;
     observe_rows(reply->answer);
     seen_version_ = std::max(after, reply->answer.version);
@@ -121,12 +120,12 @@
         platform::write_lease(row, lease_.row_version()), call_timeout);
     if (!reply)
         co_return false;
-    if (reply->status == 412)
+    if (reply->conflict())
     {
         observe_rows(reply->answer);
         co_return true;
     }
-    if (reply->status != 200)
+    if (!reply->done())
         co_return false;
     first_holder_ = absent_;
     absent_ = false;
--- a/src/transport/entry/store_client.cpp
+++ b/src/transport/entry/store_client.cpp
@@ -42,7 +42,7 @@
     if (!answer)
         co_return std::nullopt;
     store_reply reply{answer->status, {}};
-    if (answer->status == 200 || answer->status == 412)
+    if (reply.done() || reply.conflict())
     {
         auto decoded = platform::decode_answer(answer->body);
         if (!succeeded(decoded))
--- a/src/transport/entry/store_client.hpp
+++ b/src/transport/entry/store_client.hpp
@@ -12,6 +12,15 @@
 {
     unsigned status = 0;
     platform::store_answer answer;
+
+    /// Whether the store did what it was asked.
+    [[nodiscard]] bool done() const { return status == 200; }
+    /// Whether a write was refused because a row had another version than expected; the
+    /// answer has the row.
+    [[nodiscard]] bool conflict() const { return status == 412; }
+    /// Whether the changes that were asked for are no longer kept: the whole table has to
+    /// be read.
+    [[nodiscard]] bool history_gone() const { return status == 410; }
 };
 
 /// The only client of the platform's store. Follows whether the store answers.
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -98,7 +98,7 @@
     auto const asked_at = boot_now();
     auto const reply = co_await store_.call(
         platform::read_table(platform::store_table::configuration, {}), call_timeout);
-    if (!reply || reply->status != 200)
+    if (!reply || !reply->done())
         co_return false;
     config_version_ = reply->answer.version;
     bool found = false;
@@ -120,10 +120,9 @@
         co_await store_.call(platform::watch_table(platform::store_table::configuration,
                                                    config_version_, config_wait),
                              config_wait + call_timeout);
-    // The history since then is gone.
-    if (reply && reply->status == 410)
+    if (reply && reply->history_gone())
         co_return co_await read_config();
-    if (!reply || reply->status != 200)
+    if (!reply || !reply->done())
         co_return false;
     for (auto const& row : reply->answer.rows)
         if (row.key == platform::configuration_key && !row.removed)
@@ -209,7 +208,7 @@
         auto const reply = co_await store_.call(
             platform::read_table(platform::store_table::backend_servers, from),
             call_timeout);
-        if (!reply || reply->status != 200)
+        if (!reply || !reply->done())
             co_return false;
         // The hub answers again; what was read here may be older than its word.
         if (!active_)
@@ -245,12 +244,12 @@
         co_await store_.call(platform::watch_table(platform::store_table::backend_servers,
                                                    servers_version_, duration::zero()),
                              call_timeout);
-    if (reply && reply->status == 410)
+    if (reply && reply->history_gone())
     {
         servers_version_ = 0;
         co_return co_await list_servers();
     }
-    if (!reply || reply->status != 200 || !active_)
+    if (!reply || !reply->done() || !active_)
         co_return false;
     for (auto const& row : reply->answer.rows)
     {
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -101,6 +101,12 @@
         """Returns the options that the environment sets for a sanitizer's runtime."""
         return {name: value for name, value in os.environ.items() if name == "ASAN_OPTIONS"}
 
+    def wait_until_serving(self, servers: int) -> None:
+        """Returns once the instance is ready and knows so many backend servers."""
+        wait_until(self.ready, f"{self.name} is ready")
+        wait_until(lambda: len(self.state().get("backend_servers", [])) == servers,
+                   f"{self.name} knows {servers} servers")
+
     def stop(self) -> None:
         if self.process.poll() is None:
             self.process.kill()
--- a/tests/entry/caller_bodies_test.py
+++ b/tests/entry/caller_bodies_test.py
@@ -54,9 +54,7 @@
         self.instance = Instance(self.store, "n1",
                                  more_settings=f"limits.memory_mb={MEMORY_MB}\n")
         self.callers: list[Caller] = []
-        wait_until(self.instance.ready, "the instance is ready")
-        wait_until(lambda: len(self.instance.state().get("backend_servers", [])) == 1,
-                   "the server is known")
+        self.instance.wait_until_serving(servers=1)
 
     def tearDown(self) -> None:
         for caller in self.callers:
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -40,9 +40,7 @@
         self.runners = [BackendServer(self.store, f"r{i}", "llm", ["m1"]) for i in range(2)]
         self.instances = [Instance(self.store, "n1")]
         self.instance = self.instances[0]
-        wait_until(self.instance.ready, "the instance is ready")
-        wait_until(lambda: len(self.instance.state().get("backend_servers", [])) == 4,
-                   "all servers are known")
+        self.instance.wait_until_serving(servers=4)
 
     def tearDown(self) -> None:
         for instance in self.instances:
--- a/tests/entry/misbehaving_server_test.py
+++ b/tests/entry/misbehaving_server_test.py
@@ -78,9 +78,7 @@
         self.runner = MisbehavingServer(self.store, "r1", "llm", ["m1"])
         self.instance = Instance(self.store, "n1")
         self.paths = 0
-        wait_until(self.instance.ready, "the instance is ready")
-        wait_until(lambda: len(self.instance.state().get("backend_servers", [])) == 2,
-                   "both servers are known")
+        self.instance.wait_until_serving(servers=2)
 
     def tearDown(self) -> None:
         self.instance.close()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from callers import Caller
-from entry_fleet import Instance, configuration, wait_until
+from entry_fleet import Instance, configuration
 from fault_proxy import FaultProxy, ProxyLoop
 from platform_fleet import BackendServer, Store
 
@@ -52,9 +52,7 @@
         self.servers += [self.add_server("llm") for _ in range(3)]
         self.instances = [self.add_instance(f"n{i}") for i in range(INSTANCES)]
         for instance in self.instances:
-            wait_until(instance.ready, f"{instance.name} is ready")
-            wait_until(lambda i=instance: len(i.state().get("backend_servers", [])) == 5,
-                       "all servers are known")
+            instance.wait_until_serving(servers=5)
         self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances, self.usable_keys)
                         for i in range(CALLERS)]
 
