--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -36,6 +36,7 @@
     readiness_changed = 1163,
     settings_reloaded = 1164,
     settings_rejected = 1165,
+    intake_closed = 1166,
     order_ended = 1170,
     report_unreadable = 1171,
     task_failed = 1180
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -46,11 +46,12 @@
 }
 
 /// One caller's connection and the answer that is written on it.
-class caller_session final : public answer_writer
+class caller_session final : public answer_writer, public caller_connection
 {
 public:
     caller_session(entry_services& services, tcp_socket socket, std::string peer)
-        : services_(services), peer_(std::move(peer)),
+        : caller_connection(services.callers), services_(services),
+          peer_(std::move(peer)),
           socket_(std::make_shared<watched_socket>(services.watch, std::move(socket))),
           buffer_(request_buffer_limit)
     {
@@ -320,15 +321,18 @@
         bool const readable = co_await wait_for_request();
         if (!readable)
             co_return;
+        enter(caller_stage::reading);
         parser in;
         byte_reservation kept(services_.bodies);
         bool const whole = co_await read_request(in, kept);
         if (!whole)
             co_return;
+        enter(caller_stage::serving);
         auto request = in.release();
         bool const usable = co_await serve(request, boot_now());
         if (!usable)
             co_return;
+        enter(caller_stage::idle);
     }
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -81,6 +81,8 @@
     [[nodiscard]] task<void> give_lease_back();
     [[nodiscard]] std::string page(std::string_view target);
     void refuse_new_callers();
+    /// Logs an event with the callers' connections in each stage.
+    void log_callers(entry_event event, std::string_view reason);
     /// Reads the settings anew if that was asked for or the file has changed.
     void reload(bool asked);
     [[nodiscard]] bool ready() const;
@@ -120,8 +122,11 @@
     std::minstd_rand random_;
     std::map<std::pair<std::string, std::string>, std::uint32_t> in_flight_;
     bool draining_ = false;
+    /// Why the shutdown ended when it did; empty before it.
+    std::string_view shutdown_end_;
     std::uint32_t open_requests_ = 0;
     std::set<watched_socket*> idle_callers_;
+    caller_work caller_work_;
     crash_ledger crashes_;
     order_lease lease_;
     order_right order_right_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -174,8 +174,20 @@
                {{"store", settings_.store_address}, {"moved", std::int64_t{moved}}});
 }
 
+void entry_node::log_callers(entry_event event, std::string_view reason)
+{
+    log_.write(event,
+               {{"reason", reason},
+                {"open_requests", std::uint64_t{open_requests_}},
+                {"idle", std::uint64_t{caller_work_.count(caller_stage::idle)}},
+                {"reading", std::uint64_t{caller_work_.count(caller_stage::reading)}},
+                {"serving", std::uint64_t{caller_work_.count(caller_stage::serving)}}});
+}
+
 void entry_node::refuse_new_callers()
 {
+    if (callers_.is_open())
+        log_callers(entry_event::intake_closed, {});
     boost::system::error_code ignored;
     callers_.close(ignored);
     for (auto* const idle : idle_callers_)
@@ -200,8 +212,7 @@
 {
     auto const began = boot_now();
     draining_ = true;
-    log_.write(entry_event::instance_draining,
-               {{"open_requests", std::uint64_t{open_requests_}}});
+    log_callers(entry_event::instance_draining, {});
     follow_readiness();
     auto const last = began + settings_.bounds.shutdown_grace - grace_margin;
     co_await give_lease_back();
@@ -214,6 +225,7 @@
         co_await timer.async_wait(use_task);
     }
     refuse_new_callers();
+    shutdown_end_ = boot_now() < last ? "finished" : "grace_time_over";
     timer.expires_after(linger_time);
     co_await timer.async_wait(use_task);
     io_.stop();
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -10,6 +10,7 @@
 #include "state/entry/node_message.hpp"
 #include "state/entry/node_settings.hpp"
 #include "transport/entry/backend_connections.hpp"
+#include "transport/entry/caller_work.hpp"
 #include "transport/entry/change_signal.hpp"
 #include "transport/entry/decision_log.hpp"
 #include "transport/entry/entry_metrics.hpp"
@@ -76,6 +77,7 @@
     std::uint32_t& open_requests;
     /// Callers' connections with no request on them.
     std::set<watched_socket*>& idle_callers;
+    caller_work& callers;
     crash_ledger& crashes;
     task_runner& tasks;
 };
