End a shutdown only when nothing of a request is open

Cause: open requests were counted from the moment they had been read whole, and the process ended a fixed 0.3 s after the first look that found none. A request still in the kernel's buffer or half read at that look was served and cut. Now caller_work holds every connection from its accept to its end and shutdown_plan, which has no clock or socket, decides by it: the end waits for all stages of a request, for bytes that are not read yet and for callers that take their last answer; only the grace time ends it earlier, and then each caller is told how far its request went. Ruled out: the end of the grace time (38.7 s in the record) and the limits of the stream, by their times.

--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -37,6 +37,7 @@
     settings_reloaded = 1164,
     settings_rejected = 1165,
     intake_closed = 1166,
+    requests_cut = 1167,
     order_ended = 1170,
     report_unreadable = 1171,
     task_failed = 1180
--- a/src/state/entry/refusal_reason.cpp
+++ b/src/state/entry/refusal_reason.cpp
@@ -16,7 +16,7 @@
 };
 
 /// Ordered like the enumeration.
-constexpr std::array<refusal_text, 20> texts{{{"no_configuration", 503},
+constexpr std::array<refusal_text, 21> texts{{{"no_configuration", 503},
                                               {"request_id_missing", 400},
                                               {"bodies_full", 503},
                                               {"configuration_stale", 503},
@@ -35,6 +35,7 @@
                                               {"caller_gone", 503},
                                               {"not_run_by_backends", 503},
                                               {"backend_failed", 502},
+                                              {"instance_stopped", 502},
                                               {"deadline_passed", 504}}};
 
 } // namespace
--- a/src/state/entry/refusal_reason.hpp
+++ b/src/state/entry/refusal_reason.hpp
@@ -48,6 +48,8 @@
     not_run_by_backends,
     /// A server broke off; the request may have run.
     backend_failed,
+    /// The instance ended first; the request may have run.
+    instance_stopped,
     /// The time is over; the request may have run.
     deadline_passed
 };
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -111,6 +111,7 @@
     {1164, info, "settings_reloaded"},
     {1165, error, "settings_rejected"},
     {1166, info, "intake_closed"},
+    {1167, warning, "requests_cut"},
     {1170, info, "order_ended"},
     {1171, warning, "report_unreadable"},
     {1180, error, "task_failed"},
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -68,6 +68,11 @@
     task<bool> append(std::string_view bytes) override;
     task<bool> end() override;
 
+    bool used() const override { return used_; }
+    bool silent() override { return quiet_and_open(socket_->socket()); }
+    void close() override { socket_->close(); }
+    void stop() override;
+
 private:
     using parser = http::request_parser<http::string_body>;
 
@@ -75,7 +80,11 @@
     [[nodiscard]] task<bool> wait_for_request();
     [[nodiscard]] task<bool> read_request(parser& in, byte_reservation& kept);
     [[nodiscard]] task<bool> read_body(parser& in, byte_reservation& kept);
-    [[nodiscard]] task<bool> refuse_body(parser& in);
+    /// Refuses a request that is not served; its body may be unread.
+    [[nodiscard]] task<bool> refuse(http::request<http::string_body>& request,
+                                    refusal_reason reason);
+    /// How reading ends that failed: with a 400, with a refusal, or without a word.
+    [[nodiscard]] task<bool> end_reading(parser& in, boost::system::error_code failure);
     task<void> discard_rest();
     [[nodiscard]] task<bool> reject(unsigned status, std::string_view fault = {});
     [[nodiscard]] task<bool> serve(http::request<http::string_body>& request,
@@ -88,6 +97,13 @@
     std::string peer_;
     std::shared_ptr<watched_socket> socket_;
     boost::beast::flat_buffer buffer_;
+    /// The request that is served.
+    std::weak_ptr<request_flow> flow_;
+    /// When the first byte of the request came that is read or served.
+    time_point first_byte_{};
+    bool used_ = false;
+    /// The instance ends; a request that is being read is refused.
+    bool stopping_ = false;
     bool keep_alive_ = true;
     bool head_request_ = false;
     /// The caller speaks HTTP/1.0 and knows no chunks.
@@ -109,10 +125,8 @@
     // An idle connection holds no buffer.
     buffer_.shrink_to_fit();
     socket_->set_deadline(boot_now() + limits().idle_timeout);
-    services_.idle_callers.insert(socket_.get());
     auto const [failure] =
         co_await socket_->socket().async_wait(tcp_socket::wait_read, use_task);
-    services_.idle_callers.erase(socket_.get());
     co_return !failure;
 }
 
@@ -129,7 +143,7 @@
     if (failure == http::error::body_limit)
         co_return co_await reject(413);
     if (failure)
-        co_return malformed(failure) ? co_await reject(400) : false;
+        co_return co_await end_reading(in, failure);
     auto const fault = find_framing_fault(in.get());
     if (fault != framing_fault::none)
         co_return co_await reject(status_of(fault), name_of(fault));
@@ -138,14 +152,14 @@
     if (announced > services_.bodies.capacity())
         co_return co_await reject(413);
     if (!kept.grow_to(announced))
-        co_return co_await refuse_body(in);
+        co_return co_await refuse(in.get(), refusal_reason::bodies_full);
     if (boost::beast::iequals(in.get()[http::field::expect], "100-continue"))
     {
         constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         auto const [unsent, written] = co_await asio::async_write(
             socket_->socket(), asio::buffer(go_on.data(), go_on.size()), use_task);
         if (unsent)
-            co_return false;
+            co_return co_await end_reading(in, unsent);
     }
     socket_->set_deadline(boot_now() + bounds.idle_timeout);
     co_return co_await read_body(in, kept);
@@ -161,24 +175,36 @@
         if (broken == http::error::body_limit)
             co_return co_await reject(413);
         if (broken)
-            co_return malformed(broken) ? co_await reject(400) : false;
+            co_return co_await end_reading(in, broken);
         if (!kept.grow_to(in.get().body().size()))
-            co_return co_await refuse_body(in);
+            co_return co_await refuse(in.get(), refusal_reason::bodies_full);
     }
     co_return true;
 }
 
-task<bool> caller_session::refuse_body(parser& in)
+task<bool> caller_session::end_reading(parser& in, boost::system::error_code failure)
 {
+    if (stopping_)
+        co_return co_await refuse(in.get(), refusal_reason::draining);
+    if (malformed(failure))
+        co_return co_await reject(400);
+    co_return false;
+}
+
+task<bool> caller_session::refuse(http::request<http::string_body>& request,
+                                  refusal_reason reason)
+{
+    enter(caller_stage::serving);
     keep_alive_ = false;
-    request_flow flow(services_, in.get(), *this, boot_now());
-    co_await flow.refuse_body();
+    request_flow flow(services_, request, *this, boot_now());
+    co_await flow.refuse_unserved(reason);
     co_await discard_rest();
     co_return false;
 }
 
 task<bool> caller_session::reject(unsigned status, std::string_view fault)
 {
+    enter(caller_stage::serving);
     keep_alive_ = false;
     http::response_header<> head;
     head.result(status);
@@ -192,6 +218,7 @@
 
 task<void> caller_session::discard_rest()
 {
+    enter(caller_stage::closing);
     boost::system::error_code failure;
     socket_->socket().shutdown(tcp_socket::shutdown_send, failure);
     socket_->set_deadline(boot_now() + discard_time);
@@ -206,9 +233,21 @@
     }
 }
 
+void caller_session::stop()
+{
+    if (stage() == caller_stage::reading)
+    {
+        stopping_ = true;
+        boost::system::error_code ignored;
+        socket_->socket().cancel(ignored);
+    }
+    else if (auto const flow = flow_.lock())
+        flow->stop();
+}
+
 void caller_session::set_persistence(http::response_header<>& head)
 {
-    if (services_.draining)
+    if (services_.draining())
         keep_alive_ = false;
     if (!keep_alive_)
         head.set(http::field::connection, "close");
@@ -305,12 +344,16 @@
     old_caller_ = request.version() < 11;
     socket_->set_deadline(time_point::max());
     auto const flow = std::make_shared<request_flow>(services_, request, *this, arrival);
+    flow_ = flow;
     if (buffer_.size() == 0)
         services_.tasks.run("watch caller", peer_, watch_caller(socket_, flow));
     bool const usable = co_await flow->run();
     // An answer that ends with its connection looks complete unless that is reset.
     if (!usable && old_caller_)
         socket_->reset();
+    // A close with bytes unread would be a reset, and the answer could be lost with it.
+    if (usable && !keep_alive_)
+        co_await discard_rest();
     co_return usable&& keep_alive_;
 }
 
@@ -322,13 +365,21 @@
         if (!readable)
             co_return;
         enter(caller_stage::reading);
+        first_byte_ = boot_now();
         parser in;
         byte_reservation kept(services_.bodies);
         bool const whole = co_await read_request(in, kept);
         if (!whole)
             co_return;
         enter(caller_stage::serving);
+        used_ = true;
         auto request = in.release();
+        if (services_.draining() &&
+            !services_.shutdown->may_begin(first_byte_, boot_now()))
+        {
+            static_cast<void>(co_await refuse(request, refusal_reason::draining));
+            co_return;
+        }
         bool const usable = co_await serve(request, boot_now());
         if (!usable)
             co_return;
@@ -337,11 +388,18 @@
 }
 
 /// Serves one caller's connection until it ends.
-task<void> serve_caller(entry_services& services, tcp_socket socket, std::string peer)
+task<void> serve_caller(std::unique_ptr<caller_session> session)
+{
+    co_await session->run();
+}
+
+void begin_session(entry_services& services, tcp_socket socket)
 {
     set_connection_options(socket);
-    caller_session session(services, std::move(socket), std::move(peer));
-    co_await session.run();
+    auto const peer = peer_of(socket);
+    services.tasks.run("serve caller", peer,
+                       serve_caller(std::make_unique<caller_session>(
+                           services, std::move(socket), peer)));
 }
 
 } // namespace
@@ -351,18 +409,29 @@
     for (;;)
     {
         auto [failure, socket] = co_await acceptor.async_accept(use_task);
-        if (!acceptor.is_open())
-            co_return;
-        if (failure)
+        if (!failure)
         {
-            // Out of descriptors or a connection that ended early; the next may succeed.
-            services.metrics.count("accept_failures_total");
-            co_await services.changes.wait(std::chrono::milliseconds(20));
+            begin_session(services, std::move(socket));
             continue;
         }
-        auto const peer = peer_of(socket);
-        services.tasks.run("serve caller", peer,
-                           serve_caller(services, std::move(socket), peer));
+        if (!acceptor.is_open())
+            co_return;
+        // Out of descriptors or a connection that ended early; the next may succeed.
+        services.metrics.count("accept_failures_total");
+        co_await services.changes.wait(std::chrono::milliseconds(20));
+    }
+}
+
+void accept_waiting_callers(entry_services& services, tcp_acceptor& acceptor)
+{
+    boost::system::error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure)
+    {
+        tcp_socket socket(services.io);
+        acceptor.accept(socket, failure);
+        if (!failure)
+            begin_session(services, std::move(socket));
     }
 }
 
--- a/src/transport/entry/caller_work.hpp
+++ b/src/transport/entry/caller_work.hpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <cstddef>
 #include <set>
-#include <string_view>
 
 namespace carawayturn::entry
 {
@@ -16,9 +15,11 @@
     /// A request is being read.
     reading,
     /// A request has been read and is not answered to its end.
-    serving
+    serving,
+    /// The last answer has been written; the caller has not closed its side.
+    closing
 };
-inline constexpr std::size_t caller_stage_count = 3;
+inline constexpr std::size_t caller_stage_count = 4;
 
 class caller_work;
 
@@ -32,6 +33,14 @@
     virtual ~caller_connection();
 
     [[nodiscard]] caller_stage stage() const { return stage_; }
+    /// Whether it has carried a request.
+    [[nodiscard]] virtual bool used() const = 0;
+    /// Whether no byte waits to be read.
+    [[nodiscard]] virtual bool silent() = 0;
+    virtual void close() = 0;
+    /// Ends the work on it. A caller that has got nothing of its answer is told how far
+    /// its request went.
+    virtual void stop() = 0;
 
 protected:
     void enter(caller_stage stage);
@@ -41,12 +50,22 @@
     caller_stage stage_ = caller_stage::idle;
 };
 
-/// All that an instance has taken on from its callers.
+/// All that an instance has taken on from its callers, from the first byte of a request
+/// to the last byte of its answer.
 class caller_work
 {
 public:
     /// Connections in this stage.
     [[nodiscard]] std::size_t count(caller_stage stage) const;
+    /// Connections that bring a request or take an answer. Those count too that are idle
+    /// and have bytes which were not read yet.
+    [[nodiscard]] std::size_t unfinished() const;
+
+    /// Closes the idle connections on which nothing has arrived.
+    /// @param unused_too also those that have not carried a request yet.
+    void close_silent(bool unused_too);
+    /// Stops the work on all connections.
+    void stop();
 
 private:
     friend class caller_connection;
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -40,7 +40,7 @@
 {
     // Without the store nobody can claim the lease, and the last holder goes on granting
     // quotas and telling what it knows; its orders end with the lease.
-    bool const own = lease_.own_row() && !draining_;
+    bool const own = lease_.own_row() && !shutdown_;
     if (own == hub_active_)
         return;
     hub_active_ = own;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -53,12 +53,13 @@
       retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
       lease_(own_address(settings_.peer_port), settings_.name, incarnation, lease_term),
-      order_right_(lease_, order_margin, lease_term), hub_(incarnation),
-      services_{io_,          settings_,  boot_now(),   watch_,         bodies_,
-                authority_,   board_,     connections_, quota_,         retries_,
-                demand_,      changes_,   link_,        log_,           metrics_,
-                random_,      in_flight_, draining_,    open_requests_, idle_callers_,
-                caller_work_, crashes_,   tasks_},
+      order_right_(lease_, order_margin, lease_term),
+      hub_(incarnation), services_{io_,        settings_,  boot_now(),   watch_,
+                                   bodies_,    authority_, board_,       connections_,
+                                   quota_,     retries_,   demand_,      changes_,
+                                   link_,      log_,       metrics_,     random_,
+                                   in_flight_, shutdown_,  caller_work_, crashes_,
+                                   tasks_},
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this), keeper_(services_, store_, lease_),
       callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
@@ -127,7 +128,8 @@
     tasks_.keep("plan as hub", [this] { return plan_as_hub(); });
     tasks_.keep("tick", [this] { return tick(); });
     tasks_.run_context();
-    log_callers(entry_event::instance_stopped, shutdown_end_);
+    log_callers(entry_event::instance_stopped,
+                shutdown_ ? shutdown_->end_reason(boot_now()) : std::string_view());
     log_.flush();
     return std::monostate{};
 }
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -80,7 +80,10 @@
     /// end if that takes longer.
     [[nodiscard]] task<void> give_lease_back();
     [[nodiscard]] std::string page(std::string_view target);
-    void refuse_new_callers();
+    /// Does what a step of the shutdown asks for.
+    void follow_shutdown(shutdown_step step);
+    /// Takes the connections that wait to be accepted, and no further ones.
+    void close_intake();
     /// Logs an event with the callers' connections in each stage.
     void log_callers(entry_event event, std::string_view reason);
     /// Reads the settings anew if that was asked for or the file has changed.
@@ -121,11 +124,10 @@
     change_signal plan_due_;
     std::minstd_rand random_;
     std::map<std::pair<std::string, std::string>, std::uint32_t> in_flight_;
-    bool draining_ = false;
-    /// Why the shutdown ended when it did; empty before it.
-    std::string_view shutdown_end_;
-    std::uint32_t open_requests_ = 0;
-    std::set<watched_socket*> idle_callers_;
+    std::optional<shutdown_plan> shutdown_;
+    /// The lease has been given back, or is left to lapse.
+    bool lease_settled_ = false;
+    bool cut_ = false;
     caller_work caller_work_;
     crash_ledger crashes_;
     order_lease lease_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -2,6 +2,7 @@
 
 #include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
+#include "transport/entry/caller_session.hpp"
 #include "transport/entry/state_dump.hpp"
 
 #include <boost/asio/write.hpp>
@@ -19,13 +20,6 @@
 
 /// A probe of readiness or metrics may take this long.
 constexpr duration probe_timeout = std::chrono::seconds(2);
-/// After SIGTERM new connections are served for this long, until the entry points have
-/// noticed that the instance is not ready.
-constexpr duration notice_time = std::chrono::milliseconds(2600);
-/// What is left of the grace time when the process ends whatever is still running.
-constexpr duration grace_margin = std::chrono::milliseconds(600);
-/// The last bytes to callers leave in this time before the process ends.
-constexpr duration linger_time = std::chrono::milliseconds(300);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// Longest head of a probe, in bytes.
 constexpr std::size_t probe_limit = 8192;
@@ -73,7 +67,7 @@
 
 bool entry_node::ready() const
 {
-    return !draining_ && authority_.may_serve_keyed(boot_now()) && !board_.all().empty();
+    return !shutdown_ && authority_.may_serve_keyed(boot_now()) && !board_.all().empty();
 }
 
 void entry_node::follow_readiness()
@@ -112,7 +106,8 @@
     if (target != "/metrics")
         return probe_answer("404 Not Found", "pages: /metrics /state\n");
     metrics_.set_gauge("hub_answers", link_.connected() ? 1 : 0);
-    metrics_.set_gauge("open_requests", open_requests_);
+    metrics_.set_gauge("open_requests",
+                       static_cast<double>(caller_work_.count(caller_stage::serving)));
     metrics_.set_gauge("log_lines_dropped", static_cast<double>(log_.dropped()));
     metrics_.set_gauge("connections_opened", static_cast<double>(connections_.opened()));
     metrics_.set_gauge("configuration_age_seconds",
@@ -147,7 +142,7 @@
             reload(true);
             continue;
         }
-        if (draining_)
+        if (shutdown_)
             continue;
         tasks_.run("drain", "", drain());
     }
@@ -178,20 +173,20 @@
 {
     log_.write(event,
                {{"reason", reason},
-                {"open_requests", std::uint64_t{open_requests_}},
                 {"idle", std::uint64_t{caller_work_.count(caller_stage::idle)}},
                 {"reading", std::uint64_t{caller_work_.count(caller_stage::reading)}},
-                {"serving", std::uint64_t{caller_work_.count(caller_stage::serving)}}});
+                {"serving", std::uint64_t{caller_work_.count(caller_stage::serving)}},
+                {"closing", std::uint64_t{caller_work_.count(caller_stage::closing)}}});
 }
 
-void entry_node::refuse_new_callers()
+void entry_node::close_intake()
 {
-    if (callers_.is_open())
-        log_callers(entry_event::intake_closed, {});
+    if (!callers_.is_open())
+        return;
+    accept_waiting_callers(services_, callers_);
     boost::system::error_code ignored;
     callers_.close(ignored);
-    for (auto* const idle : idle_callers_)
-        idle->close();
+    log_callers(entry_event::intake_closed, {});
 }
 
 task<void> entry_node::give_lease_back()
@@ -206,28 +201,39 @@
     co_await keeper_.release();
     follow_hub_role();
     link_.refer_all();
+    lease_settled_ = true;
+}
+
+void entry_node::follow_shutdown(shutdown_step step)
+{
+    if (step == shutdown_step::serve)
+        return;
+    close_intake();
+    caller_work_.close_silent(!shutdown_->awaits_first_requests(boot_now()));
+    if (step != shutdown_step::cut || cut_)
+        return;
+    cut_ = true;
+    log_callers(entry_event::requests_cut, shutdown_->end_reason(boot_now()));
+    caller_work_.stop();
 }
 
 task<void> entry_node::drain()
 {
-    auto const began = boot_now();
-    draining_ = true;
+    shutdown_.emplace(boot_now(), settings_.bounds.shutdown_grace);
     log_callers(entry_event::instance_draining, {});
     follow_readiness();
-    auto const last = began + settings_.bounds.shutdown_grace - grace_margin;
-    co_await give_lease_back();
+    tasks_.run("give lease back", "", give_lease_back());
     steady_timer timer(io_);
-    while (boot_now() < last && (open_requests_ > 0 || boot_now() - began < notice_time))
+    for (;;)
     {
-        if (boot_now() - began >= notice_time)
-            refuse_new_callers();
+        auto const step =
+            shutdown_->step(boot_now(), {caller_work_.unfinished(), lease_settled_});
+        if (step == shutdown_step::end)
+            break;
+        follow_shutdown(step);
         timer.expires_after(drain_poll);
         co_await timer.async_wait(use_task);
     }
-    refuse_new_callers();
-    shutdown_end_ = boot_now() < last ? "finished" : "grace_time_over";
-    timer.expires_after(linger_time);
-    co_await timer.async_wait(use_task);
     io_.stop();
 }
 
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -7,6 +7,7 @@
 #include "coordination/entry/demand_book.hpp"
 #include "coordination/entry/quota.hpp"
 #include "coordination/entry/retry_budget.hpp"
+#include "coordination/entry/shutdown_plan.hpp"
 #include "state/entry/node_message.hpp"
 #include "state/entry/node_settings.hpp"
 #include "transport/entry/backend_connections.hpp"
@@ -18,8 +19,8 @@
 #include "transport/entry/task_runner.hpp"
 
 #include <memory>
+#include <optional>
 #include <random>
-#include <set>
 #include <string>
 
 namespace carawayturn::entry
@@ -73,13 +74,12 @@
     /// Requests by backend server and model that are in flight.
     std::map<std::pair<std::string, std::string>, std::uint32_t>& in_flight;
     /// Set once the instance shuts down.
-    bool const& draining;
-    std::uint32_t& open_requests;
-    /// Callers' connections with no request on them.
-    std::set<watched_socket*>& idle_callers;
+    std::optional<shutdown_plan> const& shutdown;
     caller_work& callers;
     crash_ledger& crashes;
     task_runner& tasks;
+
+    [[nodiscard]] bool draining() const { return shutdown.has_value(); }
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -32,7 +32,7 @@
     auto const now = boot_now();
     if (!known_)
         co_return co_await read() ? duration::zero() : retry_interval;
-    if (services_.draining)
+    if (services_.draining())
         co_return step_interval;
     if (lease_.renewal_due(now))
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -65,11 +65,11 @@
     auto connection = co_await services_.connections.obtain(server_.id, server_.address,
                                                             start_deadline_);
     auto end = attempt_end::not_run;
-    if (connection.socket && !abandoned_)
+    if (connection.socket && !ended_here())
     {
         end = co_await exchange_on(std::move(connection));
     }
-    else if (!abandoned_)
+    else if (!ended_here())
     {
         services_.board.failed(server_.id, boot_now());
         services_.crashes.crashed(server_.id, boot_now());
@@ -111,7 +111,7 @@
     auto const read = co_await exchange_->read_head();
     if (read == read_outcome::failed)
     {
-        if (!abandoned_)
+        if (!ended_here())
         {
             services_.board.failed(server_.id, boot_now());
             services_.crashes.broke(server_.id, signature_, boot_now());
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -25,17 +25,19 @@
     : services_(services), request_(request), writer_(writer), arrival_(arrival),
       head_(platform::decode_request(request))
 {
-    ++services_.open_requests;
 }
 
-request_flow::~request_flow()
+void request_flow::abandon()
 {
-    --services_.open_requests;
+    abandoned_ = true;
+    if (exchange_)
+        exchange_->close();
+    services_.changes.notify();
 }
 
-void request_flow::abandon()
+void request_flow::stop()
 {
-    abandoned_ = true;
+    stopped_ = true;
     if (exchange_)
         exchange_->close();
     services_.changes.notify();
@@ -162,7 +164,7 @@
     auto const budget = head_.deadline.value_or(default_deadline) / 2;
     auto const limit = arrival_ + std::min(budget, first_reading_patience);
     while ((!services_.authority.current() || services_.board.all().empty()) &&
-           !abandoned_ && boot_now() < limit)
+           !ended_here() && boot_now() < limit)
         co_await services_.changes.wait(limit - boot_now());
 }
 
@@ -219,7 +221,7 @@
     if (now >= start_deadline_)
         return refusal{refusal_reason::deadline_unreachable, later};
     // Another instance can wait for it longer than this one lives.
-    if (services_.draining)
+    if (services_.draining())
         return refusal{refusal_reason::draining, now_elsewhere};
     if (outcome == choice_outcome::full)
         return refusal{refusal_reason::backends_full, later};
@@ -244,6 +246,11 @@
     for (;;)
     {
         auto const now = boot_now();
+        if (stopped_)
+        {
+            refused = refusal{refusal_reason::draining, now_elsewhere};
+            break;
+        }
         auto const choice = services_.board.choose(wish(), now);
         if (choice.outcome == choice_outcome::chosen)
         {
@@ -285,7 +292,7 @@
 {
     auto const now = boot_now();
     bool allowed = false;
-    if (services_.crashes.blocked(signature_) || answer_begun_)
+    if (services_.crashes.blocked(signature_) || answer_begun_ || stopped_)
         return false;
     switch (end)
     {
@@ -346,12 +353,16 @@
         log_end("caller_gone", 0);
         co_return false;
     case attempt_end::not_run:
+        if (runs_ == 0 && stopped_)
+            co_return co_await refuse({refusal_reason::draining, now_elsewhere});
         if (runs_ == 0)
             co_return co_await refuse({refusal_reason::not_run_by_backends, soon});
         co_return co_await refuse({refusal_reason::backend_failed, {}});
     case attempt_end::late:
         co_return co_await refuse({refusal_reason::deadline_passed, {}});
     case attempt_end::unknown:
+        if (stopped_)
+            co_return co_await refuse({refusal_reason::instance_stopped, {}});
         co_return co_await refuse({refusal_reason::backend_failed, {}});
     case attempt_end::broken_off:
         log_end("answer_broken", 0);
@@ -360,9 +371,9 @@
     co_return false;
 }
 
-task<bool> request_flow::refuse_body()
+task<bool> request_flow::refuse_unserved(refusal_reason reason)
 {
-    return refuse({refusal_reason::bodies_full, later});
+    return refuse({reason, reason == refusal_reason::draining ? now_elsewhere : later});
 }
 
 task<bool> request_flow::refuse(refusal why)
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -44,7 +44,7 @@
 public:
     request_flow(entry_services& services, http::request<http::string_body>& request,
                  answer_writer& writer, time_point arrival);
-    ~request_flow();
+    ~request_flow() = default;
     request_flow(request_flow const&) = delete;
     request_flow& operator=(request_flow const&) = delete;
 
@@ -52,12 +52,15 @@
     /// further, because an answer ended early or could not be written.
     [[nodiscard]] task<bool> run();
 
-    /// Refuses a request whose body is not read, because there is no memory for it.
-    [[nodiscard]] task<bool> refuse_body();
+    /// Refuses a request that is not served, for this reason; its body may be unread.
+    [[nodiscard]] task<bool> refuse_unserved(refusal_reason reason);
 
     /// The caller has closed its connection; stops all work for it.
     void abandon();
 
+    /// The instance ends: stops all work, and tells the caller how far the request went.
+    void stop();
+
 private:
     /// Answers the load pattern "all machines restart, and callers are there at once":
     /// the configuration and the servers come a moment later.
@@ -121,6 +124,8 @@
     [[nodiscard]] time_point silence_limit(time_point progress) const;
     [[nodiscard]] backend_wish wish() const;
     void log_end(std::string_view outcome, unsigned status);
+    /// Whether the attempt ended by no fault of the server.
+    [[nodiscard]] bool ended_here() const { return abandoned_ || stopped_; }
 
     entry_services& services_;
     http::request<http::string_body>& request_;
@@ -141,6 +146,8 @@
     /// Until then the first event or the answer has to begin.
     time_point start_deadline_{};
     bool abandoned_ = false;
+    /// The instance ends before the request is answered.
+    bool stopped_ = false;
     /// Attempts that may have run, and all that were sent.
     std::uint32_t runs_ = 0;
     std::uint32_t sends_ = 0;
--- a/src/transport/entry/state_dump.cpp
+++ b/src/transport/entry/state_dump.cpp
@@ -55,8 +55,8 @@
     state["incarnation"] = facts.incarnation;
     state["failure_domain"] = services.settings.failure_domain;
     state["ready"] = facts.ready;
-    state["draining"] = services.draining;
-    state["open_requests"] = services.open_requests;
+    state["draining"] = services.draining();
+    state["open_requests"] = services.callers.count(caller_stage::serving);
     state["instances"] = services.hub.instances();
     state["configuration"] =
         json::object{{"version", authority.version()},
