Send nothing to servers that say that they leave, or want nothing for a time

A server's word is decoded in platform/, kept beside its load in server_words for the incarnation that gave it, and asked for by the choice of a server, again right before a request's bytes are written, and by the hub for reports and orders. That a server leaves goes to the hub with the next status, which marks its record whatever the store's entry says. After a pause a server gets what it bore before, and one more with each answer; requests that wait for a pause go by priority, then by arrival (waiting_order), and one that the pause outlasts is refused at once with the pause's end as its time to return. A server's 408, 421, 429 or 503 without its word that the request did not run was passed on, a promise that nobody had made; the caller gets 502 now.

--- a/src/coordination/entry/backend_board.cpp
+++ b/src/coordination/entry/backend_board.cpp
@@ -92,6 +92,7 @@
 {
     records_.erase(id);
     avoided_.erase(id);
+    words_.remove(id);
     auto const load = loads_.find(id);
     if (load != loads_.end() && load->second.own == 0)
         loads_.erase(load);
@@ -144,11 +145,13 @@
     bool any = false;
     bool any_model = false;
     bool any_held = false;
+    bool any_passed_over = false;
+    std::optional<time_point> free_at;
     candidate best;
     auto const key = wish.model.str();
     for (auto const& [id, record] : records_)
     {
-        if (record.service != wish.service || record.draining)
+        if (record.service != wish.service || record.draining || words_.leaving(record))
             continue;
         any = true;
         bool adapter_held = true;
@@ -160,8 +163,18 @@
         any_held = true;
         if (wish.excluded.count(id) != 0 || avoided(id, key, now) ||
             (!wish.model.adapter.empty() && avoided(id, wish.model.model, now)))
+        {
+            any_passed_over = true;
             continue;
+        }
         auto const& own_load = loads_[id];
+        if (!words_.takes(record, own_load.own, now))
+        {
+            // One that is over its pause takes more with its next answer.
+            auto const until = words_.paused_until(record, now).value_or(now);
+            free_at = std::min(free_at.value_or(until), until);
+            continue;
+        }
         double const load = load_of(record, own_load, now);
         double score = load + failure_weight * decayed_failures(own_load, now);
         score += jitter_weight * jitter();
@@ -180,6 +193,8 @@
             return {choice_outcome::model_absent, nullptr, 0};
         if (!any_held)
             return {choice_outcome::adapter_absent, nullptr, 0};
+        if (free_at && !any_passed_over)
+            return {choice_outcome::paused, nullptr, 0, *free_at};
         return {choice_outcome::full, nullptr, 0};
     }
     auto const outcome =
@@ -239,6 +254,32 @@
     avoided_[id] = until;
 }
 
+bool backend_board::leaves(std::string const& id, std::int64_t born_ms)
+{
+    return words_.leaves(id, born_ms);
+}
+
+void backend_board::pauses(std::string const& id, std::int64_t born_ms, duration pause,
+                           time_point now)
+{
+    words_.pauses(id, born_ms, pause, loads_[id].own, now);
+}
+
+bool backend_board::may_send(backend_record const& record, time_point now) const
+{
+    return !words_.leaving(record) && !words_.paused_until(record, now);
+}
+
+std::vector<leaving_server> backend_board::leaving_untold() const
+{
+    std::vector<leaving_server> untold;
+    for (auto const& [id, born_ms] : words_.all_leaving())
+        if (auto const* const record = find(id);
+            record != nullptr && record->born_ms == born_ms && !record->draining)
+            untold.push_back({id, born_ms});
+    return untold;
+}
+
 backend_load const& backend_board::load(std::string const& id)
 {
     return loads_[id];
--- a/src/coordination/entry/backend_board.hpp
+++ b/src/coordination/entry/backend_board.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "coordination/entry/server_words.hpp"
 #include "state/entry/backend_record.hpp"
+#include "state/entry/node_message.hpp"
 #include "state/time.hpp"
 
 #include <cstdint>
@@ -62,7 +64,9 @@
     /// The model is held, its adapter is not.
     adapter_absent,
     /// Every server that could take it has more waiting than it should.
-    full
+    full,
+    /// Every server that could take it wants nothing for a time.
+    paused
 };
 
 struct backend_choice
@@ -71,6 +75,8 @@
     backend_record const* backend = nullptr;
     /// Load of the chosen server in parts of its slots.
     double load = 0;
+    /// When the first of the paused servers takes requests again, if all are paused.
+    time_point free_at{};
 };
 
 /// The backend servers, their load as seen from this instance, and the choice among them.
@@ -107,6 +113,22 @@
 
     [[nodiscard]] backend_load const& load(std::string const& id);
 
+    /// Notes that a server said that this incarnation of it leaves. Returns whether that
+    /// is new.
+    bool leaves(std::string const& id, std::int64_t born_ms);
+    /// Notes that a server wants nothing for so long.
+    void pauses(std::string const& id, std::int64_t born_ms, duration pause,
+                time_point now);
+    /// Notes that a server answered a request without turning it away.
+    void answered(std::string const& id) { words_.answered(id); }
+    /// Notes a word of a server that cannot be understood. Returns whether it is the
+    /// first.
+    bool unclear_word(std::string const& id) { return words_.unclear(id); }
+    /// Whether what was chosen for this server may still be sent to it.
+    [[nodiscard]] bool may_send(backend_record const& record, time_point now) const;
+    /// Servers that said that they leave and whose records do not say so.
+    [[nodiscard]] std::vector<leaving_server> leaving_untold() const;
+
 private:
     struct candidate
     {
@@ -124,6 +146,7 @@
     std::uint64_t random_state_;
     std::map<std::string, backend_record> records_;
     std::map<std::string, backend_load> loads_;
+    server_words words_;
     std::map<std::string, time_point> avoided_;
     std::map<std::pair<std::string, std::string>, time_point> avoided_models_;
 };
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -33,8 +33,10 @@
     return service != nullptr && service->engine.has_value();
 }
 
-void hub_state::put_server(backend_record const& record, time_point now)
+void hub_state::put_server(backend_record const& told, time_point now)
 {
+    auto record = told;
+    record.draining = record.draining || words_.leaving(record);
     if (!is_runner(record))
     {
         directory_.put(record);
@@ -44,6 +46,22 @@
     directory_.put(*planner_.view(record.id));
 }
 
+void hub_state::mark_leaving(std::vector<leaving_server> const& servers, time_point now)
+{
+    bool news = false;
+    for (auto const& server : servers)
+        news = words_.leaves(server.backend, server.born_ms) || news;
+    if (!news)
+        return;
+    for (auto const& [id, record] : directory_.records())
+    {
+        if (record.draining || !words_.leaving(record))
+            continue;
+        auto const* const runner = planner_.view(id);
+        put_server(runner != nullptr ? *runner : record, now);
+    }
+}
+
 void hub_state::follow_config(config_authority const& authority, time_point now)
 {
     if (config_ == authority.current())
@@ -110,6 +128,7 @@
             update.quota.push_back(grant(ask, *authority.current(), now));
     crashes_.add(status.crashes, now);
     crashes_.survived(status.survived, now);
+    mark_leaving(status.leaving, now);
     update.complete = status.complete;
     if (!status.complete)
         return update;
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -6,6 +6,7 @@
 #include "coordination/entry/fleet_status.hpp"
 #include "coordination/entry/placement_planner.hpp"
 #include "coordination/entry/quota.hpp"
+#include "coordination/entry/server_words.hpp"
 #include "state/entry/node_message.hpp"
 
 #include <memory>
@@ -60,6 +61,8 @@
 
 private:
     [[nodiscard]] bool is_runner(backend_record const& record) const;
+    /// Marks the servers as leaving, whatever their entries at the store say.
+    void mark_leaving(std::vector<leaving_server> const& servers, time_point now);
     void follow_config(config_authority const& authority, time_point now);
     [[nodiscard]] quota_reply grant(quota_ask const& ask, serving_config const& config,
                                     time_point now);
@@ -71,6 +74,8 @@
     placement_planner planner_;
     quota_ledger ledger_;
     crash_sums crashes_;
+    /// What servers said to instances.
+    server_words words_;
     std::shared_ptr<serving_config const> config_;
     /// As of the last plan, by service and model.
     std::map<std::pair<std::string, std::string>, duration> estimates_;
--- a/src/protocol/entry/bounded_number.hpp
+++ b/src/protocol/entry/bounded_number.hpp
@@ -26,6 +26,8 @@
 // Ranges of what callers, servers, rows and settings tell.
 inline constexpr number_range milliseconds_range{0, 24.0 * 3600 * 1000};
 inline constexpr number_range seconds_range{0, 24.0 * 3600};
+/// A server that asks for a longer pause, in seconds, gets this one.
+inline constexpr number_range pause_range{0, 600};
 inline constexpr number_range token_range{0, 1e8};
 inline constexpr number_range unit_range{0, 1e12};
 inline constexpr number_range megabyte_range{0, 1e9};
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -54,6 +54,12 @@
     io(value.signature, value.backend);
 }
 
+template <class Io>
+void fields(Io& io, described<Io, leaving_server> value)
+{
+    io(value.backend, value.born_ms);
+}
+
 template <class Io>
 void fields(Io& io, described<Io, crash_count> value)
 {
@@ -90,7 +96,7 @@
     io(value.node, value.address, value.incarnation, value.sent_at_us,
        value.config_version, value.directory_hub, value.directory_revision,
        value.directory_digest, value.wants_config, value.complete, value.in_flight,
-       value.demand, value.asks, value.crashes, value.survived);
+       value.demand, value.asks, value.crashes, value.survived, value.leaving);
 }
 
 template <class Io>
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -59,6 +59,13 @@
     std::uint32_t crashes = 0;
 };
 
+/// A backend server said that this incarnation of it leaves.
+struct leaving_server
+{
+    std::string backend;
+    std::int64_t born_ms = 0;
+};
+
 /// From an instance to the hub: its state, and what it needs. An instance that is not the
 /// hub answers it with what it knows of the configuration and the hub.
 struct node_status
@@ -85,6 +92,9 @@
     std::vector<crash_report> crashes;
     /// Signatures under suspicion of which a request was answered.
     std::vector<std::uint64_t> survived;
+    /// Servers that said that they leave and that the sender's directory shows as
+    /// staying.
+    std::vector<leaving_server> leaving;
 };
 
 /// Requests that all other instances have at a backend server.
--- a/src/state/entry/refusal_reason.cpp
+++ b/src/state/entry/refusal_reason.cpp
@@ -16,7 +16,7 @@
 };
 
 /// Ordered like the enumeration.
-constexpr std::array<refusal_text, 21> texts{{{"no_configuration", 503},
+constexpr std::array<refusal_text, 22> texts{{{"no_configuration", 503},
                                               {"request_id_missing", 400},
                                               {"bodies_full", 503},
                                               {"configuration_stale", 503},
@@ -29,6 +29,7 @@
                                               {"deadline_unreachable", 503},
                                               {"draining", 503},
                                               {"backends_full", 503},
+                                              {"servers_paused", 503},
                                               {"no_backend", 503},
                                               {"model_too_late", 503},
                                               {"model_not_placed", 503},
--- a/src/state/entry/refusal_reason.hpp
+++ b/src/state/entry/refusal_reason.hpp
@@ -36,6 +36,8 @@
     draining,
     /// Every server that could take it has too much waiting.
     backends_full,
+    /// Every server that could take it wants nothing until after its deadline.
+    servers_paused,
     /// The service has no server.
     no_backend,
     /// The model will not be there in time.
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -4,6 +4,7 @@
 #include "platform/server_codec.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/http_call.hpp"
+#include "transport/entry/server_news.hpp"
 
 // What an instance does to become the hub and as hub: lease, orders to runners, pushes.
 namespace carawayturn::entry
@@ -66,14 +67,27 @@
     for (auto& order : hub_.plan(authority_, now))
     {
         auto const runner = order.runner;
-        tasks_.run("send order", runner, send_order(std::move(order)));
+        auto const* const known = board_.find(runner);
+        auto const born_ms = known != nullptr ? known->born_ms : 0;
+        tasks_.run("send order", runner, send_order(std::move(order), born_ms));
     }
     for (auto const& id : hub_.planner().wanted_reports(now))
-        tasks_.run("ask report", id, ask_report(id));
+    {
+        if (may_call(id))
+            tasks_.run("ask report", id, ask_report(id));
+        else
+            hub_.planner().report_failed(id, now);
+    }
     hub_.publish();
 }
 
-task<void> entry_node::send_order(runner_order order)
+bool entry_node::may_call(std::string const& server) const
+{
+    auto const* const known = board_.find(server);
+    return known == nullptr || board_.may_send(*known, boot_now());
+}
+
+task<void> entry_node::send_order(runner_order order, std::int64_t born_ms)
 {
     call_request call;
     call.peer = order.runner;
@@ -91,9 +105,9 @@
     if (auto share = order_right_.take(boot_now()))
     {
         call.timeout = std::min(order_timeout, share->limit() - boot_now());
-        call.may_leave = [&share, &outcome]
+        call.may_leave = [this, &order, &share, &outcome]
         {
-            bool const leaves = share->leave(boot_now());
+            bool const leaves = may_call(order.runner) && share->leave(boot_now());
             outcome = leaves ? order_outcome::unknown : order_outcome::conflict;
             return leaves;
         };
@@ -101,6 +115,7 @@
         if (answer)
         {
             share->answered();
+            take_word(services_, order.runner, born_ms, answer->word);
             status = answer->status;
             outcome = platform::decode_order_status(status);
         }
@@ -123,6 +138,7 @@
     auto const* const record = hub_.planner().view(id);
     if (record == nullptr)
         co_return;
+    auto const born_ms = record->born_ms;
     call_request call;
     call.peer = id;
     call.address = record->address;
@@ -131,11 +147,19 @@
     call.timeout = report_timeout;
     metrics_.count("reports_total");
     auto const answer = co_await http_call(connections_, std::move(call));
+    if (answer)
+        take_word(services_, id, born_ms, answer->word);
+    take_report(id, answer);
+}
+
+void entry_node::take_report(std::string const& id,
+                             std::optional<call_answer> const& answer)
+{
     auto const now = boot_now();
     if (!answer || answer->status != 200)
     {
         hub_.planner().report_failed(id, now);
-        co_return;
+        return;
     }
     auto const report = platform::decode_report(id, answer->body);
     if (!succeeded(report))
@@ -143,7 +167,7 @@
         log_.write(entry_event::report_unreadable,
                    {{"server", id}, {"detail", std::get<error>(report).detail}});
         hub_.planner().report_failed(id, now);
-        co_return;
+        return;
     }
     hub_.planner().reported(id, std::get<runner_report>(report), now);
 }
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -58,8 +58,8 @@
                                    bodies_,    authority_, board_,       connections_,
                                    quota_,     retries_,   demand_,      changes_,
                                    link_,      log_,       metrics_,     random_,
-                                   in_flight_, shutdown_,  caller_work_, crashes_,
-                                   tasks_},
+                                   in_flight_, shutdown_,  caller_work_, waiting_,
+                                   crashes_,   tasks_},
       link_(services_, lease_, *this, *this), store_(services_),
       reader_(services_, store_, *this), keeper_(services_, store_, lease_),
       callers_(io_), readiness_(io_), peers_(io_), scrapes_(io_), signals_(io_),
@@ -220,6 +220,7 @@
     status.demand = demand_.take_counts();
     status.crashes = crashes_.take_new();
     status.survived = crashes_.take_survived();
+    status.leaving = board_.leaving_untold();
     return status;
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -8,6 +8,7 @@
 #include "coordination/entry/reading_rule.hpp"
 #include "state/result.hpp"
 #include "transport/entry/entry_services.hpp"
+#include "transport/entry/http_call.hpp"
 #include "transport/entry/lease_keeper.hpp"
 #include "transport/entry/peer_link.hpp"
 #include "transport/entry/store_reader.hpp"
@@ -92,8 +93,11 @@
     void follow_readiness();
     void follow_hub_role();
     void plan_orders();
-    [[nodiscard]] task<void> send_order(runner_order order);
+    /// Whether the server has not asked to be left alone.
+    [[nodiscard]] bool may_call(std::string const& server) const;
+    [[nodiscard]] task<void> send_order(runner_order order, std::int64_t born_ms);
     [[nodiscard]] task<void> ask_report(std::string id);
+    void take_report(std::string const& id, std::optional<call_answer> const& answer);
     void put_on_board(backend_record const& record);
     void take_off_board(std::string const& id);
     /// Adds what only the holder of the lease knows to its update.
@@ -108,7 +112,10 @@
     node_settings settings_;
     settings_reader reread_;
     std::uint64_t incarnation_;
+    // Requests that are open as the process ends refer to these until the context ends.
     byte_budget bodies_;
+    caller_work caller_work_;
+    waiting_order waiting_;
     asio::io_context io_;
     connection_watch watch_;
     decision_log log_;
@@ -128,7 +135,6 @@
     /// The lease has been given back, or is left to lapse.
     bool lease_settled_ = false;
     bool cut_ = false;
-    caller_work caller_work_;
     crash_ledger crashes_;
     order_lease lease_;
     order_right order_right_;
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -8,6 +8,7 @@
 #include "coordination/entry/quota.hpp"
 #include "coordination/entry/retry_budget.hpp"
 #include "coordination/entry/shutdown_plan.hpp"
+#include "coordination/entry/waiting_order.hpp"
 #include "state/entry/node_message.hpp"
 #include "state/entry/node_settings.hpp"
 #include "transport/entry/backend_connections.hpp"
@@ -76,6 +77,8 @@
     /// Set once the instance shuts down.
     std::optional<shutdown_plan> const& shutdown;
     caller_work& callers;
+    /// Requests that wait for the end of servers' pauses.
+    waiting_order& waiting;
     crash_ledger& crashes;
     task_runner& tasks;
 
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/entry/server_word.hpp"
 #include "transport/entry/backend_connections.hpp"
 
 #include <boost/beast/http/verb.hpp>
@@ -34,6 +35,7 @@
 {
     unsigned status = 0;
     std::string body;
+    server_word word;
 };
 
 /// Makes one call. Nothing is returned if no whole answer arrived in time; the call may
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/request_flow_detail.hpp"
+#include "transport/entry/server_news.hpp"
 
 #include <algorithm>
 
@@ -12,6 +13,17 @@
 
 using namespace flow;
 
+namespace
+{
+
+/// Statuses that tell a caller that its request has not run and never will.
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
 bool request_flow::another_run_allowed() const
 {
     return route_->repeatable() && runs_ < route_->max_attempts;
@@ -89,16 +101,16 @@
 
 task<request_flow::attempt_end> request_flow::exchange_on(backend_connection connection)
 {
+    auto const now = boot_now();
+    if (!services_.board.may_send(server_, now))
+        co_return attempt_end::not_sent;
     exchange_ =
         std::make_unique<backend_exchange>(std::move(connection.socket), head_.id);
-    auto const now = boot_now();
     platform::attempt_terms terms;
     terms.server_id = server_.id;
     terms.organisation = organisation_ ? organisation_->name : "";
     terms.time_left = deadline_ - now;
-    terms.priority = route_->priority;
-    if (organisation_ && organisation_->priority)
-        terms.priority = *organisation_->priority;
+    terms.priority = priority();
     if (stream_begun_)
         terms.resume_after = events_.last_id();
     ++sends_;
@@ -121,8 +133,11 @@
     auto const facts = platform::decode_facts(exchange_->head());
     if (facts.load)
         services_.board.load_told(server_.id, *facts.load, boot_now());
+    take_word(services_, server_.id, server_.born_ms, facts.word);
     if (facts.not_run)
         co_return rejected(facts);
+    if (!facts.word.pause)
+        services_.board.answered(server_.id);
     co_return co_await take_answer(facts);
 }
 
@@ -191,6 +206,13 @@
         services_.board.failed(server_.id, boot_now());
         co_return failed_end();
     }
+    // The caller would take it for a promise that the server has not made.
+    if (promises_not_run(status))
+    {
+        keep_connection();
+        services_.board.failed(server_.id, boot_now());
+        co_return failed_end();
+    }
     answer_kept_ = true;
     if (status < 500)
         co_return delivered();
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -13,9 +13,9 @@
 
 std::string_view request_flow::name_of(attempt_end end)
 {
-    static constexpr std::array<std::string_view, 7> names{
-        "delivered",      "caller_gone", "not_run", "unknown",
-        "server_failure", "broken_off",  "late"};
+    static constexpr std::array<std::string_view, 8> names{
+        "delivered", "caller_gone",    "not_run",    "not_sent",
+        "unknown",   "server_failure", "broken_off", "late"};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -214,15 +214,48 @@
     return {service_->name, head_.model, head_.affinity, excluded_};
 }
 
+std::uint32_t request_flow::priority() const
+{
+    return organisation_ && organisation_->priority ? *organisation_->priority
+                                                    : route_->priority;
+}
+
+backend_choice request_flow::next_choice(time_point now)
+{
+    auto const wanted = service_->name + "/" + head_.model.str();
+    bool const in_turn =
+        place_ ? place_->first() : !services_.waiting.behind(wanted, priority());
+    auto choice = services_.board.choose(wish(), now);
+    if (choice.outcome == choice_outcome::chosen && !in_turn)
+        choice = {choice_outcome::paused, nullptr, 0, now};
+    if (choice.outcome == choice_outcome::paused && !place_)
+        place_.emplace(services_.waiting, wanted, priority());
+    if (choice.outcome != choice_outcome::paused)
+        leave_line();
+    return choice;
+}
+
+void request_flow::leave_line()
+{
+    if (!place_)
+        return;
+    place_.reset();
+    // The next in line looks for a server.
+    services_.changes.notify();
+}
+
 std::optional<request_flow::refusal>
-request_flow::waiting_refusal(choice_outcome outcome, time_point waiting_since,
+request_flow::waiting_refusal(backend_choice const& choice, time_point waiting_since,
                               time_point now) const
 {
+    auto const outcome = choice.outcome;
     if (now >= start_deadline_)
         return refusal{refusal_reason::deadline_unreachable, later};
     // Another instance can wait for it longer than this one lives.
     if (services_.draining())
         return refusal{refusal_reason::draining, now_elsewhere};
+    if (outcome == choice_outcome::paused && choice.free_at >= start_deadline_)
+        return refusal{refusal_reason::servers_paused, choice.free_at - now};
     if (outcome == choice_outcome::full)
         return refusal{refusal_reason::backends_full, later};
     if (outcome == choice_outcome::no_backend)
@@ -251,7 +284,7 @@
             refused = refusal{refusal_reason::draining, now_elsewhere};
             break;
         }
-        auto const choice = services_.board.choose(wish(), now);
+        auto const choice = next_choice(now);
         if (choice.outcome == choice_outcome::chosen)
         {
             server_ = *choice.backend;
@@ -266,7 +299,7 @@
             if (!abandoned_ && boot_now() < start_deadline_)
                 continue;
         }
-        refused = waiting_refusal(choice.outcome, began, now);
+        refused = waiting_refusal(choice, began, now);
         if (!refused && abandoned_)
             refused = refusal{refusal_reason::caller_gone, {}};
         if (refused)
@@ -277,9 +310,12 @@
             services_.demand.waiting_began(service_->name, head_.model);
             services_.hub.hurry();
         }
-        co_await services_.changes.wait(
-            std::min(wait_interval, std::max(start_deadline_ - now, duration(1000))));
+        auto longest = std::min(wait_interval, start_deadline_ - now);
+        if (choice.outcome == choice_outcome::paused && choice.free_at > now)
+            longest = std::min(longest, choice.free_at - now);
+        co_await services_.changes.wait(std::max(longest, least_wait));
     }
+    leave_line();
     if (waiting)
     {
         services_.demand.waiting_ended(service_->name, head_.model);
@@ -296,6 +332,9 @@
         return false;
     switch (end)
     {
+    case attempt_end::not_sent:
+        // Costs nothing of the budget: no server saw it.
+        return now < (stream_begun_ ? deadline_ : start_deadline_);
     case attempt_end::not_run:
         allowed = true;
         break;
@@ -352,6 +391,7 @@
     case attempt_end::caller_gone:
         log_end("caller_gone", 0);
         co_return false;
+    case attempt_end::not_sent:
     case attempt_end::not_run:
         if (runs_ == 0 && stopped_)
             co_return co_await refuse({refusal_reason::draining, now_elsewhere});
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -74,6 +74,8 @@
         caller_gone,
         /// The request surely did not run at this server.
         not_run,
+        /// Nothing of it left: the server asked to be left alone in the meantime.
+        not_sent,
         /// It may have run; no byte of an answer reached the caller.
         unknown,
         /// A complete failure answer of the server is kept.
@@ -99,9 +101,14 @@
     void set_deadlines();
     [[nodiscard]] task<bool> attempts();
     [[nodiscard]] task<std::optional<refusal>> choose_server();
-    [[nodiscard]] std::optional<refusal> waiting_refusal(choice_outcome outcome,
+    [[nodiscard]] std::optional<refusal> waiting_refusal(backend_choice const& choice,
                                                          time_point waiting_since,
                                                          time_point now) const;
+    /// The server that this request may have now, in its turn among those that wait for
+    /// the end of a pause.
+    [[nodiscard]] backend_choice next_choice(time_point now);
+    void leave_line();
+    [[nodiscard]] std::uint32_t priority() const;
     [[nodiscard]] task<attempt_end> attempt();
     [[nodiscard]] task<attempt_end> exchange_on(backend_connection connection);
     [[nodiscard]] task<attempt_end> take_answer(platform::answer_facts facts);
@@ -145,6 +152,8 @@
     time_point deadline_{};
     /// Until then the first event or the answer has to begin.
     time_point start_deadline_{};
+    /// Its place among the requests that wait for the end of a pause.
+    std::optional<waiting_place> place_;
     bool abandoned_ = false;
     /// The instance ends before the request is answered.
     bool stopped_ = false;
--- /dev/null
+++ b/src/transport/entry/server_news.cpp
@@ -0,0 +1,56 @@
+#include "transport/entry/server_news.hpp"
+
+#include "state/entry/time_units.hpp"
+#include "transport/entry/boot_clock.hpp"
+
+namespace carawayturn::entry
+{
+
+namespace
+{
+
+void take_leaving(entry_services& services, std::string const& server,
+                  std::int64_t born_ms)
+{
+    if (!services.board.leaves(server, born_ms))
+        return;
+    services.connections.drop(server);
+    auto const* const known = services.board.find(server);
+    services.metrics.count("servers_leaving_total");
+    services.log.write(
+        entry_event::backend_leaving,
+        {{"server", server},
+         {"born_ms", born_ms},
+         {"entry_draining", std::int64_t{known != nullptr && known->draining}}});
+    services.hub.hurry();
+}
+
+void take_pause(entry_services& services, std::string const& server, std::int64_t born_ms,
+                duration pause)
+{
+    auto const now = boot_now();
+    services.board.pauses(server, born_ms, pause, now);
+    services.metrics.count("server_pauses_total");
+    services.log.write(entry_event::backend_paused,
+                       {{"server", server},
+                        {"pause_ms", to_ms(pause)},
+                        {"in_flight", std::uint64_t{services.board.load(server).own}}});
+}
+
+} // namespace
+
+void take_word(entry_services& services, std::string const& server, std::int64_t born_ms,
+               server_word const& word)
+{
+    // Another server has the address; its word is not that of the one asked.
+    if (!word.sender.empty() && word.sender != server)
+        return;
+    if (word.unclear && services.board.unclear_word(server))
+        services.log.write(entry_event::backend_word_unclear, {{"server", server}});
+    if (word.leaving)
+        take_leaving(services, server, born_ms);
+    if (word.pause)
+        take_pause(services, server, born_ms, *word.pause);
+}
+
+} // namespace carawayturn::entry
--- a/src/transport/entry/state_dump.cpp
+++ b/src/transport/entry/state_dump.cpp
@@ -28,13 +28,15 @@
     return models;
 }
 
-json::object dump_server(backend_record const& record, backend_load const& load)
+json::object dump_server(backend_record const& record, backend_load const& load,
+                         bool takes_requests)
 {
     return {{"id", record.id},
             {"service", record.service},
             {"address", record.address},
             {"failure_domain", record.failure_domain},
             {"draining", record.draining},
+            {"takes_requests", takes_requests},
             {"slots", record.slots},
             {"models", dump_models(record)},
             {"own_requests", load.own},
@@ -74,7 +76,8 @@
                                 {"lease_remaining_ms", to_ms(lease.remaining(now))}};
     json::array servers;
     for (auto const& [id, record] : services.board.all())
-        servers.push_back(dump_server(record, services.board.load(id)));
+        servers.push_back(dump_server(record, services.board.load(id),
+                                      services.board.may_send(record, now)));
     state["backend_servers"] = std::move(servers);
     return json::serialize(state) + "\n";
 }
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -237,6 +237,14 @@
         self.ran: list[dict] = []
         self.mode = "good"
         self.hold = 0.0
+        # Whether every answer says that the server leaves.
+        self.leaving = False
+        # Retry-After of the next requests that are turned away, one each; then it serves.
+        self.pauses: list[str] = []
+        # When a request was turned away with a pause, and its length.
+        self.pauses_told: list[tuple[float, str]] = []
+        # When each request came, whether it ran or not.
+        self.arrivals: list[tuple[float, str]] = []
         self.born = int(time.time() * 1000)
         self.record()
 
@@ -259,6 +267,18 @@
                 for name, adapters in self.models.items()]
 
     def handle(self, call: _Handler, body: bytes) -> None:
+        if self.leaving:
+            end_headers = call.end_headers
+
+            def say_and_end() -> None:
+                call.send_header("Server-Leaving", "1")
+                end_headers()
+
+            call.end_headers = say_and_end
+        self._answer(call, body)
+        call.__dict__.pop("end_headers", None)
+
+    def _answer(self, call: _Handler, body: bytes) -> None:
         if call.headers.get("X-Expect-Instance") not in (None, self.name):
             call.answer(421, b"", {"X-Instance-Id": self.name})
         elif call.path == "/report":
@@ -293,8 +313,18 @@
     def _run(self, call: _Handler, body: bytes) -> None:
         request_id = call.headers.get("X-Request-Id")
         headers = {"X-Request-Id": request_id}
+        self.arrivals.append((time.monotonic(), request_id))
+        if self.pauses:
+            pause = self.pauses.pop(0)
+            self.pauses_told.append((time.monotonic(), pause))
+            call.answer(503, b"", {**headers, "X-Not-Executed": "1", "Retry-After": pause})
+            return
         model = call.headers.get("X-Model")
         resumed = "Last-Event-Id" in call.headers
+        if self.mode == "busy":
+            # A 503 that does not say whether the request ran.
+            call.answer(503, b"", {**headers, "X-Server-Seal": "s"})
+            return
         if self.mode == "full" or (self.mode == "break_shed" and resumed):
             call.answer(503, b"", {**headers, "X-Not-Executed": "1"})
             return
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -203,6 +203,52 @@
     EXPECT_TRUE(decode_facts(other).not_run);
 }
 
+// Guards against a word that a server did not say: that it leaves counts once and as 1.
+TEST(server_word_codec_test, leaving_word_counts_as_one_alone)
+{
+    http::response_header<> answer;
+    EXPECT_FALSE(decode_facts(answer).word.leaving);
+    answer.set("Server-Leaving", "1");
+    EXPECT_TRUE(decode_facts(answer).word.leaving);
+    answer.insert("Server-Leaving", "1");
+    EXPECT_FALSE(decode_facts(answer).word.leaving);
+    EXPECT_TRUE(decode_facts(answer).word.unclear);
+    answer.set("Server-Leaving", "0");
+    EXPECT_FALSE(decode_facts(answer).word.leaving);
+    EXPECT_TRUE(decode_facts(answer).word.unclear);
+}
+
+// Guards against a pause that no server asked for, and one without end.
+TEST(server_word_codec_test, pause_is_seconds_of_a_503_within_bounds)
+{
+    http::response_header<> answer;
+    answer.result(200);
+    answer.set("Retry-After", "5");
+    EXPECT_FALSE(decode_facts(answer).word.pause);
+    answer.result(503);
+    for (auto const& [text, pause] :
+         {std::pair<char const*, duration>{"5", std::chrono::seconds(5)},
+          {"0", duration::zero()},
+          {"0.25", std::chrono::milliseconds(250)},
+          {"86400000", std::chrono::minutes(10)},
+          {"99999999999999999999999", std::chrono::minutes(10)}})
+    {
+        answer.set("Retry-After", text);
+        EXPECT_EQ(decode_facts(answer).word.pause, pause) << text;
+        EXPECT_FALSE(decode_facts(answer).word.unclear) << text;
+    }
+    for (auto const* text : {"", "-1", "soon", "Fri, 04 Dec 2026 14:00:00 GMT", "1e3",
+                             "inf", "1.2.3", "5, 6"})
+    {
+        answer.set("Retry-After", text);
+        EXPECT_FALSE(decode_facts(answer).word.pause) << text;
+        EXPECT_TRUE(decode_facts(answer).word.unclear) << text;
+    }
+    answer.set("Retry-After", "5");
+    answer.insert("Retry-After", "6");
+    EXPECT_FALSE(decode_facts(answer).word.pause);
+}
+
 // Guards against a write that overwrites another holder's lease.
 TEST(store_codec_test, lease_write_expects_the_known_version)
 {
--- /dev/null
+++ b/tests/entry/server_words_process_test.py
@@ -0,0 +1,194 @@
+"""Servers that say that they leave, or that they want nothing for a time, before real
+instances.
+
+Nothing here depends on how fast the machine is: conditions are waited for, with a limit
+that only ends a hanging test.
+"""
+
+from __future__ import annotations
+
+import sys
+import threading
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import Instance, configuration, wait_until  # noqa: E402
+from platform_fleet import BackendServer, Store  # noqa: E402
+
+REQUESTS = 12
+PAUSE_S = 2.0
+# Sent with each request of Instance.request.
+DEADLINE_S = 10.0
+# Longer than the route's timeout, which ends before the callers' deadline.
+LONG_PAUSE_S = 9
+
+
+class ServerWordsTest(unittest.TestCase):
+    """One store, two plain servers, two runners and two instances, the first one the hub."""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        self.store.put("op", "config", configuration(1, ["k1"]))
+        self.plain = [BackendServer(self.store, f"p{i}", "plain") for i in range(2)]
+        self.runners = [BackendServer(self.store, f"r{i}", "llm", ["m1"]) for i in range(2)]
+        self.hub = Instance(self.store, "n1")
+        self.hub.wait_until_serving(servers=4)
+        self.member = Instance(self.store, "n2")
+        self.member.wait_until_serving(servers=4)
+        wait_until(lambda: self.member.state()["hub"]["answers"], "n2 found the hub")
+
+    def tearDown(self) -> None:
+        for instance in (self.hub, self.member):
+            instance.close()
+        for service in [*self.plain, *self.runners, self.store]:
+            service.close()
+
+    def book(self, instance: Instance, name: str) -> tuple[int, bytes, dict[str, str]]:
+        return instance.request("/book/a", id=name)
+
+    def book_until_at(self, server: BackendServer) -> None:
+        """Books at the second instance until the server has answered it once."""
+        for number in range(REQUESTS):
+            self.book(self.member, f"first{number}")
+            if server.arrivals:
+                return
+        self.fail("the server got no request")
+
+    def assert_gets_nothing(self, server: BackendServer, instance: Instance) -> None:
+        before = len(server.arrivals)
+        for number in range(REQUESTS):
+            status = self.book(instance, f"next{number}")[0]
+            self.assertEqual(status, 200)
+        self.assertEqual(len(server.arrivals), before)
+
+    def shown(self, instance: Instance, name: str) -> dict:
+        return next(server for server in instance.state()["backend_servers"]
+                    if server["id"] == name)
+
+    def test_server_that_says_that_it_leaves_gets_nothing_more_from_any_instance(self) -> None:
+        """Guards against requests at a server that leaves while its entry says that it is
+        ready: at once where the answer came, and elsewhere as soon as the hub has told."""
+        self.plain[0].leaving = True
+        self.book_until_at(self.plain[0])
+        self.assert_gets_nothing(self.plain[0], self.member)
+        wait_until(lambda: self.shown(self.hub, "p0")["draining"], "the hub marks it")
+        wait_until(lambda: self.shown(self.member, "p0")["draining"], "n2 is told as well")
+        self.assert_gets_nothing(self.plain[0], self.hub)
+        # An entry at the store that still shows it as ready takes nothing back.
+        self.plain[0].record()
+        time.sleep(1.0)
+        self.assert_gets_nothing(self.plain[0], self.hub)
+        self.assert_gets_nothing(self.plain[0], self.member)
+
+    def test_server_that_left_and_starts_anew_gets_work(self) -> None:
+        """Guards against a word that outlives the incarnation which gave it."""
+        self.plain[0].leaving = True
+        self.book_until_at(self.plain[0])
+        self.plain[0].leaving = False
+        self.plain[0].restart()
+        wait_until(lambda: self.shown(self.member, "p0")["takes_requests"]
+                   and not self.shown(self.member, "p0")["draining"], "n2 knows the new one")
+        self.plain[1].record("draining")
+        wait_until(lambda: self.shown(self.member, "p1")["draining"], "p1 leaves")
+        self.assertEqual(self.book(self.member, "again")[1], b"done by p0")
+
+    def test_runner_that_says_so_to_the_hub_alone_gets_nothing_from_members(self) -> None:
+        """Guards against a word in the answer to an order or report that nobody passes on."""
+        self.runners[0].leaving = True
+        self.hub.request("/draft/a", headers={"X-Model": "m2"}, id="load")
+        wait_until(lambda: self.shown(self.member, "r0")["draining"], "n2 is told")
+        self.assertEqual(self.runners[0].arrivals, [])
+
+    def test_paused_server_gets_nothing_until_the_end_of_its_pause(self) -> None:
+        """Guards against requests at a server in the time for which it wants nothing."""
+        self.plain[0].pauses = [str(PAUSE_S)]
+        self.book_until_at(self.plain[0])
+        (told, _), = self.plain[0].pauses_told
+        number = 0
+        while time.monotonic() < told + PAUSE_S:
+            number += 1
+            self.assertEqual(self.book(self.member, f"during{number}")[0], 200)
+        early = [name for at, name in self.plain[0].arrivals if told < at < told + PAUSE_S]
+        self.assertEqual(early, [])
+
+        def served_again() -> bool:
+            self.book(self.member, f"after{time.monotonic()}")
+            return len(self.plain[0].arrivals) > 1
+
+        wait_until(served_again, "the server gets work after its pause")
+
+    def test_all_servers_paused_beyond_the_deadline_caller_is_refused_at_once(self) -> None:
+        """Guards against a caller that waits for what cannot come in time, and against a
+        time to come back at which it would be turned away again."""
+        for server in self.plain:
+            server.pauses = [str(LONG_PAUSE_S)]
+        began = time.monotonic()
+        status, _, headers = self.book(self.member, "r1")
+        took = time.monotonic() - began
+        self.assertEqual(status, 503)
+        self.assertLess(took, DEADLINE_S / 2)
+        told = [at for server in self.plain for at, _ in server.pauses_told]
+        self.assertEqual(len(told), 2)
+        soonest_end = min(told) + LONG_PAUSE_S
+        self.assertGreaterEqual(began + took + float(headers["Retry-After"]),
+                                soonest_end - 0.1)
+        # The next one is refused without a question.
+        self.assertEqual(self.book(self.member, "r2")[0], 503)
+        self.assertEqual(sum(len(server.arrivals) for server in self.plain), 2)
+        self.assertEqual([run for server in self.plain for run in server.ran], [])
+        wait_until(lambda: [event["outcome"] for event in self.member.events(1100)]
+                   == ["servers_paused"] * 2, "both refusals are logged")
+
+    def test_all_servers_paused_for_a_moment_callers_wait_and_are_served(self) -> None:
+        """Guards against refusals where the pause ends in time, and a crowd at its end."""
+        for server in self.plain:
+            server.pauses = ["1.5"]
+            server.hold = 0.1
+        statuses: list[int] = []
+        callers = [threading.Thread(target=lambda n=n: statuses.append(
+            self.book(self.member, f"c{n}")[0])) for n in range(REQUESTS)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        self.assertEqual(statuses, [200] * REQUESTS)
+        for server in self.plain:
+            (told, _), = server.pauses_told
+            # Requests that had left before the answer came are no fault.
+            early = [at for at, _ in server.arrivals if told + 0.5 < at < told + 1.5]
+            self.assertEqual(early, [])
+
+    def test_words_that_are_no_words_change_nothing(self) -> None:
+        """Guards against a date, a negative number or junk that is taken for a pause, and a
+        pause of years."""
+        for text in ("-5", "junk", "Fri, 04 Dec 2026 14:00:00 GMT", "1e9", ""):
+            for server in self.plain:
+                server.pauses = [text]
+            self.book(self.member, f"w{text[:3]}")
+            self.assertEqual(self.book(self.member, f"x{text[:3]}")[0], 200, text)
+            for server in self.plain:
+                server.pauses = []
+        self.assertEqual(self.member.events(1134), [])
+        unclear = [event["server"] for event in self.member.events(1135)]
+        self.assertEqual(sorted(unclear), ["p0", "p1"])
+        self.plain[0].pauses = ["999999999999"]
+        while self.plain[0].pauses:
+            self.book(self.member, f"y{time.monotonic()}")
+        wait_until(lambda: self.member.events(1134), "the pause is logged")
+        self.assertEqual(self.member.events(1134)[0]["pause_ms"], 600000)
+
+    def test_promise_that_the_server_did_not_make_is_not_passed_on(self) -> None:
+        """Guards against a caller who is told that a booking has not run, by a 503 of a
+        server that does not say so."""
+        for server in self.plain:
+            server.mode = "busy"
+        status, _, headers = self.book(self.member, "r1")
+        self.assertEqual(status, 502)
+        self.assertNotIn("X-Server-Seal", headers)
+        self.assertEqual(sum(len(server.arrivals) for server in self.plain), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
