Wake only the first of the requests that wait for the end of a pause

Each request that went on woke all that waited, and each of them looked for a server: work that grows with the square of their number, on a part of a core. Now the place in waiting_order wakes its successor, and an attempt's end wakes the first of each line. entry_tests 163, server_words_process_test 8 passed.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -64,6 +64,7 @@
         auto const found = services_.in_flight.find(place_);
         if (found != services_.in_flight.end() && --found->second == 0)
             services_.in_flight.erase(found);
+        services_.waiting.wake();
     }
 
 private:
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -23,7 +23,7 @@
                            http::request<http::string_body>& request,
                            answer_writer& writer, time_point arrival)
     : services_(services), request_(request), writer_(writer), arrival_(arrival),
-      head_(platform::decode_request(request))
+      head_(platform::decode_request(request)), turn_(services.io)
 {
 }
 
@@ -32,6 +32,7 @@
     abandoned_ = true;
     if (exchange_)
         exchange_->close();
+    turn_.notify();
     services_.changes.notify();
 }
 
@@ -40,6 +41,7 @@
     stopped_ = true;
     if (exchange_)
         exchange_->close();
+    turn_.notify();
     services_.changes.notify();
 }
 
@@ -214,6 +216,20 @@
     return {service_->name, head_.model, head_.affinity, excluded_};
 }
 
+task<void> request_flow::wait_for_change(backend_choice const& choice, time_point now)
+{
+    auto longest = start_deadline_ - now;
+    if (place_ && !place_->first())
+        longest = std::min(longest, behind_interval);
+    else
+        longest = std::min(longest, wait_interval);
+    if (choice.outcome == choice_outcome::paused && choice.free_at > now && place_ &&
+        place_->first())
+        longest = std::min(longest, choice.free_at - now);
+    auto& signal = place_ ? turn_ : services_.changes;
+    co_await signal.wait(std::max(longest, least_wait));
+}
+
 std::uint32_t request_flow::priority() const
 {
     return organisation_ && organisation_->priority ? *organisation_->priority
@@ -229,21 +245,12 @@
     if (choice.outcome == choice_outcome::chosen && !in_turn)
         choice = {choice_outcome::paused, nullptr, 0, now};
     if (choice.outcome == choice_outcome::paused && !place_)
-        place_.emplace(services_.waiting, wanted, priority());
+        place_.emplace(services_.waiting, wanted, priority(), [this] { turn_.notify(); });
     if (choice.outcome != choice_outcome::paused)
         leave_line();
     return choice;
 }
 
-void request_flow::leave_line()
-{
-    if (!place_)
-        return;
-    place_.reset();
-    // The next in line looks for a server.
-    services_.changes.notify();
-}
-
 std::optional<request_flow::refusal>
 request_flow::waiting_refusal(backend_choice const& choice, time_point waiting_since,
                               time_point now) const
@@ -310,10 +317,7 @@
             services_.demand.waiting_began(service_->name, head_.model);
             services_.hub.hurry();
         }
-        auto longest = std::min(wait_interval, start_deadline_ - now);
-        if (choice.outcome == choice_outcome::paused && choice.free_at > now)
-            longest = std::min(longest, choice.free_at - now);
-        co_await services_.changes.wait(std::max(longest, least_wait));
+        co_await wait_for_change(choice, now);
     }
     leave_line();
     if (waiting)
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -107,7 +107,9 @@
     /// The server that this request may have now, in its turn among those that wait for
     /// the end of a pause.
     [[nodiscard]] backend_choice next_choice(time_point now);
-    void leave_line();
+    void leave_line() { place_.reset(); }
+    [[nodiscard]] task<void> wait_for_change(backend_choice const& choice,
+                                             time_point now);
     [[nodiscard]] std::uint32_t priority() const;
     [[nodiscard]] task<attempt_end> attempt();
     [[nodiscard]] task<attempt_end> exchange_on(backend_connection connection);
@@ -154,6 +156,8 @@
     time_point start_deadline_{};
     /// Its place among the requests that wait for the end of a pause.
     std::optional<waiting_place> place_;
+    /// Wakes the request in that order.
+    change_signal turn_;
     bool abandoned_ = false;
     /// The instance ends before the request is answered.
     bool stopped_ = false;
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -33,6 +33,9 @@
 /// Longest answer that is passed on. One that never ends would else hold the process
 /// until its deadline.
 inline constexpr std::size_t max_answer = std::size_t{16} << 20U;
+/// How often one looks that waits behind others for the end of a pause: its time may run
+/// out before its turn comes.
+inline constexpr duration behind_interval = std::chrono::milliseconds(1000);
 /// How long it waits at least before it looks again.
 inline constexpr duration least_wait = std::chrono::milliseconds(1);
 /// A runner that denies that it holds a model is avoided for it this long.
