Skip no step of a shutdown, and tell every caller how it ends

One class: a decision made once, on what was known before. shutdown_plan now asks whether the intake is closed and callers were told before it ends the process, idle connections have a time of notice of their own, and the cut is made with each turn.

--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -29,8 +29,16 @@
     std::size_t unfinished = 0;
     /// The lease is given back, or left to lapse.
     bool lease_settled = false;
+    /// No further connection is taken, and `unfinished` was counted after that.
+    bool intake_closed = false;
+    /// The callers of open requests have been told.
+    bool cut = false;
 };
 
+/// An idle connection is closed in a shutdown once it has been idle for so long: its
+/// caller may have sent a request before it could know of the shutdown.
+inline constexpr duration idle_notice = std::chrono::milliseconds(300);
+
 /// The course of one shutdown: no fixed wait ends it while a request is open, except the
 /// grace time. Answers the load pattern "requests go on arriving, slowly and on kept
 /// connections, while the instance stops".
@@ -43,9 +51,6 @@
 
     [[nodiscard]] shutdown_step step(time_point now, shutdown_state state) const;
 
-    /// Whether a connection that has not carried a request yet may still bring one.
-    [[nodiscard]] bool awaits_first_requests(time_point now) const;
-
     /// Whether a request whose first byte came at `first_byte` and that has been read now
     /// is served. One that is not is refused: it would only be cut.
     [[nodiscard]] bool may_begin(time_point first_byte, time_point now) const;
@@ -57,7 +62,7 @@
     time_point cut_at_;
     time_point end_at_;
     time_point intake_end_;
-    time_point first_requests_end_;
+    time_point last_first_byte_;
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/backend_connections.cpp
+++ b/src/transport/entry/backend_connections.cpp
@@ -18,9 +18,9 @@
 {
 }
 
-task<backend_connection> backend_connections::obtain(std::string const& server,
-                                                     std::string const& address,
-                                                     time_point deadline)
+task<backend_connection>
+backend_connections::obtain(std::string const& server, std::string const& address,
+                            time_point deadline, std::weak_ptr<watched_socket>* opening)
 {
     auto& idle = kept_[server];
     while (!idle.empty())
@@ -30,15 +30,16 @@
         if (quiet_and_open(socket->socket()))
             co_return backend_connection{std::move(socket), true};
     }
-    co_return co_await open(address, deadline);
+    co_return co_await open(address, deadline, opening);
 }
 
 task<backend_connection> backend_connections::open(std::string const& address,
-                                                   time_point deadline)
+                                                   time_point deadline,
+                                                   std::weak_ptr<watched_socket>* opening)
 {
     ++opened_;
     auto const limit = std::min(deadline, boot_now() + connect_timeout);
-    auto socket = co_await connect_to(io_, watch_, address, limit);
+    auto socket = co_await connect_to(io_, watch_, address, limit, opening);
     co_return backend_connection{std::move(socket), false};
 }
 
--- a/src/transport/entry/backend_connections.hpp
+++ b/src/transport/entry/backend_connections.hpp
@@ -25,13 +25,16 @@
     backend_connections(asio::io_context& io, connection_watch& watch);
 
     /// Takes a kept connection that is still open, or opens one. The socket is null if
-    /// none could be opened before the deadline.
+    /// none could be opened before the deadline. `opening` refers to a connection while
+    /// it is being opened.
     [[nodiscard]] task<backend_connection>
-    obtain(std::string const& server, std::string const& address, time_point deadline);
+    obtain(std::string const& server, std::string const& address, time_point deadline,
+           std::weak_ptr<watched_socket>* opening = nullptr);
 
     /// Opens a connection.
-    [[nodiscard]] task<backend_connection> open(std::string const& address,
-                                                time_point deadline);
+    [[nodiscard]] task<backend_connection>
+    open(std::string const& address, time_point deadline,
+         std::weak_ptr<watched_socket>* opening = nullptr);
 
     /// Keeps a connection with no request on it for up to `keep`.
     void give_back(std::string const& server, std::shared_ptr<watched_socket> socket,
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -68,7 +68,7 @@
     task<bool> append(std::string_view bytes) override;
     task<bool> end() override;
 
-    bool used() const override { return used_; }
+    time_point idle_since() const override { return idle_since_; }
     bool silent() override { return quiet_and_open(socket_->socket()); }
     void close() override { socket_->close(); }
     void stop() override;
@@ -101,7 +101,7 @@
     std::weak_ptr<request_flow> flow_;
     /// When the first byte of the request came that is read or served.
     time_point first_byte_{};
-    bool used_ = false;
+    time_point idle_since_ = boot_now();
     /// The instance ends; a request that is being read is refused.
     bool stopping_ = false;
     bool keep_alive_ = true;
@@ -170,6 +170,8 @@
     in.eager(true);
     while (!in.is_done())
     {
+        if (stopping_)
+            co_return co_await end_reading(in, asio::error::operation_aborted);
         auto const [broken, size] =
             co_await http::async_read_some(socket_->socket(), buffer_, in, use_task);
         if (broken == http::error::body_limit)
@@ -196,6 +198,7 @@
 {
     enter(caller_stage::serving);
     keep_alive_ = false;
+    head_request_ = request.method() == http::verb::head;
     request_flow flow(services_, request, *this, boot_now());
     co_await flow.refuse_unserved(reason);
     co_await discard_rest();
@@ -221,7 +224,8 @@
     enter(caller_stage::closing);
     boost::system::error_code failure;
     socket_->socket().shutdown(tcp_socket::shutdown_send, failure);
-    socket_->set_deadline(boot_now() + discard_time);
+    auto const now = boot_now();
+    socket_->set_deadline_once_taken(now + discard_time, now + write_timeout);
     std::array<char, discard_piece> piece{};
     std::size_t discarded = 0;
     while (!failure && discarded < discard_limit)
@@ -283,6 +287,10 @@
         answer.content_length(*length);
     else
         answer.chunked(chunked_);
+    // Only the end of the connection tells the end of such an answer, and one that breaks
+    // off, however the process ends, must not look complete.
+    if (!length && old_caller_)
+        socket_->reset_on_close();
     http::response_serializer<http::empty_body> serializer(answer);
     socket_->set_deadline(boot_now() + write_timeout);
     auto const [failure, size] =
@@ -311,7 +319,10 @@
 task<bool> caller_session::end()
 {
     if (!chunked_)
+    {
+        socket_->end_on_close();
         co_return true;
+    }
     socket_->set_deadline(boot_now() + write_timeout);
     auto const [failure, size] =
         co_await asio::async_write(socket_->socket(), http::make_chunk_last(), use_task);
@@ -366,13 +377,14 @@
             co_return;
         enter(caller_stage::reading);
         first_byte_ = boot_now();
+        head_request_ = false;
+        old_caller_ = false;
         parser in;
         byte_reservation kept(services_.bodies);
         bool const whole = co_await read_request(in, kept);
         if (!whole)
             co_return;
         enter(caller_stage::serving);
-        used_ = true;
         auto request = in.release();
         if (services_.draining() &&
             !services_.shutdown->may_begin(first_byte_, boot_now()))
@@ -383,6 +395,7 @@
         bool const usable = co_await serve(request, boot_now());
         if (!usable)
             co_return;
+        idle_since_ = boot_now();
         enter(caller_stage::idle);
     }
 }
@@ -395,7 +408,7 @@
 
 void begin_session(entry_services& services, tcp_socket socket)
 {
-    set_connection_options(socket);
+    set_caller_options(socket, write_timeout);
     auto const peer = peer_of(socket);
     services.tasks.run("serve caller", peer,
                        serve_caller(std::make_unique<caller_session>(
@@ -422,7 +435,7 @@
     }
 }
 
-void accept_waiting_callers(entry_services& services, tcp_acceptor& acceptor)
+bool accept_waiting_callers(entry_services& services, tcp_acceptor& acceptor)
 {
     boost::system::error_code failure;
     acceptor.non_blocking(true, failure);
@@ -433,6 +446,7 @@
         if (!failure)
             begin_session(services, std::move(socket));
     }
+    return failure == asio::error::would_block || failure == asio::error::try_again;
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/caller_session.hpp
+++ b/src/transport/entry/caller_session.hpp
@@ -8,7 +8,8 @@
 /// Accepts callers until the acceptor is closed.
 [[nodiscard]] task<void> accept_callers(entry_services& services, tcp_acceptor& acceptor);
 
-/// Accepts the callers that wait to be accepted, and returns.
-void accept_waiting_callers(entry_services& services, tcp_acceptor& acceptor);
+/// Accepts the callers that wait to be accepted. Returns false if some could not be.
+[[nodiscard]] bool accept_waiting_callers(entry_services& services,
+                                          tcp_acceptor& acceptor);
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/caller_work.cpp
+++ b/src/transport/entry/caller_work.cpp
@@ -8,9 +8,10 @@
 namespace
 {
 
-bool idle_and_silent(caller_connection& connection)
+bool idle_and_silent(caller_connection& connection, time_point idle_before)
 {
-    return connection.stage() == caller_stage::idle && connection.silent();
+    return connection.stage() == caller_stage::idle &&
+           connection.idle_since() < idle_before && connection.silent();
 }
 
 } // namespace
@@ -44,18 +45,19 @@
     return counts_.at(static_cast<std::size_t>(stage));
 }
 
-std::size_t caller_work::unfinished() const
+std::size_t caller_work::unfinished(time_point idle_before) const
 {
     auto const finished =
         std::count_if(connections_.begin(), connections_.end(),
-                      [](auto* connection) { return idle_and_silent(*connection); });
+                      [idle_before](auto* connection)
+                      { return idle_and_silent(*connection, idle_before); });
     return connections_.size() - static_cast<std::size_t>(finished);
 }
 
-void caller_work::close_silent(bool unused_too)
+void caller_work::close_silent(time_point idle_before)
 {
     for (auto* const connection : connections_)
-        if ((unused_too || connection->used()) && idle_and_silent(*connection))
+        if (idle_and_silent(*connection, idle_before))
             connection->close();
 }
 
--- a/src/transport/entry/caller_work.hpp
+++ b/src/transport/entry/caller_work.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "state/time.hpp"
+
 #include <array>
 #include <cstddef>
 #include <set>
@@ -33,8 +35,8 @@
     virtual ~caller_connection();
 
     [[nodiscard]] caller_stage stage() const { return stage_; }
-    /// Whether it has carried a request.
-    [[nodiscard]] virtual bool used() const = 0;
+    /// Since when it has been idle.
+    [[nodiscard]] virtual time_point idle_since() const = 0;
     /// Whether no byte waits to be read.
     [[nodiscard]] virtual bool silent() = 0;
     virtual void close() = 0;
@@ -57,13 +59,13 @@
 public:
     /// Connections in this stage.
     [[nodiscard]] std::size_t count(caller_stage stage) const;
-    /// Connections that bring a request or take an answer. Those count too that are idle
-    /// and have bytes which were not read yet.
-    [[nodiscard]] std::size_t unfinished() const;
+    /// Connections that bring a request or take an answer. Those count too that became
+    /// idle after this time, or have bytes which were not read yet.
+    [[nodiscard]] std::size_t unfinished(time_point idle_before) const;
 
-    /// Closes the idle connections on which nothing has arrived.
-    /// @param unused_too also those that have not carried a request yet.
-    void close_silent(bool unused_too);
+    /// Closes the connections that have been idle since before this time, and on which
+    /// nothing has arrived.
+    void close_silent(time_point idle_before);
     /// Stops the work on all connections.
     void stop();
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <set>
+#include <utility>
 
 namespace carawayturn::entry
 {
@@ -385,6 +386,7 @@
         timer.expires_after(tick_interval);
         co_await timer.async_wait(use_task);
         auto const now = boot_now();
+        tick_before_ = std::exchange(tick_, now);
         watch_.sweep(now);
         connections_.close_expired(now);
         crashes_.expire(now);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -7,6 +7,7 @@
 #include "coordination/entry/peer_book.hpp"
 #include "coordination/entry/reading_rule.hpp"
 #include "state/result.hpp"
+#include "transport/entry/boot_clock.hpp"
 #include "transport/entry/entry_services.hpp"
 #include "transport/entry/http_call.hpp"
 #include "transport/entry/lease_keeper.hpp"
@@ -77,6 +78,8 @@
     [[nodiscard]] std::string readiness_page() const;
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
+    /// When the signal that is handled now may have come.
+    [[nodiscard]] time_point signal_time() const;
     /// Gives the lease back once no order can leave or arrive any more; keeps it to its
     /// end if that takes longer.
     [[nodiscard]] task<void> give_lease_back();
@@ -135,6 +138,9 @@
     /// The lease has been given back, or is left to lapse.
     bool lease_settled_ = false;
     bool cut_ = false;
+    /// The last two ticks. They lie far apart if the process was paused in between.
+    time_point tick_ = boot_now();
+    time_point tick_before_ = tick_;
     crash_ledger crashes_;
     order_lease lease_;
     order_right order_right_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <csignal>
+#include <utility>
 
 // What the platform and the operators ask of an instance: readiness, metrics, state,
 // reload and shutdown.
@@ -20,6 +21,8 @@
 
 /// A probe of readiness or metrics may take this long.
 constexpr duration probe_timeout = std::chrono::seconds(2);
+/// A signal that is handled later came while the process was paused.
+constexpr duration longest_signal_delay = std::chrono::milliseconds(300);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// Longest head of a probe, in bytes.
 constexpr std::size_t probe_limit = 8192;
@@ -130,6 +133,16 @@
     }
 }
 
+time_point entry_node::signal_time() const
+{
+    auto const now = boot_now();
+    auto const earliest = now - tick_ < longest_signal_delay ? tick_before_ : tick_;
+    if (now - earliest < longest_signal_delay)
+        return now;
+    // The signal came at any time while the process was paused.
+    return std::max(earliest, now - settings_.bounds.shutdown_grace / 2);
+}
+
 task<void> entry_node::handle_signals()
 {
     for (;;)
@@ -144,7 +157,12 @@
         }
         if (shutdown_)
             continue;
-        tasks_.run("drain", "", drain());
+        reload(false);
+        shutdown_.emplace(signal_time(), settings_.bounds.shutdown_grace);
+        log_callers(entry_event::instance_draining, {});
+        follow_readiness();
+        tasks_.run("give lease back", "", give_lease_back());
+        tasks_.keep("drain", [this] { return drain(); });
     }
 }
 
@@ -183,7 +201,9 @@
 {
     if (!callers_.is_open())
         return;
-    accept_waiting_callers(services_, callers_);
+    // Those that cannot be accepted for want of descriptors are tried again.
+    if (!accept_waiting_callers(services_, callers_) && !cut_)
+        return;
     boost::system::error_code ignored;
     callers_.close(ignored);
     log_callers(entry_event::intake_closed, {});
@@ -208,26 +228,25 @@
 {
     if (step == shutdown_step::serve)
         return;
+    caller_work_.close_silent(boot_now() - idle_notice);
     close_intake();
-    caller_work_.close_silent(!shutdown_->awaits_first_requests(boot_now()));
-    if (step != shutdown_step::cut || cut_)
+    if (step != shutdown_step::cut)
         return;
-    cut_ = true;
-    log_callers(entry_event::requests_cut, shutdown_->end_reason(boot_now()));
+    if (!std::exchange(cut_, true))
+        log_callers(entry_event::requests_cut, shutdown_->end_reason(boot_now()));
+    // A request may have been between two reads, or may have begun since.
     caller_work_.stop();
 }
 
 task<void> entry_node::drain()
 {
-    shutdown_.emplace(boot_now(), settings_.bounds.shutdown_grace);
-    log_callers(entry_event::instance_draining, {});
-    follow_readiness();
-    tasks_.run("give lease back", "", give_lease_back());
     steady_timer timer(io_);
     for (;;)
     {
+        auto const now = boot_now();
         auto const step =
-            shutdown_->step(boot_now(), {caller_work_.unfinished(), lease_settled_});
+            shutdown_->step(now, {caller_work_.unfinished(now - idle_notice),
+                                  lease_settled_, !callers_.is_open(), cut_});
         if (step == shutdown_step::end)
             break;
         follow_shutdown(step);
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/ip/address_v4.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -66,6 +68,19 @@
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
 }
 
+void watched_socket::end_on_close()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(false, 0), ignored);
+}
+
+bool watched_socket::untaken()
+{
+    int bytes = 0;
+    return socket_.is_open() && ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 &&
+           bytes > 0;
+}
+
 void watched_socket::reset()
 {
     reset_on_close();
@@ -78,6 +93,8 @@
     {
         if (watched->deadline_ > now)
             continue;
+        if (watched->last_ > now && watched->untaken())
+            continue;
         watched->deadline_ = time_point::max();
         watched->expired_ = true;
         watched->close();
@@ -86,13 +103,16 @@
 
 task<std::shared_ptr<watched_socket>> connect_to(asio::io_context& io,
                                                  connection_watch& watch,
-                                                 std::string address, time_point deadline)
+                                                 std::string address, time_point deadline,
+                                                 std::weak_ptr<watched_socket>* opening)
 {
     auto const endpoint = parse_endpoint(address);
     if (!endpoint)
         co_return nullptr;
     auto socket = std::make_shared<watched_socket>(watch, tcp_socket(io));
     socket->set_deadline(deadline);
+    if (opening != nullptr)
+        *opening = socket;
     auto const [failure] = co_await socket->socket().async_connect(*endpoint, use_task);
     if (failure || !socket->socket().is_open())
         co_return nullptr;
@@ -119,6 +139,14 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void set_caller_options(tcp_socket& socket, duration patience)
+{
+    set_connection_options(socket);
+    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(patience);
+    set_option(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(ms.count()));
+}
+
 void set_connection_options(tcp_socket& socket)
 {
     auto const handle = socket.native_handle();
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -54,19 +54,32 @@
     [[nodiscard]] tcp_socket& socket() { return socket_; }
     [[nodiscard]] tcp_socket const& socket() const { return socket_; }
     /// Closes the socket at this time; time_point::max() for never.
-    void set_deadline(time_point deadline) { deadline_ = deadline; }
+    void set_deadline(time_point deadline) { deadline_ = last_ = deadline; }
+    /// Closes the socket at the first time if the other side has taken all that was
+    /// written, and at the last one whatever it has taken.
+    void set_deadline_once_taken(time_point first, time_point last)
+    {
+        deadline_ = first;
+        last_ = last;
+    }
     [[nodiscard]] bool expired() const { return expired_; }
     void close();
     /// From now on a close is a reset: bytes that the other side has not taken are
     /// discarded, also when the process is killed.
     void reset_on_close();
+    /// Takes that back.
+    void end_on_close();
     void reset();
 
 private:
     friend class connection_watch;
+    /// Whether the other side has not acknowledged all that was written.
+    [[nodiscard]] bool untaken();
+
     connection_watch& watch_;
     tcp_socket socket_;
     time_point deadline_ = time_point::max();
+    time_point last_ = time_point::max();
     bool expired_ = false;
 };
 
@@ -83,11 +96,11 @@
 };
 
 /// Opens a connection before the deadline, which stays set on the socket; null if that
-/// fails or the address is malformed.
-[[nodiscard]] task<std::shared_ptr<watched_socket>> connect_to(asio::io_context& io,
-                                                               connection_watch& watch,
-                                                               std::string address,
-                                                               time_point deadline);
+/// fails or the address is malformed. `opening` refers to the socket meanwhile, for those
+/// who may give up.
+[[nodiscard]] task<std::shared_ptr<watched_socket>>
+connect_to(asio::io_context& io, connection_watch& watch, std::string address,
+           time_point deadline, std::weak_ptr<watched_socket>* opening = nullptr);
 
 /// Address of the other side, for logs; empty if the connection has ended.
 [[nodiscard]] std::string peer_of(tcp_socket const& socket);
@@ -99,4 +112,8 @@
 /// other side is cut off.
 void set_connection_options(tcp_socket& socket);
 
+/// The same for a caller, which may take its answer slowly: it has `patience` before what
+/// it does not take ends the connection.
+void set_caller_options(tcp_socket& socket, duration patience);
+
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -75,8 +75,8 @@
 task<request_flow::attempt_end> request_flow::attempt()
 {
     flight const counted(services_, server_.id, head_.model.str());
-    auto connection = co_await services_.connections.obtain(server_.id, server_.address,
-                                                            start_deadline_);
+    auto connection = co_await services_.connections.obtain(
+        server_.id, server_.address, start_deadline_, &connecting_);
     auto end = attempt_end::not_run;
     if (connection.socket && !ended_here())
     {
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -27,11 +27,18 @@
 {
 }
 
-void request_flow::abandon()
+void request_flow::close_connection()
 {
-    abandoned_ = true;
     if (exchange_)
         exchange_->close();
+    if (auto const socket = connecting_.lock())
+        socket->close();
+}
+
+void request_flow::abandon()
+{
+    abandoned_ = true;
+    close_connection();
     turn_.notify();
     services_.changes.notify();
 }
@@ -39,8 +46,7 @@
 void request_flow::stop()
 {
     stopped_ = true;
-    if (exchange_)
-        exchange_->close();
+    close_connection();
     turn_.notify();
     services_.changes.notify();
 }
@@ -258,8 +264,9 @@
     auto const outcome = choice.outcome;
     if (now >= start_deadline_)
         return refusal{refusal_reason::deadline_unreachable, later};
-    // Another instance can wait for it longer than this one lives.
-    if (services_.draining())
+    // Another instance can wait for it longer than this one lives. A request that has run
+    // or has begun its answer cannot be sent there.
+    if (services_.draining() && runs_ == 0 && !stream_begun_)
         return refusal{refusal_reason::draining, now_elsewhere};
     if (outcome == choice_outcome::paused && choice.free_at >= start_deadline_)
         return refusal{refusal_reason::servers_paused, choice.free_at - now};
@@ -401,7 +408,9 @@
             co_return co_await refuse({refusal_reason::draining, now_elsewhere});
         if (runs_ == 0)
             co_return co_await refuse({refusal_reason::not_run_by_backends, soon});
-        co_return co_await refuse({refusal_reason::backend_failed, {}});
+        co_return co_await refuse(
+            {stopped_ ? refusal_reason::instance_stopped : refusal_reason::backend_failed,
+             {}});
     case attempt_end::late:
         co_return co_await refuse({refusal_reason::deadline_passed, {}});
     case attempt_end::unknown:
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -133,6 +133,8 @@
     [[nodiscard]] time_point silence_limit(time_point progress) const;
     [[nodiscard]] backend_wish wish() const;
     void log_end(std::string_view outcome, unsigned status);
+    /// Ends what the request waits for at a server.
+    void close_connection();
     /// Whether the attempt ended by no fault of the server.
     [[nodiscard]] bool ended_here() const { return abandoned_ || stopped_; }
 
@@ -167,6 +169,8 @@
     std::set<std::string> excluded_;
     backend_record server_;
     std::unique_ptr<backend_exchange> exchange_;
+    /// The connection to a server that is being opened.
+    std::weak_ptr<watched_socket> connecting_;
     bool stream_begun_ = false;
     time_point last_event_{};
     duration first_event_after_{};
--- /dev/null
+++ b/tests/entry/planned_stop_case.py
@@ -0,0 +1,97 @@
+"""What the tests of planned stops share: callers that send bytes, and one instance."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import sys
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from platform_fleet import BackendServer, Store  # noqa: E402
+
+HEAD = ("{method} {path} HTTP/{version}\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Model: m1\r\n"
+        "X-Deadline-Ms: 60000\r\nAuthorization: Token k1\r\nContent-Length: {length}\r\n\r\n")
+
+
+def head(path: str = "/book/a", id: str = "r1", length: int = 1, method: str = "POST",
+         version: str = "1.1") -> str:
+    return HEAD.format(path=path, id=id, length=length, method=method, version=version)
+
+
+# Longer than an instance lives on after the last request that it has seen.
+SERVICE_TIME_S = 1.0
+# Longer than an instance takes connections after SIGTERM.
+NOTICE_S = 2.8
+# `bounds.grace_s` of the instance.
+GRACE_S = 8
+
+
+class Caller:
+    """A connection on which bytes are sent and read as they are."""
+
+    def __init__(self, instance: Instance, receive_buffer: int = 0) -> None:
+        """`receive_buffer`, in bytes, makes a caller that takes its answer slowly."""
+        self.socket = socket.socket()
+        if receive_buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        self.socket.settimeout(HANG_LIMIT_S)
+        self.socket.connect(("127.0.0.1", instance.front))
+
+    def send(self, text: str) -> None:
+        self.socket.sendall(text.encode())
+
+    def answer(self) -> bytes:
+        """Returns all bytes until the connection ends."""
+        received = b""
+        try:
+            while piece := self.socket.recv(65536):
+                received += piece
+        except ConnectionError:
+            received += b"(reset)"
+        self.socket.close()
+        return received
+
+
+class PlannedStopCase(unittest.TestCase):
+    """One store, a plain server, a runner and one instance for each test."""
+
+    # What a test changes of the configuration's limits.
+    limits: dict[str, int] = {}
+
+    def setUp(self) -> None:
+        self.store = Store()
+        config = configuration(1, ["k1"])
+        config["limits"].update(self.limits)
+        for entry in config["routes"]:
+            entry["timeout_ms"] = 1000 * HANG_LIMIT_S
+        self.store.put("op", "config", config)
+        self.plain = BackendServer(self.store, "p0", "plain")
+        self.runner = BackendServer(self.store, "r0", "llm", ["m1"])
+        self.instance = Instance(self.store, "n1")
+        self.instance.wait_until_serving(servers=2)
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (self.plain, self.runner, self.store):
+            service.close()
+
+    def caller(self, receive_buffer: int = 0) -> Caller:
+        caller = Caller(self.instance, receive_buffer)
+        self.addCleanup(caller.socket.close)
+        return caller
+
+    def terminate(self) -> None:
+        self.instance.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: self.instance.events(1161), "the instance shuts down")
+
+    def wait_until_intake_closes(self) -> None:
+        wait_until(lambda: self.instance.events(1166), "no more connections are taken")
+
+    def assert_ended_well(self) -> None:
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+        (stopped,) = self.instance.events(1162)
+        self.assertEqual(stopped["reason"], "finished")
+        self.assertEqual((stopped["reading"], stopped["serving"]), (0, 0))
--- a/tests/entry/planned_stop_test.py
+++ b/tests/entry/planned_stop_test.py
@@ -7,87 +7,27 @@
 from __future__ import annotations
 
 import signal
-import socket
-import sys
 import time
 import unittest
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
-from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
-from platform_fleet import BackendServer, Store  # noqa: E402
-
-HEAD = ("POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: {id}\r\nX-Model: m1\r\n"
-        "X-Deadline-Ms: 10000\r\nAuthorization: Token k1\r\nContent-Length: {length}\r\n\r\n")
-# Longer than an instance lives on after the last request that it has seen.
-SERVICE_TIME_S = 1.0
-# Longer than an instance takes connections after SIGTERM.
-NOTICE_S = 2.8
-# `bounds.grace_s` of the instance.
-GRACE_S = 8
-
-
-class Caller:
-    """A connection on which bytes are sent and read as they are."""
-
-    def __init__(self, instance: Instance) -> None:
-        self.socket = socket.create_connection(("127.0.0.1", instance.front), HANG_LIMIT_S)
-
-    def send(self, text: str) -> None:
-        self.socket.sendall(text.encode())
-
-    def answer(self) -> bytes:
-        """Returns all bytes until the connection ends."""
-        received = b""
-        try:
-            while piece := self.socket.recv(65536):
-                received += piece
-        except ConnectionError:
-            received += b"(reset)"
-        self.socket.close()
-        return received
-
-
-class PlannedStopTest(unittest.TestCase):
-    """One store, a plain server, a runner and one instance for each test."""
-
-    def setUp(self) -> None:
-        self.store = Store()
-        self.store.put("op", "config", configuration(1, ["k1"]))
-        self.plain = BackendServer(self.store, "p0", "plain")
-        self.runner = BackendServer(self.store, "r0", "llm", ["m1"])
-        self.instance = Instance(self.store, "n1")
-        self.instance.wait_until_serving(servers=2)
-
-    def tearDown(self) -> None:
-        self.instance.close()
-        for service in (self.plain, self.runner, self.store):
-            service.close()
-
-    def terminate(self) -> None:
-        self.instance.process.send_signal(signal.SIGTERM)
-        wait_until(lambda: self.instance.events(1161), "the instance shuts down")
-
-    def wait_until_intake_closes(self) -> None:
-        wait_until(lambda: self.instance.events(1166), "no more connections are taken")
-
-    def assert_ended_well(self) -> None:
-        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
-        (stopped,) = self.instance.events(1162)
-        self.assertEqual(stopped["reason"], "finished")
-        self.assertEqual((stopped["reading"], stopped["serving"]), (0, 0))
+
+from planned_stop_case import (GRACE_S, HANG_LIMIT_S, NOTICE_S, SERVICE_TIME_S,
+                               PlannedStopCase, head, wait_until)
+
+
+class PlannedStopTest(PlannedStopCase):
+    """One request at each step of its life as the instance is stopped."""
 
     def test_request_half_read_as_the_intake_closes_is_answered(self) -> None:
         """Guards against a request that runs and is cut because the shutdown did not see
         it: its bytes were still coming as the instance stopped to take connections (issue
         19, grown/nilerest-ops-grown, LOST)."""
         self.plain.hold = SERVICE_TIME_S
-        head = HEAD.format(path="/book/a", id="r1", length=1)
-        caller = Caller(self.instance)
-        caller.send(head[:60])
+        request = head() + "x"
+        caller = self.caller()
+        caller.send(request[:60])
         self.terminate()
         self.wait_until_intake_closes()
-        caller.send(head[60:] + "x")
+        caller.send(request[60:])
         answer = caller.answer()
         self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
         self.assertTrue(answer.endswith(b"done by p0"), answer)
@@ -102,14 +42,14 @@
     def test_request_unread_as_the_intake_closes_is_answered(self) -> None:
         """Guards against a close that resets a connection whose request has arrived and was
         not read: on a new connection that was not accepted, and on a kept one."""
-        kept = Caller(self.instance)
-        kept.send(HEAD.format(path="/book/a", id="r1", length=1) + "x")
+        kept = self.caller()
+        kept.send(head(id="r1", length=1) + "x")
         wait_until(lambda: self.instance.events(1100), "the first request is answered")
         self.assertIn(b"done by p0", kept.socket.recv(65536))
         self.terminate_and_pause_past_notice()
-        fresh = Caller(self.instance)
+        fresh = self.caller()
         for number, caller in enumerate((kept, fresh), start=2):
-            caller.send(HEAD.format(path="/book/a", id=f"r{number}", length=1) + "x")
+            caller.send(head(id=f"r{number}", length=1) + "x")
         self.instance.process.send_signal(signal.SIGCONT)
         for caller in (kept, fresh):
             answer = caller.answer()
@@ -121,11 +61,11 @@
         """Guards against an answer that is lost in a reset, because bytes of a next request
         were unread as its connection closed."""
         self.plain.hold = SERVICE_TIME_S
-        caller = Caller(self.instance)
-        caller.send(HEAD.format(path="/book/a", id="r1", length=1) + "x")
+        caller = self.caller()
+        caller.send(head(id="r1", length=1) + "x")
         wait_until(lambda: self.plain.ran, "the request runs")
         self.terminate()
-        caller.send(HEAD.format(path="/book/a", id="r2", length=90000) + "y" * 90000)
+        caller.send(head(id="r2", length=90000) + "y" * 90000)
         answer = caller.answer()
         self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
         self.assertTrue(answer.endswith(b"done by p0"), answer)
@@ -137,8 +77,8 @@
         it early."""
         self.plain.hold = SERVICE_TIME_S
         self.terminate()
-        caller = Caller(self.instance)
-        caller.send(HEAD.format(path="/book/a", id="r1", length=1) + "x")
+        caller = self.caller()
+        caller.send(head(id="r1", length=1) + "x")
         for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM):
             self.instance.process.send_signal(number)
         self.assertTrue(caller.answer().endswith(b"done by p0"))
@@ -161,11 +101,11 @@
         """Guards against callers that hear nothing when the grace time runs out, and against
         "not run" for a request that runs."""
         self.plain.hold = 2 * GRACE_S
-        running = Caller(self.instance)
-        running.send(HEAD.format(path="/book/a", id="run", length=1) + "x")
+        running = self.caller()
+        running.send(head(id="run", length=1) + "x")
         wait_until(lambda: self.plain.ran, "the request runs")
-        reading = Caller(self.instance)
-        reading.send(HEAD.format(path="/book/a", id="half", length=2) + "x")
+        reading = self.caller()
+        reading.send(head(id="half", length=2) + "x")
         began = time.monotonic()
         self.terminate()
         self.assertTrue(running.answer().startswith(b"HTTP/1.1 502"))
@@ -180,7 +120,7 @@
 
     def test_nothing_open_ends_as_soon_as_callers_have_gone_elsewhere(self) -> None:
         """Guards against a shutdown that waits for nothing."""
-        idle = Caller(self.instance)
+        idle = self.caller()
         self.terminate()
         self.assertEqual(idle.answer(), b"")
         self.assert_ended_well()
--- a/tests/entry/shutdown_plan_test.cpp
+++ b/tests/entry/shutdown_plan_test.cpp
@@ -18,7 +18,8 @@
     [[nodiscard]] shutdown_step step_at(int ms, std::size_t unfinished,
                                         bool lease_settled = true) const
     {
-        return plan_.step(begin + milliseconds(ms), {unfinished, lease_settled});
+        return plan_.step(begin + milliseconds(ms),
+                          {unfinished, lease_settled, intake_closed_, cut_});
     }
 
     [[nodiscard]] bool may_begin(int first_byte_ms, int read_ms) const
@@ -27,6 +28,8 @@
                                begin + milliseconds(read_ms));
     }
 
+    bool intake_closed_ = true;
+    bool cut_ = false;
     shutdown_plan plan_{begin, std::chrono::seconds(8)};
 };
 
@@ -35,21 +38,30 @@
 {
     EXPECT_EQ(step_at(0, 0), shutdown_step::serve);
     EXPECT_EQ(step_at(2599, 0), shutdown_step::serve);
-    EXPECT_EQ(step_at(2600, 0), shutdown_step::finish);
+    EXPECT_EQ(step_at(2600, 1), shutdown_step::finish);
 }
 
 // Guards against a process that lives on for nothing.
-TEST_F(shutdown_plan_test, nothing_open_ends_after_first_requests)
+TEST_F(shutdown_plan_test, nothing_open_ends_with_its_intake)
+{
+    EXPECT_EQ(step_at(2600, 0), shutdown_step::end);
+}
+
+// Guards against an end before the connections that wait to be accepted have been taken,
+// after a pause of the process.
+TEST_F(shutdown_plan_test, intake_open_is_closed_before_the_end)
 {
-    EXPECT_EQ(step_at(2899, 0), shutdown_step::finish);
-    EXPECT_EQ(step_at(2900, 0), shutdown_step::end);
+    intake_closed_ = false;
+    EXPECT_EQ(step_at(2600, 0), shutdown_step::finish);
+    EXPECT_EQ(step_at(5000, 0), shutdown_step::finish);
+    EXPECT_EQ(step_at(7500, 0), shutdown_step::cut);
 }
 
 // Guards against a request that comes after the intake has closed and is cut by a fixed
 // wait (issue 19).
 TEST_F(shutdown_plan_test, request_opened_late_is_waited_for)
 {
-    EXPECT_EQ(step_at(2650, 0), shutdown_step::finish);
+    EXPECT_EQ(step_at(2650, 1), shutdown_step::finish);
     EXPECT_EQ(step_at(2899, 1), shutdown_step::finish);
     EXPECT_EQ(step_at(2950, 1), shutdown_step::finish);
     EXPECT_EQ(step_at(7399, 1), shutdown_step::finish);
@@ -69,10 +81,20 @@
 {
     EXPECT_EQ(step_at(7400, 1), shutdown_step::cut);
     EXPECT_EQ(step_at(7500, 0), shutdown_step::end);
+    cut_ = true;
     EXPECT_EQ(step_at(7799, 1), shutdown_step::cut);
     EXPECT_EQ(step_at(7800, 1), shutdown_step::end);
 }
 
+// Guards against callers that hear nothing because the process was paused as the time to
+// tell them came.
+TEST_F(shutdown_plan_test, cut_comes_before_the_end_however_late_it_is)
+{
+    EXPECT_EQ(step_at(9000, 1), shutdown_step::cut);
+    cut_ = true;
+    EXPECT_EQ(step_at(9050, 1), shutdown_step::end);
+}
+
 // Guards against requests that begin only to be cut.
 TEST_F(shutdown_plan_test, request_begins_only_if_it_came_in_time)
 {
@@ -86,9 +108,12 @@
 TEST_F(shutdown_plan_test, short_grace_time_still_tells_before_the_kill)
 {
     shutdown_plan const brief(begin, std::chrono::seconds(1));
-    EXPECT_EQ(brief.step(begin + milliseconds(399), {1, true}), shutdown_step::serve);
-    EXPECT_EQ(brief.step(begin + milliseconds(400), {1, true}), shutdown_step::cut);
-    EXPECT_EQ(brief.step(begin + milliseconds(800), {1, true}), shutdown_step::end);
+    EXPECT_EQ(brief.step(begin + milliseconds(399), {1, true, true, false}),
+              shutdown_step::serve);
+    EXPECT_EQ(brief.step(begin + milliseconds(400), {1, true, true, false}),
+              shutdown_step::cut);
+    EXPECT_EQ(brief.step(begin + milliseconds(800), {1, true, true, true}),
+              shutdown_step::end);
     EXPECT_FALSE(brief.may_begin(begin, begin));
 }
 
