Tell the requests at all servers as one list that all instances share

Cause: each reply to a status named all busy servers with the sum of the others there: a copy of the sums, an id of five bytes beside each count, and an encoding of its own. Now the counts of all instances go out without ids, in the order of the directory's ids, made at most every 0.1 s and encoded once. Beside them an instance is told exactly what the others have at the servers where it has requests itself by its newest status or the one before, so that it never counts its own as theirs. An instance with other servers than the counts are for sees it by a sum of id hashes and goes by its own requests until an update fits; each update carries all counts, so a lost or reordered one heals with the next. Ruled out: telling only the servers with a changed count.

--- a/src/coordination/entry/backend_board.cpp
+++ b/src/coordination/entry/backend_board.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/backend_board.hpp"
 
+#include "state/entry/directory_digest.hpp"
 #include "state/entry/time_units.hpp"
 #include "state/stable_hash.hpp"
 
@@ -243,6 +244,18 @@
     loads_[id].others = requests;
 }
 
+void backend_board::others_told(fleet_loads const* loads)
+{
+    std::uint64_t ids = 0;
+    for (auto const& [id, record] : records_)
+        ids += id_hash(id);
+    bool const usable = loads != nullptr && loads->ids == ids &&
+                        loads->requests.size() == records_.size();
+    std::size_t place = 0;
+    for (auto const& [id, record] : records_)
+        loads_[id].others = usable ? loads->requests[place++] : 0;
+}
+
 void backend_board::avoid_model(std::string const& id, std::string const& key,
                                 time_point until)
 {
--- a/src/coordination/entry/backend_board.hpp
+++ b/src/coordination/entry/backend_board.hpp
@@ -104,6 +104,9 @@
     void succeeded(std::string const& id, time_point now);
     void load_told(std::string const& id, std::uint32_t requests, time_point now);
     void others_told(std::string const& id, std::uint32_t requests);
+    /// The same for all servers. If the counts are for other servers than this board has,
+    /// only the own requests count.
+    void others_told(fleet_loads const* loads);
 
     /// Requests for this model are not sent to the server until then: its runner denied
     /// that it holds the model, or the hub is about to unload it.
--- a/src/coordination/entry/directory_log.cpp
+++ b/src/coordination/entry/directory_log.cpp
@@ -23,6 +23,12 @@
                             backend_record const* present)
 {
     ++revision_;
+    if (former == nullptr || present == nullptr)
+        members_revision_ = revision_;
+    if (former != nullptr)
+        ids_ -= id_hash(former->id);
+    if (present != nullptr)
+        ids_ += id_hash(present->id);
     if (former != nullptr)
         digest_[bucket] -= hash_of(*former);
     if (present != nullptr)
@@ -106,6 +112,24 @@
         update.directory.push_back(changes_after(status.directory_revision));
 }
 
+fleet_loads
+directory_log::loads(std::map<std::string, std::uint32_t> const& requests) const
+{
+    fleet_loads found;
+    found.ids = ids_;
+    auto next = requests.begin();
+    for (auto const& [id, item] : entries_)
+    {
+        if (item.removed)
+            continue;
+        while (next != requests.end() && next->first < id)
+            ++next;
+        bool const any = next != requests.end() && next->first == id;
+        found.requests.push_back(any ? next->second : 0);
+    }
+    return found;
+}
+
 std::map<std::string, backend_record> directory_log::records() const
 {
     std::map<std::string, backend_record> found;
--- a/src/coordination/entry/directory_log.hpp
+++ b/src/coordination/entry/directory_log.hpp
@@ -34,6 +34,11 @@
 
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
     [[nodiscard]] std::map<std::string, backend_record> records() const;
+    /// The revision at which a server was last added or removed.
+    [[nodiscard]] std::uint64_t members_revision() const { return members_revision_; }
+    /// The requests at each server of the directory, from those at each id.
+    [[nodiscard]] fleet_loads
+    loads(std::map<std::string, std::uint32_t> const& requests) const;
 
 private:
     struct entry
@@ -53,6 +58,9 @@
 
     std::uint64_t hub_;
     std::uint64_t revision_ = 0;
+    std::uint64_t members_revision_ = 0;
+    /// Sum of id_hash() over the directory.
+    std::uint64_t ids_ = 0;
     std::map<std::string, entry> entries_;
     /// Kept as records change, since every instance asks for it after a restart of all.
     std::vector<std::uint64_t> digest_;
--- a/src/coordination/entry/fleet_status.cpp
+++ b/src/coordination/entry/fleet_status.cpp
@@ -100,6 +100,7 @@
         return;
     subtract(node);
     follow_arrivals(node, status, now, restarted);
+    node.former_in_flight = std::move(node.last.in_flight);
     node.last = status;
     node.received = now;
     add(node);
@@ -141,12 +142,24 @@
 std::map<std::string, std::uint32_t>
 fleet_status::totals_without(std::string const& node) const
 {
-    auto totals = totals_;
+    std::map<std::string, std::uint32_t> others;
     auto const own = nodes_.find(node);
-    if (own != nodes_.end() && own->second.counted)
-        for (auto const& entry : own->second.last.in_flight)
-            take_from(totals, entry.backend, entry.count);
-    return totals;
+    if (own == nodes_.end())
+        return others;
+    auto const& state = own->second;
+    for (auto const* const list : {&state.last.in_flight, &state.former_in_flight})
+        for (auto const& entry : *list)
+        {
+            auto const total = totals_.find(entry.backend);
+            others[entry.backend] = total != totals_.end() ? total->second : 0;
+        }
+    if (state.counted)
+        for (auto const& entry : state.last.in_flight)
+        {
+            auto& count = others[entry.backend];
+            count -= std::min(count, entry.count);
+        }
+    return others;
 }
 
 std::map<std::string, std::map<std::string, model_demand>>
--- a/src/coordination/entry/fleet_status.hpp
+++ b/src/coordination/entry/fleet_status.hpp
@@ -31,7 +31,13 @@
     [[nodiscard]] std::vector<std::string>
     addresses_without(std::string const& node, std::size_t count, std::size_t turn) const;
 
-    /// Requests at each backend server from all instances but one.
+    /// Requests at each backend server from all instances.
+    [[nodiscard]] std::map<std::string, std::uint32_t> const& totals() const
+    {
+        return totals_;
+    }
+    /// Requests from all instances but one, at the backend servers at which that one has
+    /// requests by its newest status or had some by the one before.
     [[nodiscard]] std::map<std::string, std::uint32_t>
     totals_without(std::string const& node) const;
     /// Demand of all instances, by service and model.
@@ -55,6 +61,8 @@
     struct node_state
     {
         node_status last;
+        /// Those of the status before.
+        std::vector<in_flight_count> former_in_flight;
         time_point received{};
         /// Its requests are part of the sums.
         bool counted = false;
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -15,6 +15,10 @@
 constexpr double inherited_fill = 0.3;
 /// Addresses of other instances that one update names; they change from one to the next.
 constexpr std::size_t peers_told = 2;
+/// The counts of requests that instances are told are at most this old. Below the period
+/// of the statuses, so that an instance's own part of them is from its newest status or
+/// the one before.
+constexpr duration loads_validity = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -23,6 +27,7 @@
 void hub_state::start(bool first)
 {
     fleet_.clear();
+    loads_.reset();
     planner_.reset();
     ledger_.reset(first ? 1.0 : inherited_fill);
 }
@@ -113,6 +118,18 @@
     return update;
 }
 
+std::shared_ptr<fleet_loads const> const& hub_state::loads(time_point now)
+{
+    if (!loads_ || now - loads_at_ >= loads_validity ||
+        loads_members_ != directory_.members_revision())
+    {
+        loads_ = std::make_shared<fleet_loads const>(directory_.loads(fleet_.totals()));
+        loads_at_ = now;
+        loads_members_ = directory_.members_revision();
+    }
+    return loads_;
+}
+
 node_update hub_state::answer(node_status const& status,
                               config_authority const& authority, time_point now)
 {
@@ -133,6 +150,7 @@
     if (!status.complete)
         return update;
     directory_.add_changes(status, update);
+    update.loads = loads(now);
     for (auto const& [backend, count] : fleet_.totals_without(status.node))
         update.totals.push_back({short_id(backend), count});
     for (auto const& demand : status.demand)
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -67,7 +67,13 @@
     [[nodiscard]] quota_reply grant(quota_ask const& ask, serving_config const& config,
                                     time_point now);
 
+    [[nodiscard]] std::shared_ptr<fleet_loads const> const& loads(time_point now);
+
     fleet_status fleet_;
+    /// As told last, when, and for which servers.
+    std::shared_ptr<fleet_loads const> loads_;
+    time_point loads_at_{};
+    std::uint64_t loads_members_ = 0;
     /// Chooses which addresses the next update names.
     std::size_t peers_turn_ = 0;
     directory_log directory_;
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -108,7 +108,13 @@
     io(value.records, value.removed);
 }
 
-// Without the parts of the directory, which follow.
+template <class Io>
+void fields(Io& io, described<Io, fleet_loads> value)
+{
+    io(value.ids, value.requests);
+}
+
+// Without the parts of the directory and the loads, which follow.
 template <class Io>
 void fields(Io& io, described<Io, node_update> value)
 {
@@ -140,7 +146,14 @@
 void read_rest(message_reader& in, node_update& message)
 {
     std::uint64_t count = 0;
-    in(count);
+    bool has_loads = false;
+    in(count, has_loads);
+    if (has_loads)
+    {
+        fleet_loads loads;
+        in(loads);
+        message.loads = std::make_shared<fleet_loads const>(std::move(loads));
+    }
     if (count == 0)
         return;
     auto const all = std::make_shared<directory_part>();
@@ -156,6 +169,14 @@
     message.directory.push_back(all);
 }
 
+/// The bytes of a part in the archive of a message.
+template <class Part>
+std::shared_ptr<std::string const> part_bytes(Part const& part)
+{
+    return std::make_shared<std::string const>(
+        encode_message(part).substr(byte_order_mark));
+}
+
 template <class Message>
 result<Message> decode_message(std::string_view bytes, std::string_view step)
 {
@@ -214,8 +235,7 @@
     // Those that nothing else holds will not be told again.
     std::erase_if(parts_, [](auto const& entry) { return entry.first.use_count() == 1; });
     ++parts_encoded_;
-    auto bytes = std::make_shared<std::string const>(
-        encode_message(*part).substr(byte_order_mark));
+    auto bytes = part_bytes(*part);
     parts_.emplace(part, bytes);
     return bytes;
 }
@@ -223,8 +243,18 @@
 encoded_update update_encoder::encode(node_update const& update)
 {
     message_writer head;
-    head(update, std::uint64_t{update.directory.size()});
+    head(update, std::uint64_t{update.directory.size()}, update.loads != nullptr);
     encoded_update encoded{head.release(), {}};
+    if (update.loads)
+    {
+        if (update.loads != loads_)
+        {
+            loads_ = update.loads;
+            loads_bytes_ = part_bytes(*loads_);
+            ++loads_encoded_;
+        }
+        encoded.parts.push_back(loads_bytes_);
+    }
     for (auto const& part : update.directory)
         encoded.parts.push_back(encode_part(part));
     return encoded;
--- a/src/protocol/entry/node_codec.hpp
+++ b/src/protocol/entry/node_codec.hpp
@@ -37,6 +37,7 @@
     [[nodiscard]] encoded_update encode(node_update const& update);
     /// Parts encoded since the start.
     [[nodiscard]] std::size_t parts_encoded() const { return parts_encoded_; }
+    [[nodiscard]] std::size_t loads_encoded() const { return loads_encoded_; }
 
 private:
     [[nodiscard]] std::shared_ptr<std::string const>
@@ -45,6 +46,10 @@
     std::map<std::shared_ptr<directory_part const>, std::shared_ptr<std::string const>>
         parts_;
     std::size_t parts_encoded_ = 0;
+    /// The newest ones.
+    std::shared_ptr<fleet_loads const> loads_;
+    std::shared_ptr<std::string const> loads_bytes_;
+    std::size_t loads_encoded_ = 0;
 };
 
 /// Errors: protocol_violation for bytes that are not such a message.
--- a/src/state/entry/directory_digest.cpp
+++ b/src/state/entry/directory_digest.cpp
@@ -32,6 +32,11 @@
     return hash;
 }
 
+std::uint64_t id_hash(std::string_view id)
+{
+    return stable_hash(id);
+}
+
 std::uint32_t short_id(std::string_view id)
 {
     return static_cast<std::uint32_t>(stable_hash(id) >> short_id_bits);
--- a/src/state/entry/directory_digest.hpp
+++ b/src/state/entry/directory_digest.hpp
@@ -22,6 +22,9 @@
 /// The part of the directory that a server belongs to.
 [[nodiscard]] unsigned bucket_of(std::string_view id);
 
+/// Directories with the same sum of these have servers with the same ids.
+[[nodiscard]] std::uint64_t id_hash(std::string_view id);
+
 /// Hash of what instances are told of a server.
 [[nodiscard]] std::uint64_t hash_of(backend_record const& record);
 
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -98,6 +98,17 @@
     std::vector<leaving_server> leaving;
 };
 
+/// Requests of all instances at each server of the hub's directory. The same for all
+/// instances, and a count has no id beside it, since it would be most of the bytes.
+struct fleet_loads
+{
+    /// Sum of id_hash() over the directory; an instance with other servers can't use the
+    /// counts.
+    std::uint64_t ids = 0;
+    /// In the order of the servers' ids.
+    std::vector<std::uint32_t> requests;
+};
+
 /// Requests that all other instances have at a backend server.
 struct backend_total
 {
@@ -163,6 +174,9 @@
     std::vector<std::shared_ptr<directory_part const>> directory;
     /// Whether the following lists are present.
     bool complete = true;
+    std::shared_ptr<fleet_loads const> loads;
+    /// For the servers at which the receiver itself has requests, or had by its former
+    /// status: what the others have there, in place of the count in `loads`.
     std::vector<backend_total> totals;
     std::vector<model_estimate> estimates;
     std::vector<retiring_model> retiring;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -366,8 +366,7 @@
         apply_directory(update);
     if (update.complete)
     {
-        for (auto const& [id, record] : board_.all())
-            board_.others_told(id, 0);
+        board_.others_told(update.loads.get());
         for (auto const& total : update.totals)
             if (auto const found = ids_.find(total.server);
                 found != ids_.end() && !found->second.empty())
