--- a/src/state/entry/directory_digest.cpp
+++ b/src/state/entry/directory_digest.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned short_id_bits = 32;
 
+} // namespace
+
 std::uint64_t hash_of(backend_record const& record)
 {
     auto hash = stable_hash(record.id);
@@ -30,7 +32,10 @@
     return hash;
 }
 
-} // namespace
+std::uint64_t id_hash(std::string_view id)
+{
+    return stable_hash(id);
+}
 
 std::uint32_t short_id(std::string_view id)
 {
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -4,6 +4,7 @@
 #include "state/entry/lease_row.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,17 @@
     std::vector<leaving_server> leaving;
 };
 
+/// Requests of all instances at each server of the hub's directory. The same for all
+/// instances, and a count has no id beside it, since it would be most of the bytes.
+struct fleet_loads
+{
+    /// Sum of id_hash() over the directory; an instance with other servers can't use the
+    /// counts.
+    std::uint64_t ids = 0;
+    /// In the order of the servers' ids.
+    std::vector<std::uint32_t> requests;
+};
+
 /// Requests that all other instances have at a backend server.
 struct backend_total
 {
@@ -118,6 +130,13 @@
     std::string model;
 };
 
+/// Records of the hub's directory and the ids of servers that are gone from it.
+struct directory_part
+{
+    std::vector<backend_record> records;
+    std::vector<std::string> removed;
+};
+
 /// From the hub to an instance, in reply to a status or because something changed; or
 /// from another instance that was asked in the hub's place.
 struct node_update
@@ -150,10 +169,14 @@
     /// Bits of the parts of the directory that the records replace; servers of these
     /// parts that are not among the records are gone.
     std::uint64_t replaced_buckets = 0;
-    std::vector<backend_record> records;
-    std::vector<std::string> removed;
+    /// What the update tells of the directory. Updates that tell the same share the
+    /// parts, so that each is made and encoded once.
+    std::vector<std::shared_ptr<directory_part const>> directory;
     /// Whether the following lists are present.
     bool complete = true;
+    std::shared_ptr<fleet_loads const> loads;
+    /// For the servers at which the receiver itself has requests, or had by its former
+    /// status: what the others have there, in place of the count in `loads`.
     std::vector<backend_total> totals;
     std::vector<model_estimate> estimates;
     std::vector<retiring_model> retiring;
--- /dev/null
+++ b/tests/entry/hub_load_test.cpp
@@ -0,0 +1,253 @@
+#include "coordination/entry/backend_board.hpp"
+#include "coordination/entry/hub_state.hpp"
+#include "protocol/entry/node_codec.hpp"
+#include "state/entry/directory_digest.hpp"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+time_point at(int ms)
+{
+    return time_point{} + std::chrono::seconds(100) + std::chrono::milliseconds(ms);
+}
+
+/// A hub with many servers and many instances, by counts.
+class hub_load_test : public testing::Test
+{
+protected:
+    static constexpr int instance_count = 300;
+    static constexpr int server_count = 800;
+
+    hub_load_test()
+    {
+        hub_.start(true);
+        for (int i = 0; i < server_count; ++i)
+            hub_.put_server(server(i, false), at(0));
+        for (int i = 0; i < instance_count; ++i)
+        {
+            node_status status;
+            status.node = "n" + std::to_string(i);
+            status.incarnation = 1;
+            statuses_.push_back(std::move(status));
+        }
+    }
+
+    static backend_record server(int number, bool draining)
+    {
+        backend_record record;
+        record.id = "s" + std::to_string(number);
+        record.service = "booking";
+        record.address = "10.0.0.1:80";
+        record.draining = draining;
+        return record;
+    }
+
+    /// What the instance knows after it was sent the update.
+    static void take(node_status& status, std::map<std::string, backend_record>& known,
+                     std::string const& bytes)
+    {
+        auto const read = decode_update(bytes);
+        ASSERT_TRUE(succeeded(read));
+        auto const& update = std::get<node_update>(read);
+        std::erase_if(
+            known, [&](auto const& entry)
+            { return ((update.replaced_buckets >> bucket_of(entry.first)) & 1U) != 0; });
+        for (auto const& part : update.directory)
+        {
+            for (auto const& record : part->records)
+                known[record.id] = record;
+            for (auto const& id : part->removed)
+                known.erase(id);
+        }
+        status.directory_hub = update.directory_hub;
+        status.directory_revision = update.directory_revision;
+    }
+
+    config_authority authority_{std::chrono::seconds(4)};
+    hub_state hub_{7};
+    std::vector<node_status> statuses_;
+    update_encoder encoder_;
+};
+
+// Guards against a hub that is busy for half a minute after a restart of all instances:
+// it made, hashed and encoded the whole directory anew for each of them.
+TEST_F(hub_load_test, directory_is_encoded_once_when_all_instances_ask_for_it)
+{
+    std::map<std::string, backend_record> known;
+    std::set<std::string const*> bytes;
+    for (auto& status : statuses_)
+    {
+        known.clear();
+        auto const update = encoder_.encode(hub_.answer(status, authority_, at(10)));
+        for (auto const& part : update.parts)
+            bytes.insert(part.get());
+        take(status, known, update.str());
+    }
+    EXPECT_EQ(known, hub_.servers());
+    EXPECT_EQ(encoder_.parts_encoded(), directory_buckets);
+    // The counts of requests are one more.
+    EXPECT_EQ(bytes.size(), directory_buckets + 1);
+}
+
+// Guards against the same while servers change, as they do after a restart.
+TEST_F(hub_load_test, change_between_two_questions_costs_one_part_of_the_directory)
+{
+    std::map<std::string, backend_record> known;
+    for (int i = 0; i < instance_count; ++i)
+    {
+        known.clear();
+        hub_.put_server(server(i, true), at(i));
+        auto& status = statuses_[static_cast<std::size_t>(i)];
+        take(status, known,
+             encoder_.encode(hub_.answer(status, authority_, at(i))).str());
+    }
+    EXPECT_EQ(known, hub_.servers());
+    EXPECT_LE(encoder_.parts_encoded(), directory_buckets + instance_count);
+}
+
+// Guards against an encoding of the same change for each instance.
+TEST_F(hub_load_test, change_is_encoded_once_for_all_instances)
+{
+    std::vector<std::map<std::string, backend_record>> known(statuses_.size());
+    for (std::size_t i = 0; i < statuses_.size(); ++i)
+        take(statuses_[i], known[i],
+             encoder_.encode(hub_.answer(statuses_[i], authority_, at(10))).str());
+    hub_.put_server(server(5, true), at(20));
+    hub_.remove_server("s6");
+    auto const before = encoder_.parts_encoded();
+    std::size_t own_bytes = 0;
+    for (std::size_t i = 0; i < statuses_.size(); ++i)
+    {
+        node_status last = statuses_[i];
+        last.complete = false;
+        auto const update = encoder_.encode(hub_.changes_for(last, authority_, at(20)));
+        own_bytes = std::max(own_bytes, update.head.size());
+        take(statuses_[i], known[i], update.str());
+        EXPECT_EQ(known[i], hub_.servers());
+    }
+    EXPECT_EQ(encoder_.parts_encoded(), before + 1);
+    EXPECT_LT(own_bytes, 60U);
+}
+
+// Guards against changes kept from a former revision: an instance behind by two changes
+// is sent both, one behind by one is sent that one.
+TEST_F(hub_load_test, instances_at_different_revisions_are_sent_what_they_lack)
+{
+    std::vector<std::map<std::string, backend_record>> known(2);
+    take(statuses_[0], known[0],
+         encoder_.encode(hub_.answer(statuses_[0], authority_, at(10))).str());
+    hub_.put_server(server(1, true), at(20));
+    take(statuses_[1], known[1],
+         encoder_.encode(hub_.answer(statuses_[1], authority_, at(20))).str());
+    hub_.put_server(server(2, true), at(30));
+    hub_.remove_server("s3");
+    for (std::size_t i = 0; i < known.size(); ++i)
+    {
+        auto const update = hub_.answer(statuses_[i], authority_, at(30));
+        ASSERT_EQ(update.directory.size(), 1U);
+        EXPECT_EQ(update.directory[0]->records.size(), 2 - i);
+        take(statuses_[i], known[i], encoder_.encode(update).str());
+        EXPECT_EQ(known[i], hub_.servers());
+    }
+}
+
+/// Instances that are in step and have some requests in flight.
+class hub_total_test : public hub_load_test
+{
+protected:
+    hub_total_test()
+    {
+        for (int i = 0; i < instance_count; ++i)
+        {
+            auto& status = statuses_[static_cast<std::size_t>(i)];
+            for (int k = 0; k < 20; ++k)
+                status.in_flight.push_back(
+                    {"s" + std::to_string((i * 20 + k) % server_count), "", 1});
+            static_cast<void>(send(status, 0));
+        }
+    }
+
+    node_update send(node_status& status, int ms)
+    {
+        status.sent_at_us = at(ms).time_since_epoch().count();
+        auto update = hub_.answer(status, authority_, at(ms));
+        status.directory_hub = update.directory_hub;
+        status.directory_revision = update.directory_revision;
+        return update;
+    }
+
+    static std::uint32_t requests_at(std::vector<node_status> const& statuses,
+                                     std::string const& id, std::string const& but)
+    {
+        std::uint32_t sum = 0;
+        for (auto const& status : statuses)
+            for (auto const& entry : status.in_flight)
+                if (entry.backend == id && status.node != but)
+                    sum += entry.count;
+        return sum;
+    }
+};
+
+// Guards against updates that are mostly counts: each named all busy servers and was
+// encoded for its instance, at 3,000 servers 16 KB a status.
+TEST_F(hub_total_test, loads_cost_a_byte_a_server_and_one_encoding_for_all)
+{
+    auto const before = encoder_.loads_encoded();
+    for (auto& status : statuses_)
+    {
+        auto const update = encoder_.encode(send(status, 200));
+        EXPECT_LT(update.size(), server_count + 500U);
+        EXPECT_LT(update.head.size(), 300U);
+    }
+    EXPECT_EQ(encoder_.loads_encoded(), before + 1);
+}
+
+// Guards against an instance that counts its own requests as those of others, also where
+// they have ended since the counts were made.
+TEST_F(hub_total_test, instance_learns_the_requests_of_the_others_alone)
+{
+    static_cast<void>(send(statuses_[1], 200));
+    auto& own = statuses_[0];
+    own.in_flight = {{"s0", "", 5}, {"s700", "", 1}};
+    auto const read = decode_update(encode(send(own, 250)));
+    ASSERT_TRUE(succeeded(read));
+    auto const& update = std::get<node_update>(read);
+    backend_board board("a", 1);
+    std::map<std::uint32_t, std::string> ids;
+    for (auto const& [id, record] : hub_.servers())
+    {
+        board.put(record);
+        ids[short_id(id)] = id;
+    }
+    board.others_told(update.loads.get());
+    for (auto const& total : update.totals)
+        board.others_told(ids.at(total.server), total.others);
+    for (auto const& [id, record] : hub_.servers())
+        EXPECT_EQ(board.load(id).others, requests_at(statuses_, id, own.node)) << id;
+}
+
+// Guards against counts that are taken for those of other servers.
+TEST_F(hub_total_test, counts_for_another_directory_are_not_used)
+{
+    backend_board board("a", 1);
+    for (auto const& [id, record] : hub_.servers())
+        board.put(record);
+    board.remove("s3");
+    board.put(server(server_count, false));
+    board.others_told("s4", 9);
+    board.others_told(send(statuses_[0], 200).loads.get());
+    EXPECT_EQ(board.load("s4").others, 0U);
+    hub_.remove_server("s3");
+    hub_.put_server(server(server_count, false), at(210));
+    board.others_told(send(statuses_[0], 220).loads.get());
+    EXPECT_EQ(board.load("s4").others, requests_at(statuses_, "s4", ""));
+}
+
+} // namespace
+} // namespace carawayturn::entry
