Keep a holder that lost its lease from taking turns with the next one

An instance that was cut off or frozen until another one claimed the lease could claim again as soon as the other gave it back. Only a process that had just started waited for lease_ms. The path, found by a model of the lease:

A holds the lease and sends an order 2.7 s pass without a renewal B claims the lease, sends an order, gets SIGTERM and gives the lease back A claims the lease and sends an order, 2.7 s after its first one

A now claims only lease_ms after its own right ended, if the row shows that another holder was in between. The pause is service_bounds' default until entry_node passes the configured bound.

--- a/src/coordination/entry/order_lease.cpp
+++ b/src/coordination/entry/order_lease.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 order_lease::order_lease(std::string own_address, std::string own_name,
-                         std::uint64_t incarnation, duration term)
+                         std::uint64_t incarnation, duration term, duration turn_pause)
     : address_(std::move(own_address)), name_(std::move(own_name)),
-      incarnation_(incarnation), term_(term)
+      incarnation_(incarnation), term_(term), turn_pause_(turn_pause)
 {
 }
 
@@ -34,6 +34,8 @@
     }
     known_ = true;
     bool const moved = row.holder_address != row_.holder_address;
+    if (own_row() && row.fence != row_.fence)
+        not_before_ = end_ + turn_pause_;
     row_ = row;
     row_version_ = row_version;
     bool const released = row.holder_address.empty();
@@ -55,7 +57,7 @@
 
 bool order_lease::may_claim(time_point now) const
 {
-    return known_ && (own_row() || now >= end_) && !held(now);
+    return known_ && (own_row() || now >= end_) && !held(now) && now >= not_before_;
 }
 
 lease_row order_lease::next_row(time_point now) const
--- a/src/coordination/entry/order_lease.hpp
+++ b/src/coordination/entry/order_lease.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/entry/lease_row.hpp"
+#include "state/entry/node_settings.hpp"
 #include "state/time.hpp"
 
 #include <cstdint>
@@ -15,8 +16,10 @@
 {
 public:
     /// @param term validity of a renewal.
+    /// @param turn_pause an instance whose lease another one took claims it again only
+    ///     this long after its own right ended, so that the two do not take turns.
     order_lease(std::string own_address, std::string own_name, std::uint64_t incarnation,
-                duration term);
+                duration term, duration turn_pause = service_bounds().order_lease);
 
     /// The row as read from the store or told by its holder. `seen_at` is when it was
     /// received; `remaining` is the holder's own word on its validity, or the whole term.
@@ -28,7 +31,7 @@
     void observe_absent();
 
     /// Whether this instance may try to take the lease: it is vacant, released, or its
-    /// term has passed without a sign of renewal.
+    /// term has passed without a sign of renewal; and not_before() has passed.
     [[nodiscard]] bool may_claim(time_point now) const;
     /// The row to write for a claim or a renewal; expects row_version() at the store.
     [[nodiscard]] lease_row next_row(time_point now) const;
@@ -42,6 +45,8 @@
     [[nodiscard]] duration remaining(time_point now) const;
     /// For the holder the end of its right, for others the earliest time of a claim.
     [[nodiscard]] time_point end() const { return end_; }
+    /// The earliest time of a claim by an instance whose lease another one took.
+    [[nodiscard]] time_point not_before() const { return not_before_; }
     /// Whether this process holds the row, or held it when it was last seen.
     [[nodiscard]] bool own_row() const;
     /// Whether the row is one of a former process of this instance.
@@ -56,10 +61,12 @@
     std::string name_;
     std::uint64_t incarnation_;
     duration term_;
+    duration turn_pause_;
     lease_row row_;
     std::uint64_t row_version_ = 0;
     bool known_ = false;
     time_point end_{};
+    time_point not_before_{};
 };
 
 } // namespace carawayturn::entry
--- a/tests/entry/order_lease_test.cpp
+++ b/tests/entry/order_lease_test.cpp
@@ -120,5 +120,20 @@
     EXPECT_TRUE(first_.renewal_due(at(900)));
 }
 
+// Guards against orders of A, B and A within lease_ms: A is cut off until B claims, and B
+// gives the lease back (found by lease_model_test).
+TEST_F(order_lease_test, holder_that_lost_its_lease_does_not_take_turns)
+{
+    first_.observe_absent();
+    auto const row = first_.next_row(at(0));
+    first_.written(row, 7, at(0));
+    second_.observe(row, 7, at(0), duration::max());
+    second_.written(second_.next_row(at(2700)), 8, at(2700));
+    first_.observe(second_.released_row(), 9, at(2700), duration::max());
+    EXPECT_FALSE(first_.may_claim(at(2700)));
+    EXPECT_FALSE(first_.may_claim(at(5099)));
+    EXPECT_TRUE(first_.may_claim(at(5100)));
+}
+
 } // namespace
 } // namespace carawayturn::entry
