Keep a holder's right when it reads its own renewal

A holder whose renewal took effect without an answer learned so by the conflict of its next try, and its right ended at once. It then told others that nothing of its term was left, and they could claim 0.3 s later, while its orders were on their way. The path, found by a model of the lease:

A holds the lease; 0.9 s pass; A renews it, the answer is lost A sends an order, which is on its way A reads its row and tells B of it 0.3 s pass; B claims the lease and sends an order, which arrives A's order arrives, with the lower fencing number

Nobody has claimed a row that still has the holder's fencing number, so the right from the renewal before goes on.

--- a/src/coordination/entry/order_lease.cpp
+++ b/src/coordination/entry/order_lease.cpp
@@ -34,10 +34,16 @@
     }
     known_ = true;
     bool const moved = row.holder_address != row_.holder_address;
-    if (own_row() && row.fence != row_.fence)
+    bool const was_own = own_row();
+    bool const same_fence = row.fence == row_.fence;
+    if (was_own && !same_fence)
         not_before_ = end_ + turn_pause_;
     row_ = row;
     row_version_ = row_version;
+    // A renewal whose answer was lost. Nobody has claimed the lease in between, so the
+    // right from the renewal before goes on; its orders may be on their way.
+    if (was_own && same_fence && own_row())
+        return moved;
     bool const released = row.holder_address.empty();
     end_ = released ? seen_at : seen_at + std::min(remaining, term_) + safety_margin;
     // A former process of this instance has ended, or this one would not run.
--- a/tests/entry/order_lease_test.cpp
+++ b/tests/entry/order_lease_test.cpp
@@ -135,5 +135,33 @@
     EXPECT_TRUE(first_.may_claim(at(5100)));
 }
 
+// Guards against an early claim by instances that the holder tells of its row: after a
+// renewal whose answer was lost it told them that nothing of its term was left, while its
+// orders were on their way (found by lease_model_test).
+TEST_F(order_lease_test, holder_that_reads_its_own_renewal_keeps_its_right)
+{
+    first_.observe_absent();
+    auto const row = first_.next_row(at(0));
+    first_.written(row, 7, at(0));
+    second_.observe(row, 7, at(0), duration::max());
+    first_.observe(first_.next_row(at(900)), 8, at(1000), duration::max());
+    EXPECT_TRUE(first_.held(at(2099)));
+    EXPECT_FALSE(first_.held(at(2100)));
+    EXPECT_TRUE(first_.renewal_due(at(1000)));
+    second_.observe(first_.row(), 8, at(1000), first_.remaining(at(1000)));
+    EXPECT_FALSE(second_.may_claim(at(2399)));
+}
+
+// Guards against a right from a claim whose answer was lost: when it was sent is not
+// known any more when the row is read.
+TEST_F(order_lease_test, holder_that_reads_its_own_claim_has_no_right)
+{
+    first_.observe_absent();
+    first_.observe(first_.next_row(at(0)), 7, at(100), duration::max());
+    EXPECT_FALSE(first_.held(at(100)));
+    EXPECT_TRUE(first_.may_claim(at(100)));
+    EXPECT_EQ(first_.next_row(at(100)).fence, first_.fence());
+}
+
 } // namespace
 } // namespace carawayturn::entry
