Pack what the hub tells of the directory, once for all instances

Cause: a record is some 210 to 280 bytes, most of them names that repeat in each record. After a restart of all, 300 instances were sent 637 KB each, 191 MB from one machine; each push of 20 changes is 5.6 KB to each. Now update_encoder packs a part of the directory if that makes it shorter. Since the bytes are shared, the hub packs once for all. What a message's parts unpack to is bounded by the longest message, and for each part by 16 times its bytes: without that entry_peer_fuzz stopped at a told length (464,904 bytes in use, 140,192 allowed).

--- a/fuzz/entry_peer_fuzz.cpp
+++ b/fuzz/entry_peer_fuzz.cpp
@@ -90,6 +90,7 @@
         {"s1", "s", "10.0.0.1:80", "a", 6, true, -9, {{"m1", 1, {"a1"}}}, {}, {}}};
     part.removed = {"s2"};
     update.directory = {std::make_shared<directory_part const>(part)};
+    update.loads = std::make_shared<fleet_loads const>(fleet_loads{77, {3, 0, 300}});
     update.totals = {{0xfedcba98, 300}};
     update.estimates = {{"s", "m1", 6000000}};
     update.retiring = {{"s1", "m1"}};
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -1,9 +1,11 @@
 #include "protocol/entry/node_codec.hpp"
 
 #include "protocol/entry/node_archive.hpp"
+#include "protocol/entry/packed_text.hpp"
 
 #include <algorithm>
 #include <iterator>
+#include <stdexcept>
 
 namespace carawayturn::entry
 {
@@ -131,6 +133,9 @@
 
 /// Bytes with which cereal begins each archive. A part continues the message's archive.
 constexpr std::size_t byte_order_mark = 1;
+/// A part of the directory is packed to no less than this part of its bytes, so that a
+/// few bytes take little memory. Ids and addresses keep records above it.
+constexpr std::size_t most_packed = 16;
 
 template <class Message>
 std::string encode_message(Message const& message)
@@ -142,6 +147,31 @@
 
 void read_rest(message_reader& /*in*/, node_status& /*message*/) {}
 
+/// Reads a part of the directory, whose bytes may be packed. `left` is how many bytes the
+/// parts of the message may still have when unpacked.
+directory_part read_directory_part(message_reader& in, std::size_t& left)
+{
+    bool packed = false;
+    std::string bytes;
+    in(packed, bytes);
+    if (packed)
+    {
+        auto text = unpack(bytes, std::min(left, most_packed * bytes.size()));
+        if (!succeeded(text))
+            throw std::runtime_error("a part of the directory can't be unpacked");
+        bytes = std::get<std::string>(std::move(text));
+    }
+    if (bytes.size() > left)
+        throw std::runtime_error("the directory is too long");
+    left -= bytes.size();
+    message_reader part_in(bytes);
+    directory_part part;
+    part_in(part);
+    if (!part_in.at_end())
+        throw std::runtime_error("bytes after a part of the directory");
+    return part;
+}
+
 /// The parts become one: a message of many empty ones takes no more memory than one.
 void read_rest(message_reader& in, node_update& message)
 {
@@ -157,10 +187,10 @@
     if (count == 0)
         return;
     auto const all = std::make_shared<directory_part>();
+    std::size_t left = max_node_message;
     for (std::uint64_t i = 0; i < count; ++i)
     {
-        directory_part part;
-        in(part);
+        auto part = read_directory_part(in, left);
         std::move(part.records.begin(), part.records.end(),
                   std::back_inserter(all->records));
         std::move(part.removed.begin(), part.removed.end(),
@@ -169,14 +199,6 @@
     message.directory.push_back(all);
 }
 
-/// The bytes of a part in the archive of a message.
-template <class Part>
-std::shared_ptr<std::string const> part_bytes(Part const& part)
-{
-    return std::make_shared<std::string const>(
-        encode_message(part).substr(byte_order_mark));
-}
-
 template <class Message>
 result<Message> decode_message(std::string_view bytes, std::string_view step)
 {
@@ -235,7 +257,16 @@
     // Those that nothing else holds will not be told again.
     std::erase_if(parts_, [](auto const& entry) { return entry.first.use_count() == 1; });
     ++parts_encoded_;
-    auto bytes = part_bytes(*part);
+    // Names of services, models and domains repeat in the records. What is told to all is
+    // packed once, and its bytes on the links are paid for each instance.
+    auto plain = encode_message(*part);
+    auto packed = pack(plain);
+    bool const shorter =
+        packed.size() < plain.size() && plain.size() <= most_packed * packed.size();
+    message_writer out;
+    out(shorter, shorter ? packed : plain);
+    auto bytes =
+        std::make_shared<std::string const>(out.release().substr(byte_order_mark));
     parts_.emplace(part, bytes);
     return bytes;
 }
@@ -250,7 +281,8 @@
         if (update.loads != loads_)
         {
             loads_ = update.loads;
-            loads_bytes_ = part_bytes(*loads_);
+            loads_bytes_ = std::make_shared<std::string const>(
+                encode_message(*loads_).substr(byte_order_mark));
             ++loads_encoded_;
         }
         encoded.parts.push_back(loads_bytes_);
--- a/tests/entry/hub_load_test.cpp
+++ b/tests/entry/hub_load_test.cpp
@@ -157,6 +157,70 @@
     }
 }
 
+// Guards against a restart of all instances that fills the hub's link, and against paid
+// bytes at each change: records repeat their names and went out as they are.
+TEST_F(hub_load_test, records_take_half_of_their_texts_or_less)
+{
+    auto runner = [](int number, int turn)
+    {
+        auto record = server(number, false);
+        record.address =
+            "10.1." + std::to_string(number % 7) + "." + std::to_string(number) + ":80";
+        record.born_ms = 1'700'000'000'000 + number;
+        for (int m = 0; m < 3; ++m)
+            record.models.push_back(
+                {"model-" + std::to_string((number + m * 7 + turn) % 40),
+                 3,
+                 {"adapter-" + std::to_string((number + m) % 50), "adapter-1"}});
+        return record;
+    };
+    // Bytes that a record's texts alone take when they are not packed.
+    auto plain_bytes = [](std::map<std::string, backend_record> const& records)
+    {
+        std::size_t sum = 0;
+        for (auto const& [id, record] : records)
+        {
+            sum += id.size() + record.service.size() + record.address.size();
+            for (auto const& model : record.models)
+                sum += model.name.size() + model.adapters[0].size() +
+                       model.adapters[1].size();
+        }
+        return sum;
+    };
+    for (int i = 0; i < server_count; ++i)
+        hub_.put_server(runner(i, 0), at(0));
+    auto& status = statuses_[0];
+    std::map<std::string, backend_record> known;
+    auto const whole = encoder_.encode(hub_.answer(status, authority_, at(10)));
+    EXPECT_LT(whole.size(), server_count * 2 + plain_bytes(hub_.servers()) * 45 / 100);
+    take(status, known, whole.str());
+    EXPECT_EQ(known, hub_.servers());
+    std::map<std::string, backend_record> changed;
+    for (int i = 0; i < 20; ++i)
+    {
+        changed[runner(i, 1).id] = runner(i, 1);
+        hub_.put_server(runner(i, 1), at(20));
+    }
+    status.complete = false;
+    auto const news = encoder_.encode(hub_.changes_for(status, authority_, at(20)));
+    EXPECT_LT(news.size(), 100 + plain_bytes(changed) / 2);
+    take(status, known, news.str());
+    EXPECT_EQ(known, hub_.servers());
+}
+
+// Guards against packed parts that take any amount of memory together.
+TEST_F(hub_load_test, parts_of_more_bytes_than_a_message_are_an_error)
+{
+    node_update update;
+    directory_part part;
+    part.removed.assign(3, std::string(std::size_t{1} << 20U, 'a'));
+    update.directory.push_back(std::make_shared<directory_part const>(part));
+    auto const one = encode(update);
+    EXPECT_TRUE(succeeded(decode_update(one)));
+    update.directory.push_back(std::make_shared<directory_part const>(part));
+    EXPECT_FALSE(succeeded(decode_update(encode(update))));
+}
+
 /// Instances that are in step and have some requests in flight.
 class hub_total_test : public hub_load_test
 {
