Explore the lease and its orders exhaustively in small worlds

lease_model_test takes the real order_lease and order_right of three instances, one lease row and one runner through every order of steps: reads, claims, renewals and releases that take effect or are answered late or never, rows told by others, restarts, SIGTERM, orders that arrive late, clocks of different rates. It checks that one instance at a time holds the right, that a fencing number belongs to one process, that fencing numbers never go down at the runner, that holders do not take turns within lease_ms, and that a lease that nobody renews can be claimed again. A violation is printed as the shortest path to it.

--- /dev/null
+++ b/tests/entry/lease_world.hpp
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "coordination/entry/order_lease.hpp"
+#include "coordination/entry/order_right.hpp"
+#include "state/entry/node_settings.hpp"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace carawayturn::entry::lease_model
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t instance_count = 3;
+constexpr std::array<char const*, instance_count> names{"A", "B", "C"};
+
+enum class step_kind : std::uint8_t
+{
+    read,
+    write,
+    write_answer_lost,
+    write_on_way,
+    write_takes_effect,
+    write_answered,
+    write_given_up,
+    tell,
+    terminate,
+    restart,
+    order,
+    order_prepared,
+    order_leaves,
+    order_on_way,
+    order_arrives,
+    order_given_up,
+    time_passes,
+};
+
+struct step
+{
+    step_kind kind;
+    std::uint8_t who = 0;
+    std::uint8_t what = 0;
+};
+
+/// Which steps a world has besides reads, writes that are answered at once and time.
+struct world_rules
+{
+    bool lost_answers = false;
+    /// Writes take effect and are answered at any later time.
+    bool slow_writes = false;
+    /// Instances tell each other the row they know and what is left of its time.
+    bool words = false;
+    int terminations = 0;
+    int restarts = 0;
+    bool orders = false;
+    /// Orders leave later than they are prepared, or arrive later than they leave.
+    bool slow_orders = false;
+    /// Every instance reads each change of the row, and one that gets SIGTERM gives the
+    /// lease back, in the same step.
+    bool brisk = false;
+    /// Percent by which each instance's clock advances.
+    std::array<int, instance_count> clock_rate{100, 100, 100};
+    /// Whether A holds the lease and all know it, or nothing was ever written.
+    bool begins_with_holder = true;
+    /// How much time passes in one step.
+    std::vector<milliseconds> time_steps;
+    int depth = 0;
+};
+
+struct open_order
+{
+    std::uint64_t fence;
+    time_point taken_at;
+    bool left = false;
+    time_point left_at{};
+};
+
+struct process
+{
+    process(std::size_t index, std::uint64_t number, time_point started);
+
+    order_lease lease;
+    std::uint64_t incarnation;
+    time_point started_at;
+    bool has_read = false;
+    bool found_no_row = false;
+    bool terminating = false;
+    bool release_sent = false;
+    std::optional<open_order> order;
+    /// When the last order left whose call ended without an answer.
+    std::optional<time_point> unanswered;
+};
+
+struct store_call
+{
+    enum class progress : std::uint8_t
+    {
+        on_way,
+        accepted,
+        refused
+    };
+
+    std::size_t owner;
+    std::uint64_t incarnation;
+    bool given_up;
+    lease_row row;
+    std::uint64_t expected;
+    time_point sent_at;
+    progress state = progress::on_way;
+    /// The row and version in the answer.
+    lease_row stored{};
+    std::uint64_t version = 0;
+};
+
+struct order_in_flight
+{
+    std::size_t owner;
+    std::uint64_t fence;
+    time_point left_at;
+    /// The owner still waits for the answer.
+    bool awaited = true;
+};
+
+struct claim
+{
+    enum class cause : std::uint8_t
+    {
+        lapsed,
+        released,
+        inherited
+    };
+
+    std::size_t owner;
+    std::uint64_t incarnation;
+    cause why;
+};
+
+struct arrival
+{
+    std::size_t owner;
+    time_point left_at;
+};
+
+/// One state of three instances, the lease row and one runner. The instances decide with
+/// the real order_lease and order_right; the rules of lease_keeper and entry_node that
+/// surround them are repeated here.
+///
+/// No step is forced: an instance that takes none while time passes is frozen or cut off,
+/// and an order or answer that never arrives is lost.
+class world
+{
+public:
+    explicit world(world_rules const& rules);
+
+    [[nodiscard]] std::vector<step> steps() const;
+    void apply(step const& next);
+    /// What is wrong in this state; empty if nothing is.
+    [[nodiscard]] std::string violation() const;
+    [[nodiscard]] std::uint64_t state_digest() const;
+    /// The step in plain words, before it is taken.
+    [[nodiscard]] std::string words(step const& next) const;
+
+private:
+    /// The time since the instance's machine started, by its own clock.
+    [[nodiscard]] time_point local(std::size_t who) const;
+    [[nodiscard]] std::uint64_t
+    digest_with(std::array<std::size_t, instance_count> const& numbers) const;
+    [[nodiscard]] bool calls(std::size_t who) const;
+    [[nodiscard]] bool may_read(std::size_t who) const;
+    [[nodiscard]] bool may_write(std::size_t who) const;
+    [[nodiscard]] bool may_release(std::size_t who) const;
+    void write_steps(std::uint8_t who, std::vector<step>& out) const;
+    void order_steps(std::uint8_t who, std::vector<step>& out) const;
+    void read(std::size_t who);
+    void write(std::size_t who, step_kind how);
+    void take_effect(store_call& call);
+    void answer(store_call const& call);
+    void take_order(std::size_t who);
+    void order_leaves(std::size_t who);
+    void await_no_order(std::size_t who);
+    void arrives(std::size_t index);
+    void take(step const& next);
+    void pass(duration time);
+    void fail(std::string const& what)
+    {
+        if (failure_.empty())
+            failure_ = what;
+    }
+
+    world_rules const* rules_;
+    /// The true time.
+    time_point now_{};
+    std::vector<process> processes_;
+    lease_row row_;
+    std::uint64_t version_ = 0;
+    std::vector<store_call> calls_;
+    std::vector<order_in_flight> orders_;
+    /// By fencing number, from 1.
+    std::vector<claim> claims_;
+    std::uint64_t highest_fence_ = 0;
+    /// Orders that reached the runner: the last one of each turn. Its time is when it
+    /// left, since a late arrival shortens the time to the next turn.
+    std::vector<arrival> turns_;
+    int terminations_ = 0;
+    int restarts_ = 0;
+    std::string failure_;
+};
+
+} // namespace carawayturn::entry::lease_model
