--- a/tests/entry/lease_world.cpp
+++ b/tests/entry/lease_world.cpp
@@ -182,19 +182,22 @@
         if (restarts_ < rules_->restarts)
             out.push_back({step_kind::restart, who});
     }
-    for (std::uint8_t i = 0; i < calls_.size(); ++i)
+    auto const add = [&](step_kind kind, std::size_t what) {
+        out.push_back({kind, 0, static_cast<std::uint8_t>(what)});
+    };
+    for (std::size_t i = 0; i < calls_.size(); ++i)
     {
         if (calls_[i].state == store_call::progress::on_way)
-            out.push_back({step_kind::write_takes_effect, 0, i});
+            add(step_kind::write_takes_effect, i);
         else if (!calls_[i].given_up)
-            out.push_back({step_kind::write_answered, 0, i});
+            add(step_kind::write_answered, i);
         if (!calls_[i].given_up)
-            out.push_back({step_kind::write_given_up, 0, i});
+            add(step_kind::write_given_up, i);
     }
-    for (std::uint8_t i = 0; i < orders_.size(); ++i)
-        out.push_back({step_kind::order_arrives, 0, i});
-    for (std::uint8_t i = 0; i < rules_->time_steps.size(); ++i)
-        out.push_back({step_kind::time_passes, 0, i});
+    for (std::size_t i = 0; i < orders_.size(); ++i)
+        add(step_kind::order_arrives, i);
+    for (std::size_t i = 0; i < rules_->time_steps.size(); ++i)
+        add(step_kind::time_passes, i);
     return out;
 }
 
