End lists of servers that have no end

Seen: with a store whose list of servers is always truncated an instance grew by 102 MB in three seconds and went on growing; with pages in a circle, or a feed that is truncated and brings nothing, it asked some 470 to 690 times a second without a pause.

Cause: list_servers() and watch_servers() went on for as long as the store said that there is more. watch_servers() called itself for each page.

Now keys have to ascend, a page of changes has to bring a newer version, and the rows of all servers have room of 16 MB, some 20,000 servers. A list that goes beyond it is used as far as it goes and removes nobody.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -23,6 +23,17 @@
 /// Longest configuration that another instance passes on. The store keeps none above.
 constexpr std::size_t max_config_bytes = std::size_t{8} << 20U;
 constexpr duration inactive_wait = std::chrono::seconds(60);
+/// Pages of changes that are followed before a pause.
+constexpr int max_feed_pages = 64;
+/// Bytes of the rows of all servers, with what is kept beside each: some 20,000 servers.
+/// A directory that is told to an instance has to fit into a message of 4 MB.
+constexpr std::size_t max_servers_bytes = std::size_t{16} << 20U;
+constexpr std::size_t bytes_beside_row = 768;
+
+std::size_t bytes_of(platform::store_row const& row)
+{
+    return row.key.size() + row.value.size() + bytes_beside_row;
+}
 
 } // namespace
 
@@ -203,6 +214,9 @@
     std::set<std::string> listed;
     std::string from;
     std::uint64_t version = 0;
+    // Keys that were listed count as well if their rows cannot be read.
+    std::size_t listed_bytes = 0;
+    bool whole = true;
     for (;;)
     {
         auto const reply = co_await store_.call(
@@ -215,7 +229,8 @@
             co_return false;
         for (auto const& row : reply->answer.rows)
         {
-            listed.insert(row.key);
+            if (listed.insert(row.key).second)
+                listed_bytes += row.key.size() + bytes_beside_row;
             take_server(row);
         }
         // The first page's version, so that changes during the later pages are seen.
@@ -224,9 +239,23 @@
         if (!reply->answer.truncated || reply->answer.rows.empty() ||
             reply->answer.rows.back().key == from)
             break;
+        // Pages in a circle.
+        if (reply->answer.rows.back().key < from)
+            co_return false;
+        if (listed_bytes > max_servers_bytes)
+        {
+            whole = false;
+            break;
+        }
         from = reply->answer.rows.back().key;
     }
     servers_version_ = version;
+    // What a list without its end does not have may follow.
+    if (!whole)
+    {
+        services_.changes.notify();
+        co_return true;
+    }
     known_.merge(sink_.known_servers());
     std::set<std::string> missing;
     for (auto const& id : known_)
@@ -240,28 +269,35 @@
 
 task<bool> store_reader::watch_servers()
 {
-    auto const reply =
-        co_await store_.call(platform::watch_table(platform::store_table::backend_servers,
-                                                   servers_version_, duration::zero()),
-                             call_timeout);
-    if (reply && reply->history_gone())
+    for (int page = 0; page < max_feed_pages; ++page)
     {
-        servers_version_ = 0;
-        co_return co_await list_servers();
-    }
-    if (!reply || !reply->done() || !active_)
-        co_return false;
-    for (auto const& row : reply->answer.rows)
-    {
-        if (row.removed)
-            lapse(row.key);
-        else
-            take_server(row);
+        auto const reply = co_await store_.call(
+            platform::watch_table(platform::store_table::backend_servers,
+                                  servers_version_, duration::zero()),
+            call_timeout);
+        if (reply && reply->history_gone())
+        {
+            servers_version_ = 0;
+            co_return co_await list_servers();
+        }
+        if (!reply || !reply->done() || !active_)
+            co_return false;
+        for (auto const& row : reply->answer.rows)
+        {
+            if (row.removed)
+                lapse(row.key);
+            else
+                take_server(row);
+        }
+        bool const news = reply->answer.version > servers_version_;
+        servers_version_ = std::max(servers_version_, reply->answer.version);
+        if (!reply->answer.truncated)
+            co_return true;
+        // The same page would come again.
+        if (!news)
+            co_return false;
     }
-    servers_version_ = std::max(servers_version_, reply->answer.version);
-    if (reply->answer.truncated)
-        co_return co_await watch_servers();
-    co_return true;
+    co_return false;
 }
 
 void store_reader::take_server(platform::store_row const& row)
@@ -275,11 +311,31 @@
                              {"detail", std::get<error>(decoded).detail}});
         return;
     }
+    if (!take_room(row))
+    {
+        services_.log.write(entry_event::backend_row_unreadable,
+                            {{"server", row.key},
+                             {"row_version", row.version},
+                             {"detail", "has no room in the directory"}});
+        return;
+    }
     lapsed_.erase(row.key);
     known_.insert(row.key);
     sink_.server_put(std::get<backend_record>(decoded));
 }
 
+bool store_reader::take_room(platform::store_row const& row)
+{
+    auto const found = row_bytes_.find(row.key);
+    auto const former = found == row_bytes_.end() ? 0 : found->second;
+    auto const bytes = bytes_of(row);
+    if (servers_bytes_ - former + bytes > max_servers_bytes)
+        return false;
+    servers_bytes_ += bytes - former;
+    row_bytes_[row.key] = bytes;
+    return true;
+}
+
 void store_reader::lapse(std::string const& id)
 {
     if (known_.count(id) != 0)
@@ -298,6 +354,12 @@
                       if (entry.second > now || store_.regained_at() + lapse_grace > now)
                           return false;
                       known_.erase(entry.first);
+                      if (auto const row = row_bytes_.find(entry.first);
+                          row != row_bytes_.end())
+                      {
+                          servers_bytes_ -= row->second;
+                          row_bytes_.erase(row);
+                      }
                       sink_.server_removed(entry.first);
                       return true;
                   });
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -57,6 +57,8 @@
     [[nodiscard]] task<bool> list_servers();
     [[nodiscard]] task<bool> watch_servers();
     void take_server(platform::store_row const& row);
+    /// Whether the directory has room for the row; the room is then taken.
+    [[nodiscard]] bool take_room(platform::store_row const& row);
     void lapse(std::string const& id);
     void remove_lapsed();
 
@@ -82,6 +84,9 @@
     std::uint64_t servers_version_ = 0;
     time_point servers_read_at_{};
     std::set<std::string> known_;
+    /// Bytes of the rows of servers that were taken, and their sum.
+    std::map<std::string, std::size_t> row_bytes_;
+    std::size_t servers_bytes_ = 0;
     /// Servers whose entry is gone while the store may have lost it, and when they count
     /// as gone.
     std::map<std::string, time_point> lapsed_;
--- /dev/null
+++ b/standins/misbehaving_store.py
@@ -0,0 +1,301 @@
+"""A store that answers in a named way, for tests on loopback.
+
+Each way is a function of the table WAYS. It gets the store and the call, and writes what a
+faulty store may write: answers without end, lengths that lie, documents that take much memory,
+versions that go back, pages without end.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from platform_fleet import Store
+
+# An answer without end is given up after this many bytes, so that a caller that never closes is
+# seen as a count and not as a hanging test.
+ENDLESS_LIMIT = 48 * 1024 * 1024
+PIECE = 64 * 1024
+# Longest text that is below an instance's bound on one answer, 4 MB.
+LONG_TEXT = 4_000_000
+HUGE_VERSION = 2**62
+# Rows of a page in the way with many servers; a page then has some 0.3 MB.
+PAGE_ROWS = 1000
+MANY_SERVERS = 100_000
+TRICKLE_PAUSE_S = 0.1
+HELD_S = 5
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class Call:
+    """One call of an instance, as a way sees it."""
+
+    def __init__(self, store: MisbehavingStore, handler) -> None:
+        self.store = store
+        self.handler = handler
+        # Head and body are written apart, and the second would wait for an acknowledgement.
+        handler.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        parts = urlsplit(handler.path)
+        self.path = parts.path
+        self.query = {name: values[0] for name, values in
+                      parse_qs(parts.query, keep_blank_values=True).items()}
+        self.table = self.query.get("table", "carawayturn")
+        self.sent = 0
+
+    def send(self, data: bytes) -> None:
+        """Writes raw bytes; the connection ends after the way."""
+        self.handler.close_connection = True
+        self.handler.connection.sendall(data)
+        self.sent += len(data)
+        self.store.sent = max(self.store.sent, self.sent)
+
+    def repeat(self, head: bytes, data: bytes) -> None:
+        """Sends the same bytes until the caller closes."""
+        self.send(head)
+        while self.sent < ENDLESS_LIMIT:
+            self.send(data)
+        self.store.unbounded.append(self.store.way)
+
+    def wait_for_close(self) -> None:
+        self.handler.close_connection = True
+        self.handler.connection.settimeout(HELD_S)
+        while self.handler.connection.recv(PIECE):
+            pass
+
+    def answer(self, body: bytes) -> None:
+        """Writes a whole answer with this text."""
+        self.handler.answer(200, body)
+
+    def answer_rows(self, rows: list[dict], **fields) -> None:
+        self.answer(json.dumps({"rows": rows, **self.store.common(), **fields}).encode())
+
+
+def row(table: str, key: str, value: bytes | str, version: int) -> dict:
+    """A row; a text is the value as it stands in the answer."""
+    if isinstance(value, bytes):
+        value = base64.b64encode(value).decode()
+    return {"table": table, "part": "", "key": key, "value": value, "row_version": version}
+
+
+def server_value(number: int) -> bytes:
+    return json.dumps({"service": "plain", "address": f"127.0.0.1:{1 + number % 1000}",
+                       "zone": "z", "slots": 1, "state": "draining", "seq": 1, "born": 1,
+                       "models": []}).encode()
+
+
+def _key(call: Call) -> str:
+    """The key that the reader of the table looks for."""
+    return {"op": "config", "servers": "s", "carawayturn": "hub"}[call.table]
+
+
+def no_end_of_head(call: Call) -> None:
+    call.repeat(OK + b"X-A: ", b"a" * PIECE)
+
+
+def no_end_of_header_lines(call: Call) -> None:
+    call.repeat(OK, b"X-A: a\r\n" * 1024)
+
+
+def no_end_of_informational(call: Call) -> None:
+    call.repeat(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1024)
+
+
+def no_end_of_chunks(call: Call) -> None:
+    call.repeat(CHUNKED, b"10000\r\n" + b" " * PIECE + b"\r\n")
+
+
+def no_end_of_chunk_extension(call: Call) -> None:
+    call.repeat(CHUNKED + b"1;", b"a" * PIECE)
+
+
+def no_end_of_trailers(call: Call) -> None:
+    call.repeat(CHUNKED + b"0\r\n", b"X-A: a\r\n" * 1024)
+
+
+def no_end_of_length(call: Call) -> None:
+    call.repeat(OK + b"Content-Length: 1000000000000\r\n\r\n", b" " * PIECE)
+
+
+def no_end_of_unframed(call: Call) -> None:
+    call.repeat(OK + b"\r\n", b" " * PIECE)
+
+
+def no_answer(call: Call) -> None:
+    call.wait_for_close()
+
+
+def trickled_body(call: Call) -> None:
+    call.send(OK + b"Content-Length: 1000\r\n\r\n")
+    for _ in range(int(HELD_S / TRICKLE_PAUSE_S)):
+        call.send(b" ")
+        time.sleep(TRICKLE_PAUSE_S)
+
+
+def length_too_great(call: Call) -> None:
+    call.send(OK + b'Content-Length: 1000\r\n\r\n{"rows":[],"row_version":9}')
+    call.wait_for_close()
+
+
+def length_too_small(call: Call) -> None:
+    call.send(OK + b'Content-Length: 9\r\n\r\n{"rows":[],"row_version":9}')
+
+
+def no_http(call: Call) -> None:
+    call.send(bytes(range(256)) * 64)
+
+
+def no_json(call: Call) -> None:
+    call.answer(b'{"rows":[{"key"')
+
+
+def other_types(call: Call) -> None:
+    call.answer(b'{"rows":[1,null,[],{"key":7,"value":{},"row_version":"x","tombstone":1}],'
+                b'"row_version":-1,"truncated":"yes"}')
+
+
+def deep_answer(call: Call) -> None:
+    call.answer(b'{"rows":' + b"[" * (LONG_TEXT // 2) + b"]" * (LONG_TEXT // 2) + b"}")
+
+
+def deep_value(call: Call) -> None:
+    deep = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
+    call.answer_rows([row(call.table, _key(call), deep, call.store.version + 1)])
+
+
+def many_small_values(call: Call) -> None:
+    call.answer(b'{"row_version":1,"rows":[' + b"0," * (LONG_TEXT // 2) + b"0]}")
+
+
+def many_empty_rows(call: Call) -> None:
+    call.answer(b'{"row_version":1,"rows":[' + b"{}," * (LONG_TEXT // 3) + b"{}]}")
+
+
+def many_small_values_in_value(call: Call) -> None:
+    value = b'{"version":1000,"routes":[' + b"[]," * 900_000 + b"[]]}"
+    call.answer_rows([row(call.table, _key(call), value, call.store.version + 1)])
+
+
+def row_of_ten_megabytes(call: Call) -> None:
+    call.answer_rows([row(call.table, _key(call), b" " * 10_000_000,
+                          call.store.version + 1)])
+
+
+def value_with_torn_base64(call: Call) -> None:
+    """Texts whose length is no multiple of four, of each size of small blocks of memory."""
+    call.answer_rows([row(call.table, f"torn{size}", "/" * size, call.store.version + 1)
+                      for size in range(3, 4000)])
+
+
+def versions_back(call: Call) -> None:
+    call.answer_rows([], row_version=1)
+
+
+def versions_far_ahead(call: Call) -> None:
+    call.answer_rows([], row_version=HUGE_VERSION)
+
+
+def pages_without_end(call: Call) -> None:
+    if call.table != "servers" or call.path != "/rows-get":
+        call.handler.answer_json(410, {})
+        return
+    first = int(call.query.get("from", "e0")[1:])
+    call.answer_rows([row("servers", f"e{first + i:012}", server_value(i), 1)
+                      for i in range(1, PAGE_ROWS + 1)], truncated=True)
+
+
+def pages_in_a_circle(call: Call) -> None:
+    if call.table != "servers" or call.path != "/rows-get":
+        call.handler.answer_json(410, {})
+        return
+    key = "cb" if call.query.get("from") == "ca" else "ca"
+    call.answer_rows([row("servers", key, server_value(1), 1)], truncated=True)
+
+
+def feed_pages_without_end(call: Call) -> None:
+    call.answer_rows([], truncated=True)
+
+
+def feed_pages_with_rows_without_end(call: Call) -> None:
+    call.store.pages += 1
+    call.answer_rows([row(call.table, f"f{call.store.pages}", server_value(1),
+                          call.store.version + call.store.pages)],
+                     truncated=True, row_version=call.store.version + call.store.pages)
+
+
+def many_servers(call: Call) -> None:
+    if call.table != "servers":
+        call.handler.answer_json(503, {})
+        return
+    if call.path != "/rows-get":
+        call.handler.answer_json(410, {})
+        return
+    first = int(call.query.get("from", "m000000")[1:])
+    last = min(first + PAGE_ROWS, MANY_SERVERS)
+    call.answer_rows([row("servers", f"m{i:06}", server_value(i), 1)
+                      for i in range(first, last)] +
+                     call.store.rows_of("servers"), truncated=last < MANY_SERVERS)
+
+
+WAYS = {way.__name__: way for way in (
+    no_end_of_head, no_end_of_header_lines, no_end_of_informational, no_end_of_chunks,
+    no_end_of_chunk_extension, no_end_of_trailers, no_end_of_length, no_end_of_unframed,
+    no_answer, trickled_body, length_too_great, length_too_small, no_http, no_json,
+    other_types, deep_answer, deep_value, many_small_values, many_empty_rows,
+    many_small_values_in_value, row_of_ten_megabytes, value_with_torn_base64, versions_back,
+    versions_far_ahead, pages_without_end, pages_in_a_circle, feed_pages_without_end,
+    feed_pages_with_rows_without_end, many_servers)}
+
+
+class MisbehavingStore(Store):
+    """A sound store until a way is played; then every call is answered in that way."""
+
+    def __init__(self) -> None:
+        self.way = "good"
+        # Calls that were answered in the present way.
+        self.played = 0
+        # Most bytes that one call took.
+        self.sent = 0
+        self.pages = 0
+        # Ways without end that an instance did not end.
+        self.unbounded: list[str] = []
+        super().__init__()
+
+    def play(self, way: str) -> None:
+        self.played = self.sent = 0
+        self.way = way
+
+    def common(self) -> dict:
+        return self._common()
+
+    def rows_of(self, table: str) -> list[dict]:
+        with self.lock:
+            return [row for (kept, _), row in self.rows.items() if kept == table]
+
+    def write_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row whose value may be no JSON."""
+        with self.lock:
+            self._write(table, key, base64.b64encode(value).decode())
+            self.lock.notify_all()
+
+    def write_with_version(self, table: str, key: str, value: object, version: int) -> None:
+        """Writes a row whose version is not the next one."""
+        with self.lock:
+            self.version = version - 1
+            self._write(table, key, base64.b64encode(json.dumps(value).encode()).decode())
+            self.lock.notify_all()
+
+    def handle(self, call, body: bytes, seen=lambda value: value) -> None:
+        if self.way == "good":
+            super().handle(call, body, seen)
+            return
+        try:
+            WAYS[self.way](Call(self, call))
+        except OSError:
+            call.close_connection = True
+        finally:
+            self.played += 1
--- /dev/null
+++ b/tests/entry/misbehaving_store_test.py
@@ -0,0 +1,203 @@
+"""Runs a real instance before a store that answers wrongly, each way by its name.
+
+For each way: the process lives, callers are served with what is known, the bytes that it takes
+and the memory that it holds are bounded, and it follows the store as soon as that is sound.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import Instance, configuration, wait_until  # noqa: E402
+from misbehaving_store import HUGE_VERSION, MisbehavingStore, WAYS  # noqa: E402
+from platform_fleet import BackendServer  # noqa: E402
+
+# Bound on one answer, and what the system's socket buffers take beyond what is read.
+ANSWER_LIMIT = 4 * 1024 * 1024
+SOCKET_BUFFERS = 8 * 1024 * 1024
+# Bound on one document in memory.
+DOCUMENT_LIMIT = 16 * 1024 * 1024
+# Three readers, of the configuration, the servers and the lease, each with an answer, whose
+# string has grown to twice the bytes in it, and a document; the servers and their records beside
+# that, 2.1 KB each (docs/CAPACITY.md).
+MOST_SERVERS = 16 * 1024
+MEMORY_GROWTH = 3 * (2 * ANSWER_LIMIT + DOCUMENT_LIMIT) + MOST_SERVERS * 2100
+# Of that, a list of all servers that there is room for, in pages of 0.3 MB.
+LIST_GROWTH = MOST_SERVERS * 2100 + 2 * ANSWER_LIMIT
+LONG_WAY_S = 3
+# Set where the address sanitizer holds freed memory back, which the peak counts as well.
+FREED_MEMORY_IS_HELD = "CARAWAYTURN_FREED_MEMORY_IS_HELD" in os.environ
+# Calls in a way before the store is sound again, and the least and greatest time for them.
+CALLS = 3
+WAY_LEAST_S = 0.7
+WAY_LIMIT_S = 1.2
+# Ways that tell servers which the store does not have.
+TELL_ROWS = {"pages_without_end", "pages_in_a_circle", "feed_pages_with_rows_without_end",
+             "many_servers"}
+# The event for a configuration that cannot be read.
+NOT_DECODED = 1111
+# Calls of an instance in a second, by a wide margin: each of its three readers pauses or waits,
+# and a list of all servers that there is room for takes 22 pages of the stand-in.
+CALLS_PER_S = 100
+
+
+def memory_peak(process_id: int) -> int:
+    """Returns the greatest resident memory of the process so far, in bytes."""
+    for line in Path(f"/proc/{process_id}/status").read_text(encoding="utf-8").splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    raise AssertionError("the process has ended")
+
+
+class MisbehavingStoreTest(unittest.TestCase):
+    """One store, one plain server and one instance, which is the hub."""
+
+    def setUp(self) -> None:
+        self.store = MisbehavingStore()
+        self.version = 1
+        self.store.put("op", "config", configuration(1, ["k1"]))
+        self.server = BackendServer(self.store, "p0", "plain")
+        self.instance = Instance(self.store, "n1")
+        self.requests = 0
+        self.instance.wait_until_serving(servers=1)
+        wait_until(lambda: self.instance.state()["hub"]["this_instance"], "n1 is the hub")
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (self.server, self.store):
+            service.close()
+
+    def served(self) -> int:
+        self.requests += 1
+        return self.instance.request("/book/a", id=f"q{self.requests}")[0]
+
+    def put_next_config(self) -> None:
+        self.version += 1
+        self.store.put("op", "config", configuration(self.version, ["k1"]))
+
+    def knows(self, name: str) -> bool:
+        return any(server["id"] == name
+                   for server in self.instance.state().get("backend_servers", []))
+
+    def config_version(self) -> int:
+        return self.instance.state()["configuration"]["version"]
+
+    def assert_recovers(self, tells_rows: bool = False) -> None:
+        """The instance follows a new configuration, a new server and its going."""
+        self.store.play("good")
+        if tells_rows:
+            # They are not in the store, and no change tells that.
+            self.store.forget_history()
+        self.put_next_config()
+        name = f"new{self.version}"
+        new = BackendServer(self.store, name, "plain")
+        try:
+            wait_until(lambda: self.config_version() == self.version,
+                       "the new configuration is in force", 15)
+            wait_until(lambda: self.knows(name), "the new server is known", 15)
+            wait_until(self.instance.ready, "the instance is ready", 15)
+            self.assertEqual(self.served(), 200)
+        finally:
+            self.store.remove("servers", name)
+            new.close()
+
+    def play(self, way: str) -> None:
+        if self.instance.process.poll() is not None:
+            self.instance.start()
+            self.instance.wait_until_serving(servers=1)
+        before = memory_peak(self.instance.process.pid)
+        began = time.monotonic()
+        self.store.play(way)
+        while (time.monotonic() < began + WAY_LEAST_S or
+               self.store.played < CALLS and time.monotonic() < began + WAY_LIMIT_S):
+            self.assertEqual(self.served(), 200)
+            time.sleep(0.05)
+        self.assertEqual(self.served(), 200)
+        took = time.monotonic() - began
+        calls = self.store.played
+        self.assertIsNone(self.instance.process.poll(), "the process lives")
+        self.assertLess(calls, CALLS + CALLS_PER_S * took, "calls are paced")
+        if "no_end" in way:
+            self.assertLess(self.store.sent, ANSWER_LIMIT + SOCKET_BUFFERS)
+        self.assertEqual(self.store.unbounded, [])
+        if not FREED_MEMORY_IS_HELD:
+            growth = memory_peak(self.instance.process.pid) - before
+            self.assertLess(growth, MEMORY_GROWTH, f"{growth / 2**20:.0f} MB")
+        self.assert_recovers(way in TELL_ROWS)
+
+    def test_each_way_ends_and_the_sound_store_is_followed(self) -> None:
+        """Guards against an answer of the store that ends the process, fills it or stalls
+        it."""
+        for way in WAYS:
+            with self.subTest(way=way):
+                self.play(way)
+
+    def test_list_without_end_stops_at_the_room_for_servers(self) -> None:
+        """Guards against a list of servers that is followed and kept without limit: an instance
+        grew by 34 MB a second."""
+        before = memory_peak(self.instance.process.pid)
+        self.store.play("pages_without_end")
+        time.sleep(LONG_WAY_S)
+        growth = memory_peak(self.instance.process.pid) - before
+        if not FREED_MEMORY_IS_HELD:
+            self.assertLess(growth, LIST_GROWTH, f"{growth / 2**20:.0f} MB")
+        self.assert_recovers(tells_rows=True)
+
+    def test_configuration_that_does_not_decode_is_not_in_force(self) -> None:
+        """Guards against a configuration that ends the process or takes the former one away."""
+        values = {
+            "no JSON": b"{", "no object": b"[]", "no version": b"{}",
+            "version of another type": b'{"version":"9"}', "negative version": b'{"version":-9}',
+            "route without fields": b'{"version":9,"routes":[{}]}',
+            "deep": b'{"version":9,"routes":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+            "no text": bytes(range(256)), "long": b'{"version":9,"a":"' + b"x" * 2_900_000}
+        for name, value in values.items():
+            with self.subTest(value=name):
+                logged = len(self.instance.events(NOT_DECODED))
+                self.store.write_bytes("op", "config", value)
+                wait_until(lambda before=logged: len(self.instance.events(NOT_DECODED)) > before,
+                           "it is logged")
+                self.assertEqual(self.config_version(), self.version)
+                self.assertEqual(self.served(), 200)
+                self.assert_recovers()
+
+    def test_older_configuration_is_not_in_force_and_not_passed_on(self) -> None:
+        """Guards against an older configuration in a newer row, as after the store was set back:
+        the hub kept the newer one in force, and passed the older one on to an instance that
+        started."""
+        for _ in range(4):
+            self.put_next_config()
+        wait_until(lambda: self.config_version() == self.version, "the newest is in force")
+        self.store.put("op", "config", configuration(2, ["k1"]))
+        time.sleep(1.5)
+        self.assertEqual(self.config_version(), self.version)
+        second = Instance(self.store, "n2")
+        try:
+            wait_until(lambda: second.state().get("configuration", {}).get("version") ==
+                       self.version, "the second instance has the newest", 15)
+            time.sleep(1.0)
+            self.assertEqual(second.state()["configuration"]["version"], self.version)
+        finally:
+            second.close()
+        self.assert_recovers()
+
+    def test_row_versions_that_go_back_do_not_hide_what_is_new(self) -> None:
+        """Guards against an instance that waits for versions which a store that was set back
+        does not reach."""
+        self.version += 1
+        self.store.write_with_version("op", "config", configuration(self.version, ["k1"]),
+                                      10**15)
+        wait_until(lambda: self.config_version() == self.version, "it is in force")
+        self.version += 1
+        self.store.write_with_version("op", "config", configuration(self.version, ["k1"]), 5)
+        wait_until(lambda: self.config_version() == self.version, "the next is in force", 15)
+        self.assert_recovers()
+
+
+if __name__ == "__main__":
+    unittest.main()
