Read the store anew when its versions go back

Seen: after one answer with a version far ahead, or -1, an instance never learnt of a configuration or a server again (the ways versions_far_ahead, other_types and feed_pages_with_rows_without_end).

Cause: the versions up to which the tables were followed only rose, and a store that was set back tells of no change until it gets there. Now an answer below the version that was asked for leads to a new reading.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -147,7 +147,10 @@
     for (auto const& row : reply->answer.rows)
         if (row.key == platform::configuration_key && !row.removed)
             take_config(row.value, {}, row.version);
-    config_version_ = std::max(config_version_, reply->answer.version);
+    // A store that is behind what it told before is read anew: it may tell of no change
+    // until it gets there.
+    bool const back = reply->answer.version < config_version_;
+    config_version_ = back ? 0 : reply->answer.version;
     services_.authority.confirm(services_.authority.version(), asked_at);
     co_return true;
 }
@@ -298,8 +301,14 @@
             else
                 take_server(row);
         }
+        // A store that is behind what it told before is read anew.
+        if (reply->answer.version < servers_version_)
+        {
+            servers_version_ = 0;
+            co_return false;
+        }
         bool const news = reply->answer.version > servers_version_;
-        servers_version_ = std::max(servers_version_, reply->answer.version);
+        servers_version_ = reply->answer.version;
         if (!reply->answer.truncated)
             co_return true;
         // The same page would come again.
