Let a configuration's own version decide, not its row's

Seen: with an older configuration in a newer row, an instance that started never got the newest one (the test of older configurations); and a row whose version is below the former one's was ignored with a newer configuration in it (the test of row versions that go back).

Cause: take_config() kept the older text for passing on before it had been accepted, and dropped by the row's version what the configuration's version should decide. A configuration that is older than the one in force was and is never put in force.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -158,7 +158,7 @@
 void store_reader::take_packed_config(std::string const& packed,
                                       std::uint64_t row_version)
 {
-    if (row_version <= config_row_)
+    if (row_version == config_row_)
         return;
     auto const text = unpack(packed, max_config_bytes);
     if (succeeded(text))
@@ -171,7 +171,7 @@
 void store_reader::take_config(std::string const& value, std::string const& packed,
                                std::uint64_t row_version)
 {
-    if (row_version <= config_row_)
+    if (row_version == config_row_)
         return;
     auto decoded = platform::decode_config(value);
     if (!succeeded(decoded))
@@ -180,12 +180,14 @@
                             {{"detail", to_string(std::get<error>(decoded))}});
         return;
     }
-    config_row_ = row_version;
-    packed_config_ = packed.empty() ? pack(value) : packed;
     auto config = std::get<std::shared_ptr<serving_config const>>(std::move(decoded));
     auto const version = config->version;
+    // The configuration's own version decides: a store that was set back may tell an
+    // older one in a newer row, which must not be passed on either.
     if (!services_.authority.accept(std::move(config)))
         return;
+    config_row_ = row_version;
+    packed_config_ = packed.empty() ? pack(value) : packed;
     services_.log.write(entry_event::configuration_in_force,
                         {{"version", version}, {"row_version", row_version}});
     services_.metrics.set_gauge("config_version", static_cast<double>(version));
