--- /dev/null
+++ b/tests/entry/node_message_test.cpp
@@ -0,0 +1,58 @@
+#include "protocol/entry/node_codec.hpp"
+
+#include <gtest/gtest.h>
+
+namespace carawayturn::entry
+{
+namespace
+{
+
+template <class Message, class Item>
+std::string with_items(std::vector<Item> Message::*list, std::size_t count)
+{
+    Message message;
+    (message.*list).resize(count);
+    return encode(message);
+}
+
+// Guards against a message of at most 4 MB whose short items take many times as much: a
+// status with a million entries took 250 MB.
+TEST(node_message_test, lists_that_take_too_much_memory_are_refused)
+{
+    constexpr std::size_t count = 500'000;
+    for (auto const& bytes :
+         {with_items(&node_status::in_flight, count),
+          with_items(&node_status::demand, count), with_items(&node_status::asks, count),
+          with_items(&node_status::crashes, count),
+          with_items(&node_status::leaving, count)})
+        EXPECT_FALSE(succeeded(decode_status(bytes)));
+    for (auto const& bytes : {with_items(&node_update::records, count),
+                              with_items(&node_update::removed, 1'000'000),
+                              with_items(&node_update::estimates, count),
+                              with_items(&node_update::retiring, count),
+                              with_items(&node_update::peers, 1'000'000)})
+        EXPECT_FALSE(succeeded(decode_update(bytes)));
+}
+
+// Guards against a bound that refuses the directory of the largest fleets.
+TEST(node_message_test, directory_of_12000_servers_is_decoded)
+{
+    node_update update;
+    for (int i = 0; i < 12'000; ++i)
+        update.records.push_back({"server-" + std::to_string(i),
+                                  "service",
+                                  "10.0.0.1:8000",
+                                  "zone",
+                                  6,
+                                  false,
+                                  1700000000000,
+                                  {{"model", 1, {"a1", "a2"}}},
+                                  {},
+                                  {}});
+    auto const bytes = encode(update);
+    ASSERT_LT(bytes.size(), max_node_message);
+    EXPECT_TRUE(succeeded(decode_update(bytes)));
+}
+
+} // namespace
+} // namespace carawayturn::entry
