Bound the memory of a message's lists

Seen: one status of 4 MB with a million entries made the hub grow by 228 to 497 MB, and an update of that kind kept callers waiting until they got 503 (misbehaving_peer_test, node_message_test).

Cause: a length was checked against the bytes that are left, but an item of two or three bytes takes 40 to 260 in memory. The lists of one message now have 16 MB; the directory of 12,000 servers is decoded as before.

--- a/src/protocol/entry/node_archive.hpp
+++ b/src/protocol/entry/node_archive.hpp
@@ -33,6 +33,10 @@
 inline constexpr std::uint8_t more_bit = 0x80;
 /// Bytes of the greatest integer.
 inline constexpr std::size_t longest_integer = 10;
+/// Memory for the items of a message's lists: four times the longest message. The
+/// shortest items take up to 40 times their bytes; a record of a server takes some 250
+/// bytes for 60.
+inline constexpr std::size_t max_items_memory = std::size_t{16} << 20U;
 
 class message_writer
 {
@@ -164,12 +168,17 @@
     void value(std::vector<T>& target)
     {
         auto const count = length();
+        if (count > items_memory_ / sizeof(T))
+            throw std::runtime_error("a list takes too much memory");
+        items_memory_ -= count * sizeof(T);
         target.clear();
         for (std::size_t i = 0; i < count; ++i)
             value(target.emplace_back());
     }
 
     view_buffer buffer_;
+    /// Left for lists that follow.
+    std::size_t items_memory_ = max_items_memory;
     std::istream stream_;
     cereal::PortableBinaryInputArchive archive_;
 };
