Take memory for a message of another instance as it arrives

Seen: 500 connections that announced 4 MB and sent one byte made an instance grow by 1.5 GB; 80 unfinished messages of 3 MB, by 321 MB.

Cause: the whole length was taken, and cleared, before a byte had come. The memory now grows with the bytes, and unfinished messages above 16 KB have 16 MB together; a connection that goes beyond is closed.

--- a/src/transport/entry/peer_connection.cpp
+++ b/src/transport/entry/peer_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace carawayturn::entry
@@ -17,6 +18,41 @@
 constexpr std::size_t length_bytes = 4;
 /// A peer with more messages waiting for it is not reading.
 constexpr std::size_t max_queued = 64;
+/// A message's memory grows with the bytes that have come: by as many again, and at least
+/// by this many.
+constexpr std::size_t least_piece = 4096;
+/// Bytes of unfinished messages on all connections. One that would go beyond is closed;
+/// messages up to the free size are not counted, so that long ones do not keep out the
+/// ordinary statuses.
+constexpr std::size_t max_arriving_bytes = 4 * max_node_message;
+constexpr std::size_t free_bytes = std::size_t{16} << 10U;
+
+/// Memory for a message while it arrives, out of that for all connections.
+class arrival
+{
+public:
+    arrival() = default;
+    ~arrival() { all -= own_; }
+    arrival(arrival const&) = delete;
+    arrival& operator=(arrival const&) = delete;
+
+    /// Whether the message may grow to this size.
+    [[nodiscard]] bool grow(std::size_t size)
+    {
+        if (size <= free_bytes)
+            return true;
+        if (all - own_ + size > max_arriving_bytes)
+            return false;
+        all += size - own_;
+        own_ = size;
+        return true;
+    }
+
+private:
+    /// All connections belong to the one thread that serves.
+    inline static std::size_t all = 0;
+    std::size_t own_ = 0;
+};
 
 std::string with_length(std::string const& message)
 {
@@ -57,11 +93,24 @@
         self->close();
         co_return std::nullopt;
     }
-    std::string message(expected, '\0');
-    auto const [broken, received] = co_await asio::async_read(
-        self->socket_->socket(), asio::buffer(message), use_task);
-    if (broken)
-        co_return std::nullopt;
+    std::string message;
+    arrival room;
+    while (message.size() < expected)
+    {
+        auto const begin = message.size();
+        auto const end = std::min(expected, begin + std::max(begin, least_piece));
+        if (!room.grow(end))
+        {
+            self->close();
+            co_return std::nullopt;
+        }
+        message.resize(end);
+        auto const [broken, received] = co_await asio::async_read(
+            self->socket_->socket(),
+            asio::buffer(message.data() + begin, message.size() - begin), use_task);
+        if (broken)
+            co_return std::nullopt;
+    }
     co_return message;
 }
 
