Cut off a peer by the bytes that wait for it

Seen: eight connections that asked for the whole directory 60 times and read nothing made the hub grow by 344 MB.

Cause: the bound of 64 messages says nothing of their length. Now 8 MB may wait for a peer, two of the longest messages.

--- a/src/transport/entry/peer_connection.cpp
+++ b/src/transport/entry/peer_connection.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t length_bytes = 4;
 /// A peer with more messages waiting for it is not reading.
 constexpr std::size_t max_queued = 64;
+/// Bytes that wait for a peer beyond which it is not reading: two of the longest
+/// messages.
+constexpr std::size_t max_queued_bytes = 2 * max_node_message;
 /// A message's memory grows with the bytes that have come: by as many again, and at least
 /// by this many.
 constexpr std::size_t least_piece = 4096;
@@ -119,11 +122,13 @@
 {
     if (!self->open())
         return;
-    if (self->queue_.size() >= max_queued)
+    if (self->queue_.size() >= max_queued ||
+        self->queued_bytes_ + message.size() > max_queued_bytes)
     {
         self->close();
         return;
     }
+    self->queued_bytes_ += message.size();
     self->queue_.push_back(with_length(message));
     if (self->writing_)
         return;
@@ -143,6 +148,7 @@
     {
         auto const frame = std::move(self->queue_.front());
         self->queue_.pop_front();
+        self->queued_bytes_ -= frame.size() - length_bytes;
         auto const [failure, size] = co_await asio::async_write(
             self->socket_->socket(), asio::buffer(frame), use_task);
         if (failure)
--- a/src/transport/entry/peer_connection.hpp
+++ b/src/transport/entry/peer_connection.hpp
@@ -33,6 +33,7 @@
 
     std::shared_ptr<watched_socket> socket_;
     std::deque<std::string> queue_;
+    std::size_t queued_bytes_ = 0;
     bool writing_ = false;
 };
 
