--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t max_config_bytes = std::size_t{8} << 20U;
 constexpr duration inactive_wait = std::chrono::seconds(60);
 /// Pages of changes that are followed before a pause.
-constexpr int max_feed_pages = 64;
+constexpr int max_feed_pages = 8;
 /// Bytes of the rows of all servers, with what is kept beside each: some 20,000 servers.
 /// A directory that is told to an instance has to fit into a message of 4 MB.
 constexpr std::size_t max_servers_bytes = std::size_t{16} << 20U;
