Soak: planned stops lose no request that reached a server

The fault terminate kills the process after a short time, so no check of the soak saw what a stop by SIGTERM alone cuts. The faults stop, stop_series and reload send SIGTERM, more signals and restarts that overlap over the instances, and wait until each process ends by itself. Callers send requests in two parts and keep connections open across stops. The promise planned_stops finds requests that reached a server and got no whole answer, exit codes other than 0 and stops beyond the grace time. A body that ends before its Content-Length counted as whole; it doesn't now.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -66,7 +66,7 @@
         for _ in range(START_ATTEMPTS):
             self._take_ports(name, address)
             self.start()
-            if wait_until(lambda: self.process.poll() is not None or self._listens(),
+            if wait_until(lambda: self.process.poll() is not None or self.listens(),
                           f"{name} listens") and self.process.poll() is None:
                 return
         raise AssertionError(f"{name} does not start: {self.log_path.read_text()}")
@@ -85,7 +85,8 @@
             + self.more_settings,
             encoding="utf-8")
 
-    def _listens(self) -> bool:
+    def listens(self) -> bool:
+        """Whether the last of the ports that the process opens is open."""
         with socket.socket() as probe:
             return probe.connect_ex(("127.0.0.1", self.peer + 1)) == 0
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,8 @@
 from entry_fleet import Instance
 
 PATIENCE_S = 12
+# Callers by style: longest pause before each part of a request, and between requests.
+STYLES = {"brisk": (0.0, 0.04), "halves": (1.2, 0.04), "idle": (0.0, 5.0)}
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
 
@@ -27,18 +29,49 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     whole: bool = False
+    # The process that has the connection.
+    process: int = 0
+    # Whether the last byte of the request was handed to the system.
+    written: bool = False
+    ended_at: float = 0.0
+
+
+class Connection(http.client.HTTPConnection):
+    """A connection that knows its process, and pauses within a request if told to."""
+
+    def __init__(self, instance: Instance) -> None:
+        super().__init__("127.0.0.1", instance.front, timeout=PATIENCE_S)
+        self._instance = instance
+        self.process = 0
+        self.pause_s = 0.0
+
+    def connect(self) -> None:
+        super().connect()
+        # The port is free again only when the former process has ended: a connection that is
+        # open after this belongs to the process that is named.
+        self.process = self._instance.process.pid
+
+    def send(self, data: bytes) -> None:
+        if self.pause_s:
+            half = len(data) // 2
+            super().send(data[:half])
+            time.sleep(self.pause_s)
+            data = data[half:]
+        super().send(data)
 
 
 class Caller:
     """A thread that sends one request after the other until it is stopped."""
 
-    def __init__(self, name: str, seed: int, instances: list[Instance], keys) -> None:
+    def __init__(self, name: str, seed: int, instances: list[Instance], keys,
+                 style: str = "brisk") -> None:
         """`keys` returns the keys that a caller may use now."""
         self.calls: list[Call] = []
         self._name = name
         self._random = random.Random(seed)
         self._instances = instances
         self._keys = keys
+        self._pause_within, self._pause_between = STYLES[style]
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -51,18 +84,23 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             instance = self._random.choice(self._instances)
-            connection = http.client.HTTPConnection("127.0.0.1", instance.front,
-                                                    timeout=PATIENCE_S)
+            connection = Connection(instance)
             try:
+                if self._pause_between > 1:
+                    # Some connections are open for a while before their first request.
+                    connection.connect()
+                    self._stop.wait(self._random.uniform(0.0, self._pause_between))
                 for _ in range(self._random.randint(1, 40)):
                     if self._stop.is_set() or not self._call(connection, instance):
                         break
-                    time.sleep(self._random.uniform(0.005, 0.04))
+                    self._stop.wait(self._random.uniform(0.005, self._pause_between))
+            except OSError:
+                pass
             finally:
                 connection.close()
             time.sleep(0.01)
 
-    def _call(self, connection: http.client.HTTPConnection, instance: Instance) -> bool:
+    def _call(self, connection: Connection, instance: Instance) -> bool:
         """Sends a request; returns whether its connection can carry another one."""
         kind = self._random.choice(["book", "book", "status", "draft", "draft", "open"])
         call = Call(f"{self._name}-{len(self.calls)}", kind, self._random.choice(self._keys()),
@@ -73,15 +111,24 @@
         if kind == "draft":
             headers["X-Model"] = self._random.choice(["m1", "m1", "m2", "m3"])
             headers["X-Token-Count"] = "300,20"
+        if self._pause_within:
+            connection.pause_s = self._random.choice([0.0, self._pause_within *
+                                                      self._random.random()])
         try:
             connection.request("GET" if kind == "status" else "POST", f"/{kind}/a", b"x",
                                headers)
+            call.written = True
             answer = connection.getresponse()
             call.status = answer.status
             call.headers = {name.lower(): value for name, value in answer.getheaders()}
             while piece := answer.read1(65536):
                 call.body += piece
-            call.whole = True
+            # The library reads the early end of a body with a length as its end.
+            call.whole = len(call.body) == int(call.headers.get("content-length",
+                                                                len(call.body)))
             return call.headers.get("connection", "").lower() != "close"
         except (OSError, http.client.HTTPException):
             return False
+        finally:
+            call.process = connection.process
+            call.ended_at = time.monotonic()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,11 +9,21 @@
 import threading
 import time
 
-from entry_fleet import Instance
+from entry_fleet import HANG_LIMIT_S, Instance, wait_until
 from fault_proxy import FaultProxy
-from world import Fault, World
+from world import Fault, Stop, World
 
 FAULT_TIME_S = 10.0
+FIRST_KINDS = (
+    "connections_reset", "connections_silent", "kill", "leave", "link_cut", "link_delayed",
+    "link_silent_one_way", "pause", "rotate_key", "server_fails", "server_restart", "store_away",
+    "store_away_for_one", "store_forgets", "store_loses_answers", "store_slow", "terminate")
+# Kinds of which a seed that plays all kinds has one at least.
+STOPS = ("stop", "stop_series")
+# A seed with few kinds has spans without the faults that excuse a broken promise.
+FEWEST_KINDS, MOST_KINDS = 2, 9
+# Between a process's first open port and its handling of signals.
+START_S = 0.1
 
 
 class FaultPlayer:
@@ -31,7 +41,13 @@
             "connections_reset": self.connections_reset,
             "connections_silent": self.connections_silent, "server_fails": self.server_fails,
             "server_restart": self.server_restart, "leave": self.leave,
-            "rotate_key": self.rotate_key}
+            "rotate_key": self.rotate_key, "stop": self.stop, "stop_series": self.stop_series,
+            "reload": self.reload}
+        self.names = list(FIRST_KINDS)
+        if world.more_kinds:
+            count = self.random.randint(FEWEST_KINDS, MOST_KINDS)
+            self.names = [self.random.choice(STOPS),
+                          *self.random.sample(sorted(self.kinds), count)]
 
     def play(self) -> None:
         """Plays the schedule and returns when its last fault is over."""
@@ -40,7 +56,7 @@
         at = 0.0
         while at < FAULT_TIME_S:
             at += self.random.uniform(0.1, 1.2)
-            kind = self.random.choice(sorted(self.kinds))
+            kind = self.random.choice(self.names)
             choice = random.Random(self.random.random())
             time.sleep(max(0.0, begin + at - time.monotonic()))
             threads.append(threading.Thread(target=self._play_one, args=(kind, choice)))
@@ -77,6 +93,59 @@
             if instance.process.poll() is not None:
                 instance.start()
 
+    def stop(self, choice: random.Random, _: float) -> str:
+        instance = choice.choice(self.world.instances)
+        self._stop(instance, [])
+        return instance.name
+
+    def stop_series(self, choice: random.Random, span: float) -> None:
+        """Stops all instances one after the other, each perhaps before the last one ended."""
+        threads = []
+        for instance in choice.sample(self.world.instances, len(self.world.instances)):
+            more = [(choice.uniform(0.0, 4.0), choice.choice([signal.SIGHUP, signal.SIGTERM]))
+                    for _ in range(choice.randint(0, 3))]
+            threads.append(threading.Thread(target=self._stop, args=(instance, sorted(more))))
+            threads[-1].start()
+            time.sleep(choice.uniform(0.0, span))
+        for thread in threads:
+            thread.join()
+
+    def _stop(self, instance: Instance, more: list[tuple[float, int]]) -> None:
+        """Sends SIGTERM, then `more` signals at their times, and waits until the process has
+        ended by itself; then starts the next one."""
+        process = self._started(instance)
+        stop = Stop(instance.name, process.pid, time.monotonic())
+        with self.world.lock:
+            if process.poll() is None and process.pid not in {
+                    other.process for other in self.world.stops}:
+                self.world.stops.append(stop)
+        process.send_signal(signal.SIGTERM)
+        for after, number in more:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(max(0.0, stop.begin + after - time.monotonic()))
+            process.send_signal(number)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            stop.code = process.wait(HANG_LIMIT_S)
+            stop.end = time.monotonic()
+        if stop.code is None:
+            process.kill()
+            process.wait()
+        self._start(instance)
+
+    def _started(self, instance: Instance) -> subprocess.Popen:
+        """Returns the instance's process once it handles signals, or has ended."""
+        process = instance.process
+        wait_until(lambda: process.poll() is not None or instance.listens(), "a start")
+        time.sleep(START_S)
+        return process
+
+    def reload(self, choice: random.Random, span: float) -> str:
+        instance = choice.choice(self.world.instances)
+        for _ in range(choice.randint(1, 4)):
+            self._started(instance).send_signal(signal.SIGHUP)
+            time.sleep(span / 4)
+        return instance.name
+
     def pause(self, choice: random.Random, span: float) -> str:
         process = choice.choice(self.world.instances).process
         process.send_signal(signal.SIGSTOP)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -13,6 +13,12 @@
 QUOTA_OVERRUN = 1.1
 QUOTA_SLACK = 11000
 NOT_RUN_STATUSES = {408, 421, 429, 503}
+# `bounds.grace_s` of the instances.
+GRACE_S = 8.0
+# Kinds of fault that end no connection, silence nothing and keep no process from its work.
+HARMLESS = {"rotate_key", "leave", "reload"}
+# Kinds of fault that end or hold a process; their target is the instance or the process.
+ENDS_PROCESS = {"kill", "terminate", "pause"}
 
 
 def at_most_once(calls: list[Call], runs: list[dict]) -> list[str]:
@@ -120,3 +126,44 @@
             found.append(f"DRAIN {run['id']} at {run['server']}, {run['at'] - since:.2f} s "
                          "after it left")
     return found
+
+
+def struck(faults, target: str, begin: float, end: float) -> bool:
+    """Whether a fault of the target fell into the span. A connection that was silenced before
+    is silent still."""
+    return any(fault.target == target and fault.kind not in HARMLESS and fault.begin <= end
+               and (fault.end >= begin or fault.kind == "connections_silent")
+               for fault in faults)
+
+
+def planned_stops(calls: list[Call], arrivals: list[dict], stops, faults,
+                  timed: bool = True) -> list[str]:
+    """A process that is stopped by SIGTERM alone ends in its time, and every request of it
+    that reached a server gets a whole answer.
+
+    A request that the process did not read may end with its connection, and has not run."""
+    servers = defaultdict(set)
+    for arrival in arrivals:
+        servers[arrival["id"]].add(arrival["server"])
+    ends = [fault for fault in faults if fault.kind in ENDS_PROCESS]
+    found = []
+    for stop in stops:
+        if any(struck(ends, target, stop.begin, stop.end)
+               for target in (stop.instance, str(stop.process))):
+            continue
+        if stop.code != 0:
+            found.append(f"STOP {stop.instance} {stop.process} ended with {stop.code}")
+        if timed and stop.end - stop.begin > GRACE_S:
+            found.append(f"STOP {stop.instance} {stop.process} ended after "
+                         f"{stop.end - stop.begin:.2f} s")
+        for call in calls:
+            reached = servers[call.request_id]
+            if (call.process != stop.process or call.ended_at < stop.begin or call.whole
+                    or not call.written or not (reached or call.status)):
+                continue
+            if not any(struck(faults, server, call.sent_at, call.ended_at)
+                       for server in reached):
+                found.append(f"LOST {call.request_id} {call.kind} written={call.written} "
+                             f"status {call.status} {len(call.body)} bytes, ended "
+                             f"{call.ended_at - stop.begin:.2f} s after SIGTERM")
+    return found
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -15,7 +15,8 @@
 
 def call(kind: str, status: int = 200, body: bytes = b"", **options) -> Call:
     fields = {"request_id": "r1", "kind": kind, "key": "k1", "instance": "n0", "sent_at": 0.0,
-              "status": status, "headers": {"x-server-seal": "s"}, "body": body, "whole": True}
+              "status": status, "headers": {"x-server-seal": "s"}, "body": body, "whole": True,
+              "process": 7, "written": True, "ended_at": 1.0}
     return Call(**{**fields, **options})
 
 
@@ -76,6 +77,33 @@
             self.assertEqual(len(promises.left_servers(calls, runs, {"s1": 1.0},
                                                        lambda *_, t=in_touch: t)), found)
 
+    def stopped(self, calls: list[Call], code: int = 0, end: float = 3.0, **fault) -> list[str]:
+        """What is found of a process that was stopped between 0 and `end`."""
+        stop = SimpleNamespace(instance="n0", process=7, begin=0.0, end=end, code=code)
+        faults = [SimpleNamespace(**{"begin": 0.5, "end": 0.9, **fault})] if fault else []
+        return promises.planned_stops(calls, [run()], [stop], faults)
+
+    def test_request_lost_in_a_planned_stop_is_found(self) -> None:
+        lost = call("draft", status=0, whole=False)
+        torn = call("draft", body=STREAM[:20], whole=False)
+        self.assertIn("LOST", self.stopped([lost])[0])
+        self.assertIn("LOST", self.stopped([torn])[0])
+        self.assertIn("LOST", self.stopped([torn], kind="link_cut", target="s2")[0])
+        for allowed in (call("draft"), call("draft", request_id="r2", status=0, whole=False),
+                        call("book", status=0, whole=False, written=False),
+                        call("draft", status=0, whole=False, process=8)):
+            self.assertEqual(self.stopped([allowed]), [], allowed)
+        for kind, target in (("kill", "n0"), ("pause", "7"), ("link_cut", "s1")):
+            self.assertEqual(self.stopped([lost], kind=kind, target=target), [], kind)
+        self.assertEqual(self.stopped([lost], kind="connections_silent", target="s1",
+                                      begin=-9.0, end=-9.0), [])
+
+    def test_planned_stop_with_a_wrong_end_is_found(self) -> None:
+        self.assertEqual(self.stopped([]), [])
+        self.assertIn("STOP", self.stopped([], code=-15)[0])
+        self.assertIn("STOP", self.stopped([], end=8.1)[0])
+        self.assertEqual(self.stopped([], code=-9, kind="kill", target="n0"), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent.parent / "standins"))
 import promises  # noqa: E402
+from callers import Call  # noqa: E402
 from entry_fleet import HANG_LIMIT_S, Instance, wait_until  # noqa: E402
 from faults import FaultPlayer  # noqa: E402
 from world import QUOTA_BURST, QUOTA_RATE, World  # noqa: E402
@@ -83,6 +84,9 @@
         found += promises.withdrawn_keys(calls, runs, world.withdrawn)
         found += promises.quotas(calls, runs, "small", QUOTA_RATE, QUOTA_BURST)
         found += promises.orders(world.servers)
+        arrivals = [{"id": name, "server": server.name, "at": at}
+                    for server in world.servers for at, name in server.arrivals]
+        found += promises.planned_stops(calls, arrivals, world.stops, world.faults, not untimed)
         if not untimed:
             found += promises.left_servers(calls, runs, world.left, world.in_touch)
         served = sum(call.status == 200 and call.whole for call in calls)
@@ -90,6 +94,7 @@
               f" {len(found)} broken", flush=True)
         if found and keep:
             keep_logs(world, found, keep / f"seed-{seed}")
+            keep_calls(calls, arrivals, keep / f"seed-{seed}")
         return found
     finally:
         world.close()
@@ -101,9 +106,20 @@
         shutil.copy(instance.log_path, folder / f"{instance.name}.log")
     faults = [f"{fault.begin:.3f} {fault.end:.3f} {fault.kind} {fault.target}"
               for fault in world.faults]
+    faults += [f"{stop.begin:.3f} {stop.end:.3f} SIGTERM {stop.instance} process {stop.process} "
+               f"code {stop.code}" for stop in world.stops]
     (folder / "findings.txt").write_text("\n".join([*found, *faults]) + "\n", encoding="utf-8")
 
 
+def keep_calls(calls: list[Call], arrivals: list[dict], folder: Path) -> None:
+    lines = [f"{call.sent_at:.3f} {call.ended_at:.3f} {call.request_id} {call.instance} "
+             f"process {call.process} {call.kind} written={call.written} {call.status} "
+             f"whole={call.whole} {call.body[:60]!r}" for call in calls]
+    lines += [f"{arrival['at']:.3f} arrival {arrival['id']} at {arrival['server']}"
+              for arrival in arrivals]
+    (folder / "calls.txt").write_text("\n".join(sorted(lines)) + "\n", encoding="utf-8")
+
+
 def regression_seeds() -> list[int]:
     lines = (HERE / "seeds.txt").read_text(encoding="utf-8").splitlines()
     return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,9 +12,14 @@
 from entry_fleet import Instance, configuration
 from fault_proxy import FaultProxy, ProxyLoop
 from platform_fleet import BackendServer, Store
+from promises import HARMLESS
 
 INSTANCES = 3
-CALLERS = 6
+# Callers of the seeds that play the first kinds of fault alone, and of all others.
+CALLERS = ("brisk",) * 6
+MORE_CALLERS = ("brisk",) * 4 + ("halves",) * 3 + ("idle",) * 3
+# Seeds below play what they played when they failed: the first kinds of fault alone.
+MORE_KINDS_FROM = 3000
 QUOTA_RATE = 4000
 QUOTA_BURST = 4000
 MODELS = ("m1", "m2", "m3")
@@ -30,11 +35,23 @@
     end: float = float("inf")
 
 
+@dataclass
+class Stop:
+    """A planned stop of a process by SIGTERM, and how it ended."""
+
+    instance: str
+    process: int
+    begin: float
+    end: float = float("inf")
+    code: int | None = None
+
+
 class World:
     """Store, servers, instances and callers of one seed."""
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
+        self.more_kinds = seed >= MORE_KINDS_FROM
         self.proxies = ProxyLoop()
         self.store = Store()
         self.version = 0
@@ -42,6 +59,7 @@
         self.withdrawn: dict[str, float] = {}
         self.left: dict[str, float] = {}
         self.faults: list[Fault] = []
+        self.stops: list[Stop] = []
         self.lock = threading.Lock()
         self.ended: list[str] = []
         self.links: dict[str, list[FaultProxy]] = {}
@@ -53,8 +71,9 @@
         self.instances = [self.add_instance(f"n{i}") for i in range(INSTANCES)]
         for instance in self.instances:
             instance.wait_until_serving(servers=5)
-        self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances, self.usable_keys)
-                        for i in range(CALLERS)]
+        styles = MORE_CALLERS if self.more_kinds else CALLERS
+        self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances,
+                               self.usable_keys, style) for i, style in enumerate(styles)]
 
     def usable_keys(self) -> list[str]:
         """Valid keys, one that was withdrawn, and the key of the small quota."""
@@ -104,7 +123,7 @@
     def in_touch(self, instance: str, begin: float, end: float) -> bool:
         """Whether no fault of the instance, the store or any link fell into the span."""
         return not any(fault.begin <= end and fault.end >= begin for fault in self.faults
-                       if fault.kind not in ("rotate_key", "leave"))
+                       if fault.kind not in HARMLESS)
 
     def close(self) -> None:
         for instance in self.instances:
