Soak: servers that leave by their own word get nothing more

The fault leave_by_word lets a server's answers say that it leaves while its entry at the store says ready; then it goes. The promise leaving_servers finds requests that a process sent to it after it had passed on an answer with the word.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -239,6 +239,8 @@
         self.hold = 0.0
         # Whether every answer says that the server leaves.
         self.leaving = False
+        # Requests whose answers said so.
+        self.leaving_told: list[str] = []
         # Retry-After of the next requests that are turned away, one each; then it serves.
         self.pauses: list[str] = []
         # When a request was turned away with a pause, and its length.
@@ -254,6 +256,8 @@
             self.models = {}
             self.order_count = 0
             self.born = int(time.time() * 1000)
+            self.leaving = False
+            self.leaving_told = []
         self.record()
 
     def record(self, state: str = "ready") -> None:
@@ -272,6 +276,7 @@
 
             def say_and_end() -> None:
                 call.send_header("Server-Leaving", "1")
+                self.leaving_told.append(call.headers.get("X-Request-Id"))
                 end_headers()
 
             call.end_headers = say_and_end
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,7 +42,7 @@
             "connections_silent": self.connections_silent, "server_fails": self.server_fails,
             "server_restart": self.server_restart, "leave": self.leave,
             "rotate_key": self.rotate_key, "stop": self.stop, "stop_series": self.stop_series,
-            "reload": self.reload}
+            "reload": self.reload, "leave_by_word": self.leave_by_word}
         self.names = list(FIRST_KINDS)
         if world.more_kinds:
             count = self.random.randint(FEWEST_KINDS, MOST_KINDS)
@@ -238,5 +238,20 @@
         self.world.store.remove("servers", server.name)
         return server.name
 
+    def leave_by_word(self, choice: random.Random, span: float) -> str:
+        """A server's answers tell that it leaves while its entry still says that it is ready;
+        then it goes."""
+        server = choice.choice(self.world.servers)
+        with self.world.lock:
+            if server.name in self.world.left:
+                return ""
+            self.world.left[server.name] = float("inf")
+        self.world.servers.append(self.world.add_server(server.service))
+        server.leaving = True
+        time.sleep(span)
+        self.world.store.remove("servers", server.name)
+        self.world.left[server.name] = time.monotonic()
+        return server.name
+
     def rotate_key(self, *_: object) -> None:
         self.world.rotate_key()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -16,7 +16,7 @@
 # `bounds.grace_s` of the instances.
 GRACE_S = 8.0
 # Kinds of fault that end no connection, silence nothing and keep no process from its work.
-HARMLESS = {"rotate_key", "leave", "reload"}
+HARMLESS = {"rotate_key", "leave", "leave_by_word", "reload"}
 # Kinds of fault that end or hold a process; their target is the instance or the process.
 ENDS_PROCESS = {"kill", "terminate", "pause"}
 
@@ -167,3 +167,26 @@
                              f"status {call.status} {len(call.body)} bytes, ended "
                              f"{call.ended_at - stop.begin:.2f} s after SIGTERM")
     return found
+
+
+def leaving_servers(calls: list[Call], servers) -> list[str]:
+    """No process that has got a server's word that it leaves sends it a later request."""
+    sender = {call.request_id: call for call in calls}
+    places = defaultdict(set)
+    for server in servers:
+        for _, name in server.arrivals:
+            places[name].add(server.name)
+    found = []
+    for server in servers:
+        known: dict[int, float] = {}
+        for call in (sender.get(name) for name in server.leaving_told):
+            # A success of a request that reached one server is this server's answer, and the
+            # process has passed it on.
+            if call and call.status == 200 and places[call.request_id] == {server.name}:
+                known[call.process] = min(call.ended_at, known.get(call.process, float("inf")))
+        for at, name in server.arrivals:
+            call = sender.get(name)
+            if call and call.sent_at > known.get(call.process, float("inf")):
+                found.append(f"LEAVING {name} of {call.instance} reached {server.name} "
+                             f"{at - known[call.process]:.2f} s after its word was passed on")
+    return found
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -104,6 +104,21 @@
         self.assertIn("STOP", self.stopped([], end=8.1)[0])
         self.assertEqual(self.stopped([], code=-9, kind="kill", target="n0"), [])
 
+    def test_request_at_a_server_that_said_that_it_leaves_is_found(self) -> None:
+        first = call("book", ended_at=1.0)
+        server = SimpleNamespace(name="s1", leaving_told=["r1"],
+                                 arrivals=[(0.5, "r1"), (1.6, "r2")])
+        other = SimpleNamespace(name="s2", leaving_told=[], arrivals=[(0.6, "r1")])
+        for fields, found in (({"sent_at": 1.5}, 1), ({"sent_at": 0.9}, 0),
+                              ({"sent_at": 1.5, "process": 8}, 0)):
+            calls = [first, call("book", request_id="r2", **fields)]
+            self.assertEqual(len(promises.leaving_servers(calls, [server])), found, fields)
+        later = call("book", request_id="r2", sent_at=1.5)
+        # Whose answer this one was is not known.
+        self.assertEqual(promises.leaving_servers([first, later], [server, other]), [])
+        refused = call("book", status=502)
+        self.assertEqual(promises.leaving_servers([refused, later], [server]), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -87,6 +87,7 @@
         arrivals = [{"id": name, "server": server.name, "at": at}
                     for server in world.servers for at, name in server.arrivals]
         found += promises.planned_stops(calls, arrivals, world.stops, world.faults, not untimed)
+        found += promises.leaving_servers(calls, world.servers)
         if not untimed:
             found += promises.left_servers(calls, runs, world.left, world.in_touch)
         served = sum(call.status == 200 and call.whole for call in calls)
