Soak: servers that turn requests away get nothing until their time is over

The fault server_pauses lets a server turn all requests away for a span, each with a time for which it wants none. The promise paused_servers allows two requests of a process from half a second after such an answer until that time has passed.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -243,8 +243,12 @@
         self.leaving_told: list[str] = []
         # Retry-After of the next requests that are turned away, one each; then it serves.
         self.pauses: list[str] = []
+        # Retry-After of all requests while it is set.
+        self.pausing = ""
         # When a request was turned away with a pause, and its length.
         self.pauses_told: list[tuple[float, str]] = []
+        # The requests that were turned away so.
+        self.turned_away: list[str] = []
         # When each request came, whether it ran or not.
         self.arrivals: list[tuple[float, str]] = []
         self.born = int(time.time() * 1000)
@@ -258,6 +262,7 @@
             self.born = int(time.time() * 1000)
             self.leaving = False
             self.leaving_told = []
+            self.pauses_told, self.turned_away = [], []
         self.record()
 
     def record(self, state: str = "ready") -> None:
@@ -319,9 +324,11 @@
         request_id = call.headers.get("X-Request-Id")
         headers = {"X-Request-Id": request_id}
         self.arrivals.append((time.monotonic(), request_id))
-        if self.pauses:
-            pause = self.pauses.pop(0)
-            self.pauses_told.append((time.monotonic(), pause))
+        if self.pauses or self.pausing:
+            pause = self.pauses.pop(0) if self.pauses else self.pausing
+            with self.lock:
+                self.pauses_told.append((time.monotonic(), pause))
+                self.turned_away.append(request_id)
             call.answer(503, b"", {**headers, "X-Not-Executed": "1", "Retry-After": pause})
             return
         model = call.headers.get("X-Model")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -42,7 +42,8 @@
             "connections_silent": self.connections_silent, "server_fails": self.server_fails,
             "server_restart": self.server_restart, "leave": self.leave,
             "rotate_key": self.rotate_key, "stop": self.stop, "stop_series": self.stop_series,
-            "reload": self.reload, "leave_by_word": self.leave_by_word}
+            "reload": self.reload, "leave_by_word": self.leave_by_word,
+            "server_pauses": self.server_pauses}
         self.names = list(FIRST_KINDS)
         if world.more_kinds:
             count = self.random.randint(FEWEST_KINDS, MOST_KINDS)
@@ -253,5 +254,11 @@
         self.world.left[server.name] = time.monotonic()
         return server.name
 
+    def server_pauses(self, choice: random.Random, span: float) -> str:
+        """A server turns all requests away, each with the time for which it wants none."""
+        server = choice.choice(self.world.servers)
+        self._while(server, "pausing", f"{choice.uniform(0.7, 4.0):.2f}", span)
+        return server.name
+
     def rotate_key(self, *_: object) -> None:
         self.world.rotate_key()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -15,8 +15,11 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 # `bounds.grace_s` of the instances.
 GRACE_S = 8.0
+# Requests that are on their way as a server tells its pause may still reach it.
+PAUSE_HEARD_S = 0.5
+MOST_IN_PAUSE = 2
 # Kinds of fault that end no connection, silence nothing and keep no process from its work.
-HARMLESS = {"rotate_key", "leave", "leave_by_word", "reload"}
+HARMLESS = {"rotate_key", "leave", "leave_by_word", "reload", "server_pauses"}
 # Kinds of fault that end or hold a process; their target is the instance or the process.
 ENDS_PROCESS = {"kill", "terminate", "pause"}
 
@@ -190,3 +193,29 @@
                 found.append(f"LEAVING {name} of {call.instance} reached {server.name} "
                              f"{at - known[call.process]:.2f} s after its word was passed on")
     return found
+
+
+def paused_servers(calls: list[Call], servers, faults) -> list[str]:
+    """A process sends next to nothing to a server in the time for which it wants nothing."""
+    sender = {call.request_id: call for call in calls}
+    pauses = [fault for fault in faults if fault.kind == "pause"]
+    found = []
+    for server in servers:
+        told = defaultdict(list)
+        for (at, text), name in zip(server.pauses_told, server.turned_away):
+            if name in sender:
+                told[sender[name].process].append((at, at + float(text)))
+        for process, spans in told.items():
+            came = [at for at, name in server.arrivals
+                    if name in sender and sender[name].process == process]
+            for begin, own_end in spans:
+                # A later word counts, even if it is shorter.
+                end = min([own_end, *(later for at, later in spans if begin < at < own_end)])
+                early = [at for at in came if begin + PAUSE_HEARD_S < at < end]
+                if len(early) > MOST_IN_PAUSE and not (
+                        struck(faults, server.name, begin, end) or
+                        struck(pauses, str(process), begin, end)):
+                    found.append(f"PAUSED {len(early)} requests of process {process} at "
+                                 f"{server.name} in {end - begin:.2f} s from {begin:.3f}")
+                    break
+    return found
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -119,6 +119,22 @@
         refused = call("book", status=502)
         self.assertEqual(promises.leaving_servers([refused, later], [server]), [])
 
+    def test_requests_at_a_server_that_turned_one_away_are_found(self) -> None:
+        def paused(*times: float, told=((0.0, "2"),), **fault) -> list[str]:
+            server = SimpleNamespace(
+                name="s1", pauses_told=list(told), turned_away=["r0"] * len(told),
+                arrivals=[(at, f"r{number}") for number, at in enumerate(times)])
+            faults = [SimpleNamespace(begin=0.4, end=0.6, **fault)] if fault else []
+            calls = [call("book", request_id=f"r{number}") for number in range(9)]
+            return promises.paused_servers(calls, [server], faults)
+
+        self.assertEqual(paused(0.0, 0.4, 0.5, 0.6, 0.7, 2.1), [])
+        self.assertIn("PAUSED", paused(0.0, 0.6, 0.7, 1.9)[0])
+        self.assertEqual(paused(0.0, 0.6, 0.7, 1.9, told=((0.0, "2"), (0.2, "0.6"))), [])
+        self.assertIn("PAUSED", paused(0.0, 0.6, 0.7, 0.8, told=((0.0, "2"), (0.5, "2")))[0])
+        self.assertEqual(paused(0.0, 0.6, 0.7, 1.9, kind="link_delayed", target="s1"), [])
+        self.assertEqual(paused(0.0, 0.6, 0.7, 1.9, kind="pause", target="7"), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -89,6 +89,7 @@
         found += promises.planned_stops(calls, arrivals, world.stops, world.faults, not untimed)
         found += promises.leaving_servers(calls, world.servers)
         if not untimed:
+            found += promises.paused_servers(calls, world.servers, world.faults)
             found += promises.left_servers(calls, runs, world.left, world.in_touch)
         served = sum(call.status == 200 and call.whole for call in calls)
         print(f"seed {seed}: {len(world.faults)} faults, {len(calls)} requests, {served} served,"
