--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -34,6 +34,8 @@
     # Whether the last byte of the request was handed to the system.
     written: bool = False
     ended_at: float = 0.0
+    # Why the connection ended early, as the library says it.
+    failure: str = ""
 
 
 class Connection(http.client.HTTPConnection):
@@ -123,11 +125,15 @@
             call.headers = {name.lower(): value for name, value in answer.getheaders()}
             while piece := answer.read1(65536):
                 call.body += piece
+            # The library keeps an answer open whose body was read in pieces, and the next
+            # request of the connection would fail.
+            answer.close()
             # The library reads the early end of a body with a length as its end.
             call.whole = len(call.body) == int(call.headers.get("content-length",
                                                                 len(call.body)))
             return call.headers.get("connection", "").lower() != "close"
-        except (OSError, http.client.HTTPException):
+        except (OSError, http.client.HTTPException) as failure:
+            call.failure = repr(failure)
             return False
         finally:
             call.process = connection.process
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -116,7 +116,7 @@
 def keep_calls(calls: list[Call], arrivals: list[dict], folder: Path) -> None:
     lines = [f"{call.sent_at:.3f} {call.ended_at:.3f} {call.request_id} {call.instance} "
              f"process {call.process} {call.kind} written={call.written} {call.status} "
-             f"whole={call.whole} {call.body[:60]!r}" for call in calls]
+             f"whole={call.whole} {call.body[:60]!r} {call.failure}" for call in calls]
     lines += [f"{arrival['at']:.3f} arrival {arrival['id']} at {arrival['server']}"
               for arrival in arrivals]
     (folder / "calls.txt").write_text("\n".join(sorted(lines)) + "\n", encoding="utf-8")
