--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -32,6 +32,8 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    # The body of its answer, if that isn't made of its path.
+    answer: bytes = b""
 
     @property
     def id(self) -> str:
@@ -147,6 +149,8 @@
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 STREAM = "Content-Type: text/event-stream\r\n" + CHUNKED
 END = b"0\r\n\r\n"
+# A line in place of an event; a caller gets it as it is.
+COMMENT = b": still here\n\n"
 
 
 def event(number: int) -> bytes:
@@ -155,7 +159,7 @@
 
 def own_body(request: Request) -> bytes:
     """The body that belongs to this request and no other."""
-    return b"answer of " + request.path.encode()
+    return request.answer or b"answer of " + request.path.encode()
 
 
 def good(connection: Connection, request: Request) -> None:
@@ -344,7 +348,7 @@
     """Comment lines in place of events."""
     connection.send(head(request.id, STREAM) + chunk(event(1)))
     while True:
-        connection.send(chunk(b": still here\n\n"))
+        connection.send(chunk(COMMENT))
         time.sleep(TRICKLE_PAUSE_S)
 
 
