--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -242,7 +242,9 @@
         self.way = ""
         self.copies: dict[Connection, bytes] = {}
         self.unbounded: list[str] = []
+        # Seconds before an answer, and before each event of a stream.
         self.hold = 0.0
+        self.event_hold = 0.0
         # Whether every answer says that the server leaves.
         self.leaving = False
         # Requests whose answers said so.
@@ -396,6 +398,7 @@
                 call.wfile.flush()
                 call.drop()
                 return
+            time.sleep(self.event_hold)
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         call.wfile.write(b"0\r\n\r\n")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,7 +19,8 @@
     "connections_reset", "connections_silent", "kill", "leave", "link_cut", "link_delayed",
     "link_silent_one_way", "pause", "rotate_key", "server_fails", "server_restart", "store_away",
     "store_away_for_one", "store_forgets", "store_loses_answers", "store_slow", "terminate")
-# Kinds of which a seed that plays all kinds has one at least.
+# Kinds of which a seed that plays all kinds has one at least, besides slow servers: a stop
+# cuts nothing that is answered at once.
 STOPS = ("stop", "stop_series")
 # A seed with few kinds has spans without the faults that excuse a broken promise.
 FEWEST_KINDS, MOST_KINDS = 2, 9
@@ -52,11 +53,11 @@
             "rotate_key": self.rotate_key, "stop": self.stop, "stop_series": self.stop_series,
             "reload": self.reload, "leave_by_word": self.leave_by_word,
             "server_pauses": self.server_pauses,
-            "server_misbehaves": self.server_misbehaves}
+            "server_misbehaves": self.server_misbehaves, "server_slow": self.server_slow}
         self.names = list(FIRST_KINDS)
         if world.more_kinds:
             count = self.random.randint(FEWEST_KINDS, MOST_KINDS)
-            self.names = [self.random.choice(STOPS),
+            self.names = [self.random.choice(STOPS), "server_slow",
                           *self.random.sample(sorted(self.kinds), count)]
 
     def play(self) -> None:
@@ -269,6 +270,18 @@
         self._while(server, "pausing", f"{choice.uniform(0.7, 4.0):.2f}", span)
         return server.name
 
+    def server_slow(self, choice: random.Random, span: float) -> str:
+        """A service takes longer than a stopped process waits for its next request."""
+        service = choice.choice(["plain", "llm"])
+        hold, event_hold = choice.uniform(0.1, 1.5), choice.uniform(0.0, 0.4)
+        servers = [server for server in self.world.servers if server.service == service]
+        for server in servers:
+            server.hold, server.event_hold = hold, event_hold
+        time.sleep(2 * span)
+        for server in servers:
+            server.hold = server.event_hold = 0.0
+        return service
+
     def server_misbehaves(self, choice: random.Random, span: float) -> str:
         """A server answers in ways that no sound server does, one after the other."""
         server = choice.choice(self.world.servers)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -20,7 +20,7 @@
 PAUSE_HEARD_S = 0.5
 MOST_IN_PAUSE = 2
 # Kinds of fault that end no connection, silence nothing and keep no process from its work.
-HARMLESS = {"rotate_key", "leave", "leave_by_word", "reload", "server_pauses"}
+HARMLESS = {"rotate_key", "leave", "leave_by_word", "reload", "server_pauses", "server_slow"}
 # Kinds of fault that end or hold a process; their target is the instance or the process.
 ENDS_PROCESS = {"kill", "terminate", "pause"}
 
