--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -141,6 +141,14 @@
                for fault in faults)
 
 
+def stopped_alone(stops, faults) -> list:
+    """The stops whose processes nothing else ended or held."""
+    ends = [fault for fault in faults if fault.kind in ENDS_PROCESS]
+    return [stop for stop in stops
+            if not any(struck(ends, target, stop.begin, stop.end)
+                       for target in (stop.instance, str(stop.process)))]
+
+
 def planned_stops(calls: list[Call], arrivals: list[dict], stops, faults,
                   timed: bool = True) -> list[str]:
     """A process that is stopped by SIGTERM alone ends in its time, and every request of it
@@ -150,12 +158,8 @@
     servers = defaultdict(set)
     for arrival in arrivals:
         servers[arrival["id"]].add(arrival["server"])
-    ends = [fault for fault in faults if fault.kind in ENDS_PROCESS]
     found = []
-    for stop in stops:
-        if any(struck(ends, target, stop.begin, stop.end)
-               for target in (stop.instance, str(stop.process))):
-            continue
+    for stop in stopped_alone(stops, faults):
         if stop.code != 0:
             found.append(f"STOP {stop.instance} {stop.process} ended with {stop.code}")
         if timed and stop.end - stop.begin > GRACE_S:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -92,8 +92,9 @@
             found += promises.paused_servers(calls, world.servers, world.faults)
             found += promises.left_servers(calls, runs, world.left, world.in_touch)
         served = sum(call.status == 200 and call.whole for call in calls)
-        print(f"seed {seed}: {len(world.faults)} faults, {len(calls)} requests, {served} served,"
-              f" {len(found)} broken", flush=True)
+        alone = promises.stopped_alone(world.stops, world.faults)
+        print(f"seed {seed}: {len(world.faults)} faults, {len(alone)} stops by SIGTERM alone, "
+              f"{len(calls)} requests, {served} served, {len(found)} broken", flush=True)
         if found and keep:
             keep_logs(world, found, keep / f"seed-{seed}")
             keep_calls(calls, arrivals, keep / f"seed-{seed}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,7 +17,7 @@
 INSTANCES = 3
 # Callers of the seeds that play the first kinds of fault alone, and of all others.
 CALLERS = ("brisk",) * 6
-MORE_CALLERS = ("brisk",) * 3 + ("halves",) * 5 + ("idle",) * 3
+MORE_CALLERS = ("brisk",) * 6 + ("halves",) * 8 + ("idle",) * 4
 # Seeds below play what they played when they failed: the first kinds of fault alone.
 MORE_KINDS_FROM = 3000
 QUOTA_RATE = 4000
