--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,6 +14,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+from misbehaving_server import WAYS, Closed, Connection, Request
 
 # Models of the tests' configuration that a runner's memory holds at once.
 MODELS_THAT_FIT = 2
@@ -236,13 +237,26 @@
         self.overloads: list[list[str]] = []
         self.ran: list[dict] = []
         self.mode = "good"
+        # Name of the misbehaving server's way in which requests are answered, and what the
+        # ways keep.
+        self.way = ""
+        self.copies: dict[Connection, bytes] = {}
+        self.unbounded: list[str] = []
+        # Seconds before an answer, and before each event of a stream.
         self.hold = 0.0
+        self.event_hold = 0.0
         # Whether every answer says that the server leaves.
         self.leaving = False
+        # Requests whose answers said so.
+        self.leaving_told: list[str] = []
         # Retry-After of the next requests that are turned away, one each; then it serves.
         self.pauses: list[str] = []
+        # Retry-After of all requests while it is set.
+        self.pausing = ""
         # When a request was turned away with a pause, and its length.
         self.pauses_told: list[tuple[float, str]] = []
+        # The requests that were turned away so.
+        self.turned_away: list[str] = []
         # When each request came, whether it ran or not.
         self.arrivals: list[tuple[float, str]] = []
         self.born = int(time.time() * 1000)
@@ -254,6 +268,9 @@
             self.models = {}
             self.order_count = 0
             self.born = int(time.time() * 1000)
+            self.leaving = False
+            self.leaving_told = []
+            self.pauses_told, self.turned_away = [], []
         self.record()
 
     def record(self, state: str = "ready") -> None:
@@ -272,6 +289,7 @@
 
             def say_and_end() -> None:
                 call.send_header("Server-Leaving", "1")
+                self.leaving_told.append(call.headers.get("X-Request-Id"))
                 end_headers()
 
             call.end_headers = say_and_end
@@ -314,9 +332,11 @@
         request_id = call.headers.get("X-Request-Id")
         headers = {"X-Request-Id": request_id}
         self.arrivals.append((time.monotonic(), request_id))
-        if self.pauses:
-            pause = self.pauses.pop(0)
-            self.pauses_told.append((time.monotonic(), pause))
+        if self.pauses or self.pausing:
+            pause = self.pauses.pop(0) if self.pauses else self.pausing
+            with self.lock:
+                self.pauses_told.append((time.monotonic(), pause))
+                self.turned_away.append(request_id)
             call.answer(503, b"", {**headers, "X-Not-Executed": "1", "Retry-After": pause})
             return
         model = call.headers.get("X-Model")
@@ -336,7 +356,9 @@
                              "headers": dict(call.headers), "server": self.name,
                              "at": time.monotonic()})
         time.sleep(self.hold)
-        if self.mode == "reset":
+        if self.way:
+            self._misbehave(call, body)
+        elif self.mode == "reset":
             call.drop()
         elif self.mode == "error" or (self.mode == "break_fail" and resumed):
             call.answer(500, b"failed", {**headers, "X-Server-Seal": "s"})
@@ -346,6 +368,21 @@
             call.answer(200, b"done by " + self.name.encode(),
                         {**headers, "X-Server-Seal": "s"})
 
+    def count(self, _: int) -> None:
+        """What a way has sent is of no interest here."""
+
+    def _misbehave(self, call: _Handler, body: bytes) -> None:
+        connection = call.__dict__.setdefault("raw", Connection(self, call.connection))
+        # A way may read the body itself, which has been read here.
+        connection.pending = body
+        request = Request(call.command, call.path,
+                          {name.lower(): value for name, value in call.headers.items()}, body,
+                          b"done by " + self.name.encode())
+        try:
+            WAYS[self.way](connection, request)
+        except Closed:
+            call.close_connection = True
+
     def _stream(self, call: _Handler, headers: dict[str, str]) -> None:
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
         call.send_response(200)
@@ -361,6 +398,7 @@
                 call.wfile.flush()
                 call.drop()
                 return
+            time.sleep(self.event_hold)
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         call.wfile.write(b"0\r\n\r\n")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,11 +9,30 @@
 import threading
 import time
 
-from entry_fleet import Instance
+from entry_fleet import HANG_LIMIT_S, Instance, wait_until
 from fault_proxy import FaultProxy
-from world import Fault, World
+from misbehaving_server import WAYS
+from world import Fault, Stop, World
 
 FAULT_TIME_S = 10.0
+FIRST_KINDS = (
+    "connections_reset", "connections_silent", "kill", "leave", "link_cut", "link_delayed",
+    "link_silent_one_way", "pause", "rotate_key", "server_fails", "server_restart", "store_away",
+    "store_away_for_one", "store_forgets", "store_loses_answers", "store_slow", "terminate")
+# Kinds of which a seed that plays all kinds has one at least, besides slow servers: a stop
+# cuts nothing that is answered at once.
+STOPS = ("stop", "stop_series")
+# A seed with few kinds has spans without the faults that excuse a broken promise.
+FEWEST_KINDS, MOST_KINDS = 2, 9
+# How plain servers misbehave, and runners. A runner's body without events is no stream, and
+# the caller would get it as it is.
+PLAIN_WAYS = sorted(name for name in WAYS if "stream" not in name and name != "good")
+RUNNER_WAYS = sorted(name for name in WAYS if "stream" in name) + [
+    "chunked_other_answer", "long_other_answer", "no_answer", "no_bytes_then_end",
+    "no_bytes_then_reset", "no_end_of_bytes", "no_end_of_head", "no_end_of_informational",
+    "no_end_of_other_answers", "no_end_of_other_body", "other_answer", "trickled_head"]
+# Between a process's first open port and its handling of signals.
+START_S = 0.1
 
 
 class FaultPlayer:
@@ -31,7 +50,15 @@
             "connections_reset": self.connections_reset,
             "connections_silent": self.connections_silent, "server_fails": self.server_fails,
             "server_restart": self.server_restart, "leave": self.leave,
-            "rotate_key": self.rotate_key}
+            "rotate_key": self.rotate_key, "stop": self.stop, "stop_series": self.stop_series,
+            "reload": self.reload, "leave_by_word": self.leave_by_word,
+            "server_pauses": self.server_pauses,
+            "server_misbehaves": self.server_misbehaves, "server_slow": self.server_slow}
+        self.names = list(FIRST_KINDS)
+        if world.more_kinds:
+            count = self.random.randint(FEWEST_KINDS, MOST_KINDS)
+            self.names = [self.random.choice(STOPS), "server_slow",
+                          *self.random.sample(sorted(self.kinds), count)]
 
     def play(self) -> None:
         """Plays the schedule and returns when its last fault is over."""
@@ -40,7 +67,7 @@
         at = 0.0
         while at < FAULT_TIME_S:
             at += self.random.uniform(0.1, 1.2)
-            kind = self.random.choice(sorted(self.kinds))
+            kind = self.random.choice(self.names)
             choice = random.Random(self.random.random())
             time.sleep(max(0.0, begin + at - time.monotonic()))
             threads.append(threading.Thread(target=self._play_one, args=(kind, choice)))
@@ -77,6 +104,59 @@
             if instance.process.poll() is not None:
                 instance.start()
 
+    def stop(self, choice: random.Random, _: float) -> str:
+        instance = choice.choice(self.world.instances)
+        self._stop(instance, [])
+        return instance.name
+
+    def stop_series(self, choice: random.Random, span: float) -> None:
+        """Stops all instances one after the other, each perhaps before the last one ended."""
+        threads = []
+        for instance in choice.sample(self.world.instances, len(self.world.instances)):
+            more = [(choice.uniform(0.0, 4.0), choice.choice([signal.SIGHUP, signal.SIGTERM]))
+                    for _ in range(choice.randint(0, 3))]
+            threads.append(threading.Thread(target=self._stop, args=(instance, sorted(more))))
+            threads[-1].start()
+            time.sleep(choice.uniform(0.0, span))
+        for thread in threads:
+            thread.join()
+
+    def _stop(self, instance: Instance, more: list[tuple[float, int]]) -> None:
+        """Sends SIGTERM, then `more` signals at their times, and waits until the process has
+        ended by itself; then starts the next one."""
+        process = self._started(instance)
+        stop = Stop(instance.name, process.pid, time.monotonic())
+        with self.world.lock:
+            if process.poll() is None and process.pid not in {
+                    other.process for other in self.world.stops}:
+                self.world.stops.append(stop)
+        process.send_signal(signal.SIGTERM)
+        for after, number in more:
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                process.wait(max(0.0, stop.begin + after - time.monotonic()))
+            process.send_signal(number)
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            stop.code = process.wait(HANG_LIMIT_S)
+            stop.end = time.monotonic()
+        if stop.code is None:
+            process.kill()
+            process.wait()
+        self._start(instance)
+
+    def _started(self, instance: Instance) -> subprocess.Popen:
+        """Returns the instance's process once it handles signals, or has ended."""
+        process = instance.process
+        wait_until(lambda: process.poll() is not None or instance.listens(), "a start")
+        time.sleep(START_S)
+        return process
+
+    def reload(self, choice: random.Random, span: float) -> str:
+        instance = choice.choice(self.world.instances)
+        for _ in range(choice.randint(1, 4)):
+            self._started(instance).send_signal(signal.SIGHUP)
+            time.sleep(span / 4)
+        return instance.name
+
     def pause(self, choice: random.Random, span: float) -> str:
         process = choice.choice(self.world.instances).process
         process.send_signal(signal.SIGSTOP)
@@ -169,5 +249,49 @@
         self.world.store.remove("servers", server.name)
         return server.name
 
+    def leave_by_word(self, choice: random.Random, span: float) -> str:
+        """A server's answers tell that it leaves while its entry still says that it is ready;
+        then it goes."""
+        server = choice.choice(self.world.servers)
+        with self.world.lock:
+            if server.name in self.world.left:
+                return ""
+            self.world.left[server.name] = float("inf")
+        self.world.servers.append(self.world.add_server(server.service))
+        server.leaving = True
+        time.sleep(span)
+        self.world.store.remove("servers", server.name)
+        self.world.left[server.name] = time.monotonic()
+        return server.name
+
+    def server_pauses(self, choice: random.Random, span: float) -> str:
+        """A server turns all requests away, each with the time for which it wants none."""
+        server = choice.choice(self.world.servers)
+        self._while(server, "pausing", f"{choice.uniform(0.7, 4.0):.2f}", span)
+        return server.name
+
+    def server_slow(self, choice: random.Random, span: float) -> str:
+        """A service takes longer than a stopped process waits for its next request."""
+        service = choice.choice(["plain", "llm"])
+        hold, event_hold = choice.uniform(0.1, 1.5), choice.uniform(0.0, 0.4)
+        servers = [server for server in self.world.servers if server.service == service]
+        for server in servers:
+            server.hold, server.event_hold = hold, event_hold
+        time.sleep(2 * span)
+        for server in servers:
+            server.hold = server.event_hold = 0.0
+        return service
+
+    def server_misbehaves(self, choice: random.Random, span: float) -> str:
+        """A server answers in ways that no sound server does, one after the other."""
+        server = choice.choice(self.world.servers)
+        for _ in range(choice.randint(1, 3)):
+            server.way = choice.choice(RUNNER_WAYS if server.is_runner else PLAIN_WAYS)
+            now = time.monotonic()
+            self.world.faults.append(Fault(server.way, server.name, now, now + span / 2))
+            time.sleep(span / 2)
+        server.way = ""
+        return server.name
+
     def rotate_key(self, *_: object) -> None:
         self.world.rotate_key()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 
 from callers import STREAM, Call
+from misbehaving_server import COMMENT
 
 REVOKE_S = 5.0
 DRAIN_S = 2.0
@@ -13,6 +14,15 @@
 QUOTA_OVERRUN = 1.1
 QUOTA_SLACK = 11000
 NOT_RUN_STATUSES = {408, 421, 429, 503}
+# `bounds.grace_s` of the instances.
+GRACE_S = 8.0
+# Requests that are on their way as a server tells its pause may still reach it.
+PAUSE_HEARD_S = 0.5
+MOST_IN_PAUSE = 2
+# Kinds of fault that end no connection, silence nothing and keep no process from its work.
+HARMLESS = {"rotate_key", "leave", "leave_by_word", "reload", "server_pauses", "server_slow"}
+# Kinds of fault that end or hold a process; their target is the instance or the process.
+ENDS_PROCESS = {"kill", "terminate", "pause"}
 
 
 def at_most_once(calls: list[Call], runs: list[dict]) -> list[str]:
@@ -45,7 +55,8 @@
         if call.headers.get("x-server-seal") != "s":
             found.append(f"MIXED {call.request_id} got a success without signature")
         if call.kind == "draft":
-            whole = call.body == STREAM if call.whole else STREAM.startswith(call.body)
+            body = call.body.replace(COMMENT, b"")
+            whole = body == STREAM if call.whole else STREAM.startswith(body)
             if not whole:
                 found.append(f"ORDER {call.request_id} whole={call.whole} {call.body!r}")
         elif call.whole and call.body.removeprefix(b"done by ") not in servers[call.request_id]:
@@ -120,3 +131,97 @@
             found.append(f"DRAIN {run['id']} at {run['server']}, {run['at'] - since:.2f} s "
                          "after it left")
     return found
+
+
+def struck(faults, target: str, begin: float, end: float) -> bool:
+    """Whether a fault of the target fell into the span. A connection that was silenced before
+    is silent still."""
+    return any(fault.target == target and fault.kind not in HARMLESS and fault.begin <= end
+               and (fault.end >= begin or fault.kind == "connections_silent")
+               for fault in faults)
+
+
+def stopped_alone(stops, faults) -> list:
+    """The stops whose processes nothing else ended or held."""
+    ends = [fault for fault in faults if fault.kind in ENDS_PROCESS]
+    return [stop for stop in stops
+            if not any(struck(ends, target, stop.begin, stop.end)
+                       for target in (stop.instance, str(stop.process)))]
+
+
+def planned_stops(calls: list[Call], arrivals: list[dict], stops, faults,
+                  timed: bool = True) -> list[str]:
+    """A process that is stopped by SIGTERM alone ends in its time, and every request of it
+    that reached a server gets a whole answer.
+
+    A request that the process did not read may end with its connection, and has not run."""
+    servers = defaultdict(set)
+    for arrival in arrivals:
+        servers[arrival["id"]].add(arrival["server"])
+    found = []
+    for stop in stopped_alone(stops, faults):
+        if stop.code != 0:
+            found.append(f"STOP {stop.instance} {stop.process} ended with {stop.code}")
+        if timed and stop.end - stop.begin > GRACE_S:
+            found.append(f"STOP {stop.instance} {stop.process} ended after "
+                         f"{stop.end - stop.begin:.2f} s")
+        for call in calls:
+            reached = servers[call.request_id]
+            if (call.process != stop.process or call.ended_at < stop.begin or call.whole
+                    or not call.written or not (reached or call.status)):
+                continue
+            if not any(struck(faults, server, call.sent_at, call.ended_at)
+                       for server in reached):
+                found.append(f"LOST {call.request_id} {call.kind} written={call.written} "
+                             f"status {call.status} {len(call.body)} bytes, ended "
+                             f"{call.ended_at - stop.begin:.2f} s after SIGTERM")
+    return found
+
+
+def leaving_servers(calls: list[Call], servers) -> list[str]:
+    """No process that has got a server's word that it leaves sends it a later request."""
+    sender = {call.request_id: call for call in calls}
+    places = defaultdict(set)
+    for server in servers:
+        for _, name in server.arrivals:
+            places[name].add(server.name)
+    found = []
+    for server in servers:
+        known: dict[int, float] = {}
+        for call in (sender.get(name) for name in server.leaving_told):
+            # A success of a request that reached one server is this server's answer, and the
+            # process has passed it on.
+            if call and call.status == 200 and places[call.request_id] == {server.name}:
+                known[call.process] = min(call.ended_at, known.get(call.process, float("inf")))
+        for at, name in server.arrivals:
+            call = sender.get(name)
+            if call and call.sent_at > known.get(call.process, float("inf")):
+                found.append(f"LEAVING {name} of {call.instance} reached {server.name} "
+                             f"{at - known[call.process]:.2f} s after its word was passed on")
+    return found
+
+
+def paused_servers(calls: list[Call], servers, faults) -> list[str]:
+    """A process sends next to nothing to a server in the time for which it wants nothing."""
+    sender = {call.request_id: call for call in calls}
+    pauses = [fault for fault in faults if fault.kind == "pause"]
+    found = []
+    for server in servers:
+        told = defaultdict(list)
+        for (at, text), name in zip(server.pauses_told, server.turned_away):
+            if name in sender:
+                told[sender[name].process].append((at, at + float(text)))
+        for process, spans in told.items():
+            came = [at for at, name in server.arrivals
+                    if name in sender and sender[name].process == process]
+            for begin, own_end in spans:
+                # A later word counts, even if it is shorter.
+                end = min([own_end, *(later for at, later in spans if begin < at < own_end)])
+                early = [at for at in came if begin + PAUSE_HEARD_S < at < end]
+                if len(early) > MOST_IN_PAUSE and not (
+                        struck(faults, server.name, begin, end) or
+                        struck(pauses, str(process), begin, end)):
+                    found.append(f"PAUSED {len(early)} requests of process {process} at "
+                                 f"{server.name} in {end - begin:.2f} s from {begin:.3f}")
+                    break
+    return found
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -11,11 +11,13 @@
 sys.path[:0] = [str(HERE), str(HERE.parent.parent / "standins")]
 import promises  # noqa: E402
 from callers import STREAM, Call  # noqa: E402
+from misbehaving_server import COMMENT  # noqa: E402
 
 
 def call(kind: str, status: int = 200, body: bytes = b"", **options) -> Call:
     fields = {"request_id": "r1", "kind": kind, "key": "k1", "instance": "n0", "sent_at": 0.0,
-              "status": status, "headers": {"x-server-seal": "s"}, "body": body, "whole": True}
+              "status": status, "headers": {"x-server-seal": "s"}, "body": body, "whole": True,
+              "process": 7, "written": True, "ended_at": 1.0}
     return Call(**{**fields, **options})
 
 
@@ -46,6 +48,8 @@
         self.assertEqual(promises.own_answers([torn], [run()]), [])
         missing = call("draft", body=STREAM.replace(b"id: 3\ndata: 3\n\n", b""))
         self.assertIn("ORDER", promises.own_answers([missing], [run()])[0])
+        commented = call("draft", body=COMMENT + STREAM)
+        self.assertEqual(promises.own_answers([commented], [run()]), [])
 
     def test_run_that_nobody_sent_is_found(self) -> None:
         self.assertIn("UNASKED", promises.asked_for([], [run()])[0])
@@ -76,6 +80,64 @@
             self.assertEqual(len(promises.left_servers(calls, runs, {"s1": 1.0},
                                                        lambda *_, t=in_touch: t)), found)
 
+    def stopped(self, calls: list[Call], code: int = 0, end: float = 3.0, **fault) -> list[str]:
+        """What is found of a process that was stopped between 0 and `end`."""
+        stop = SimpleNamespace(instance="n0", process=7, begin=0.0, end=end, code=code)
+        faults = [SimpleNamespace(**{"begin": 0.5, "end": 0.9, **fault})] if fault else []
+        return promises.planned_stops(calls, [run()], [stop], faults)
+
+    def test_request_lost_in_a_planned_stop_is_found(self) -> None:
+        lost = call("draft", status=0, whole=False)
+        torn = call("draft", body=STREAM[:20], whole=False)
+        self.assertIn("LOST", self.stopped([lost])[0])
+        self.assertIn("LOST", self.stopped([torn])[0])
+        self.assertIn("LOST", self.stopped([torn], kind="link_cut", target="s2")[0])
+        for allowed in (call("draft"), call("draft", request_id="r2", status=0, whole=False),
+                        call("book", status=0, whole=False, written=False),
+                        call("draft", status=0, whole=False, process=8)):
+            self.assertEqual(self.stopped([allowed]), [], allowed)
+        for kind, target in (("kill", "n0"), ("pause", "7"), ("link_cut", "s1")):
+            self.assertEqual(self.stopped([lost], kind=kind, target=target), [], kind)
+        self.assertEqual(self.stopped([lost], kind="connections_silent", target="s1",
+                                      begin=-9.0, end=-9.0), [])
+
+    def test_planned_stop_with_a_wrong_end_is_found(self) -> None:
+        self.assertEqual(self.stopped([]), [])
+        self.assertIn("STOP", self.stopped([], code=-15)[0])
+        self.assertIn("STOP", self.stopped([], end=8.1)[0])
+        self.assertEqual(self.stopped([], code=-9, kind="kill", target="n0"), [])
+
+    def test_request_at_a_server_that_said_that_it_leaves_is_found(self) -> None:
+        first = call("book", ended_at=1.0)
+        server = SimpleNamespace(name="s1", leaving_told=["r1"],
+                                 arrivals=[(0.5, "r1"), (1.6, "r2")])
+        other = SimpleNamespace(name="s2", leaving_told=[], arrivals=[(0.6, "r1")])
+        for fields, found in (({"sent_at": 1.5}, 1), ({"sent_at": 0.9}, 0),
+                              ({"sent_at": 1.5, "process": 8}, 0)):
+            calls = [first, call("book", request_id="r2", **fields)]
+            self.assertEqual(len(promises.leaving_servers(calls, [server])), found, fields)
+        later = call("book", request_id="r2", sent_at=1.5)
+        # Whose answer this one was is not known.
+        self.assertEqual(promises.leaving_servers([first, later], [server, other]), [])
+        refused = call("book", status=502)
+        self.assertEqual(promises.leaving_servers([refused, later], [server]), [])
+
+    def test_requests_at_a_server_that_turned_one_away_are_found(self) -> None:
+        def paused(*times: float, told=((0.0, "2"),), **fault) -> list[str]:
+            server = SimpleNamespace(
+                name="s1", pauses_told=list(told), turned_away=["r0"] * len(told),
+                arrivals=[(at, f"r{number}") for number, at in enumerate(times)])
+            faults = [SimpleNamespace(begin=0.4, end=0.6, **fault)] if fault else []
+            calls = [call("book", request_id=f"r{number}") for number in range(9)]
+            return promises.paused_servers(calls, [server], faults)
+
+        self.assertEqual(paused(0.0, 0.4, 0.5, 0.6, 0.7, 2.1), [])
+        self.assertIn("PAUSED", paused(0.0, 0.6, 0.7, 1.9)[0])
+        self.assertEqual(paused(0.0, 0.6, 0.7, 1.9, told=((0.0, "2"), (0.2, "0.6"))), [])
+        self.assertIn("PAUSED", paused(0.0, 0.6, 0.7, 0.8, told=((0.0, "2"), (0.5, "2")))[0])
+        self.assertEqual(paused(0.0, 0.6, 0.7, 1.9, kind="link_delayed", target="s1"), [])
+        self.assertEqual(paused(0.0, 0.6, 0.7, 1.9, kind="pause", target="7"), [])
+
 
 if __name__ == "__main__":
     unittest.main()
