List the servers again when there is room for those left out

Seen: after a list without end had filled the room for servers, a new server of the sound store was never known (the way pages_without_end, and the test of a list without end).

Cause: a row for which there was no room was dropped, and no change tells of it again. When servers are removed after that, all are listed again.

The store's test waits for the last faulty answer to end before it writes: a faulty answer that was begun later claimed the version of the new row. The history is forgotten after the writes, without which the next question is not refused. The feed's ways answer lists without a further page.

--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -350,7 +350,10 @@
     auto const former = found == row_bytes_.end() ? 0 : found->second;
     auto const bytes = bytes_of(row);
     if (servers_bytes_ - former + bytes > max_servers_bytes)
+    {
+        left_out_ = true;
         return false;
+    }
     servers_bytes_ += bytes - former;
     row_bytes_[row.key] = bytes;
     return true;
@@ -368,21 +371,26 @@
     // While the store is away, entries lapse of servers that live.
     if (!store_.answering())
         return;
-    std::erase_if(lapsed_,
-                  [&](auto const& entry)
-                  {
-                      if (entry.second > now || store_.regained_at() + lapse_grace > now)
-                          return false;
-                      known_.erase(entry.first);
-                      if (auto const row = row_bytes_.find(entry.first);
-                          row != row_bytes_.end())
-                      {
-                          servers_bytes_ -= row->second;
-                          row_bytes_.erase(row);
-                      }
-                      sink_.server_removed(entry.first);
-                      return true;
-                  });
+    auto const removed = std::erase_if(
+        lapsed_,
+        [&](auto const& entry)
+        {
+            if (entry.second > now || store_.regained_at() + lapse_grace > now)
+                return false;
+            known_.erase(entry.first);
+            if (auto const row = row_bytes_.find(entry.first); row != row_bytes_.end())
+            {
+                servers_bytes_ -= row->second;
+                row_bytes_.erase(row);
+            }
+            sink_.server_removed(entry.first);
+            return true;
+        });
+    if (removed == 0 || !left_out_)
+        return;
+    // There is room now, and no change tells of the servers that had none.
+    left_out_ = false;
+    servers_version_ = 0;
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -87,6 +87,8 @@
     /// Bytes of the rows of servers that were taken, and their sum.
     std::map<std::string, std::size_t> row_bytes_;
     std::size_t servers_bytes_ = 0;
+    /// A server was not taken for lack of room.
+    bool left_out_ = false;
     /// Servers whose entry is gone while the store may have lost it, and when they count
     /// as gone.
     std::map<std::string, time_point> lapsed_;
--- a/standins/misbehaving_store.py
+++ b/standins/misbehaving_store.py
@@ -217,14 +217,14 @@
 
 
 def feed_pages_without_end(call: Call) -> None:
-    call.answer_rows([], truncated=True)
+    call.answer_rows([], truncated=call.path == "/rows-feed")
 
 
 def feed_pages_with_rows_without_end(call: Call) -> None:
     call.store.pages += 1
     call.answer_rows([row(call.table, f"f{call.store.pages}", server_value(1),
                           call.store.version + call.store.pages)],
-                     truncated=True, row_version=call.store.version + call.store.pages)
+                     truncated=call.path == "/rows-feed", row_version=call.store.version + call.store.pages)
 
 
 def many_servers(call: Call) -> None:
@@ -256,8 +256,9 @@
 
     def __init__(self) -> None:
         self.way = "good"
-        # Calls that were answered in the present way.
+        # Calls that were answered in the present way, and calls in a way that go on.
         self.played = 0
+        self.playing = 0
         # Most bytes that one call took.
         self.sent = 0
         self.pages = 0
@@ -266,8 +267,14 @@
         super().__init__()
 
     def play(self, way: str) -> None:
-        self.played = self.sent = 0
-        self.way = way
+        with self.lock:
+            self.played = self.sent = 0
+            self.way = way
+
+    def is_sound(self) -> bool:
+        """Whether no answer is on its way that was begun in a faulty way."""
+        with self.lock:
+            return self.way == "good" and self.playing == 0
 
     def common(self) -> dict:
         return self._common()
@@ -290,12 +297,17 @@
             self.lock.notify_all()
 
     def handle(self, call, body: bytes, seen=lambda value: value) -> None:
-        if self.way == "good":
+        with self.lock:
+            way = self.way
+            self.playing += way != "good"
+        if way == "good":
             super().handle(call, body, seen)
             return
         try:
-            WAYS[self.way](Call(self, call))
+            WAYS[way](Call(self, call))
         except OSError:
             call.close_connection = True
         finally:
-            self.played += 1
+            with self.lock:
+                self.playing -= 1
+                self.played += 1
--- a/tests/entry/misbehaving_store_test.py
+++ b/tests/entry/misbehaving_store_test.py
@@ -90,12 +90,13 @@
     def assert_recovers(self, tells_rows: bool = False) -> None:
         """The instance follows a new configuration, a new server and its going."""
         self.store.play("good")
-        if tells_rows:
-            # They are not in the store, and no change tells that.
-            self.store.forget_history()
+        wait_until(self.store.is_sound, "the last faulty answer has ended")
         self.put_next_config()
         name = f"new{self.version}"
         new = BackendServer(self.store, name, "plain")
+        if tells_rows:
+            # They are not in the store, and no change tells that.
+            self.store.forget_history()
         try:
             wait_until(lambda: self.config_version() == self.version,
                        "the new configuration is in force", 15)
