--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -97,15 +97,16 @@
 
 result<std::monostate> entry_node::run()
 {
+    // Before the ports open: a signal that finds no handler would end the process.
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    signals_.add(SIGHUP);
     for (auto const& opened : {listen(callers_, settings_.caller_address),
                                listen(readiness_, settings_.ready_address),
                                listen(peers_, own_address(settings_.peer_port)),
                                listen(scrapes_, own_address(settings_.metrics_port))})
         if (!succeeded(opened))
             return opened;
-    signals_.add(SIGTERM);
-    signals_.add(SIGINT);
-    signals_.add(SIGHUP);
     log_.write(entry_event::instance_started,
                {{"version", std::string_view(CARAWAYTURN_VERSION)},
                 {"incarnation", incarnation_},
