Take no changes of the directory that begin after a revision which is missing

By reading, found beside the hub's work: an update whose hub could not read is not applied, while the hub takes it as told. The next push then names only what changed after it, and the instance took the newer revision without the changes in between, for good: a server that leaves stayed in use there. An update now names the revision after which its changes come; one that does not follow is left, and the next status asks for what is missing.

--- a/src/coordination/entry/directory_follower.hpp
+++ b/src/coordination/entry/directory_follower.hpp
@@ -27,8 +27,10 @@
     {
         bool const answers_later_status =
             time_point(duration(update.echo_us)) >= changed_here_;
-        bool const usable =
-            update.brings_in_step ? answers_later_status : update.directory_hub == hub_;
+        // An update before it may not have been applied, because the hub could not read.
+        bool const follows =
+            update.directory_hub == hub_ && update.directory_changes_after <= revision_;
+        bool const usable = update.brings_in_step ? answers_later_status : follows;
         if (!usable)
             return false;
         hub_ = update.directory_hub;
--- a/src/coordination/entry/directory_log.cpp
+++ b/src/coordination/entry/directory_log.cpp
@@ -98,6 +98,7 @@
 {
     update.directory_hub = hub_;
     update.directory_revision = revision_;
+    update.directory_changes_after = status.directory_revision;
     update.brings_in_step = status.directory_hub != hub_;
     if (update.brings_in_step)
     {
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -123,9 +123,10 @@
     io(value.from_hub, value.echo_us, value.confirmation_age_us, value.config_version,
        value.directory_age_us, value.lease, value.lease_version, value.lease_remaining_us,
        value.instances, value.packed_config, value.config_row, value.directory_hub,
-       value.directory_revision, value.brings_in_step, value.replaced_buckets,
-       value.complete, value.totals, value.estimates, value.retiring, value.quota,
-       value.drained, value.crashes, value.survived, value.peers);
+       value.directory_revision, value.directory_changes_after, value.brings_in_step,
+       value.replaced_buckets, value.complete, value.totals, value.estimates,
+       value.retiring, value.quota, value.drained, value.crashes, value.survived,
+       value.peers);
 }
 
 namespace
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -163,6 +163,8 @@
     std::uint64_t config_row = 0;
     std::uint64_t directory_hub = 0;
     std::uint64_t directory_revision = 0;
+    /// The revision after which the changes come, unless the update brings in step.
+    std::uint64_t directory_changes_after = 0;
     /// The instance has this hub's directory after this update, whatever it had before:
     /// it replaces the parts below and keeps the others.
     bool brings_in_step = false;
--- a/tests/entry/placement_planner_test.cpp
+++ b/tests/entry/placement_planner_test.cpp
@@ -548,6 +548,20 @@
     EXPECT_EQ(follower_.revision(), 3U);
 }
 
+// Guards against changes that an instance never hears of: an update whose hub could not
+// read was not applied, and the next one names only what changed after it.
+TEST_F(directory_follower_test, changes_after_a_revision_that_is_missing_are_not_taken)
+{
+    EXPECT_TRUE(follower_.take(update(true, 5, 100)));
+    auto later = update(false, 9, 200);
+    later.directory_changes_after = 7;
+    EXPECT_FALSE(follower_.take(later));
+    EXPECT_EQ(follower_.revision(), 5U);
+    later.directory_changes_after = 5;
+    EXPECT_TRUE(follower_.take(later));
+    EXPECT_EQ(follower_.revision(), 9U);
+}
+
 // Guards against changes of one hub on top of another hub's directory.
 TEST_F(directory_follower_test, changes_of_another_hub_are_not_taken)
 {
