--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -21,7 +21,7 @@
     backend_changed = 1130,
     backend_row_unreadable = 1131,
     backend_gone = 1132,
-    backend_leaving = 1133,
+    leaving_announced = 1133,
     backend_paused = 1134,
     backend_word_unclear = 1135,
     peer_message_unreadable = 1141,
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -95,7 +95,7 @@
     {1130, info, "backend_changed"},
     {1131, warning, "backend_row_unreadable"},
     {1132, info, "backend_gone"},
-    {1133, info, "backend_leaving"},
+    {1133, info, "leaving_announced"},
     {1134, info, "backend_paused"},
     {1135, warning, "backend_word_unclear"},
     {1141, warning, "peer_message_unreadable"},
--- a/src/transport/entry/server_news.cpp
+++ b/src/transport/entry/server_news.cpp
@@ -18,7 +18,7 @@
     auto const* const known = services.board.find(server);
     services.metrics.count("servers_leaving_total");
     services.log.write(
-        entry_event::backend_leaving,
+        entry_event::leaving_announced,
         {{"server", server},
          {"born_ms", born_ms},
          {"entry_draining", std::int64_t{known != nullptr && known->draining}}});
