Do once what the change did for each answer, connection and update

Found on reading the whole change: an answer's head was decoded twice, now with the server's word in it (backend_exchange keeps the facts); a caller's connection had its time limit set twice; a record was copied twice on its way into the hub's directory; every update from the hub hashed all ids of the board anew. The pause of a server is looked up in one place.

--- a/src/coordination/entry/backend_board.cpp
+++ b/src/coordination/entry/backend_board.cpp
@@ -85,13 +85,16 @@
         loads_[record.id] = {};
         loads_[record.id].own = own;
     }
+    if (found == records_.end())
+        ids_ += id_hash(record.id);
     auto const id = record.id;
     records_[id] = std::move(record);
 }
 
 void backend_board::remove(std::string const& id)
 {
-    records_.erase(id);
+    if (records_.erase(id) != 0)
+        ids_ -= id_hash(id);
     avoided_.erase(id);
     words_.remove(id);
     auto const load = loads_.find(id);
@@ -246,10 +249,7 @@
 
 void backend_board::others_told(fleet_loads const* loads)
 {
-    std::uint64_t ids = 0;
-    for (auto const& [id, record] : records_)
-        ids += id_hash(id);
-    bool const usable = loads != nullptr && loads->ids == ids &&
+    bool const usable = loads != nullptr && loads->ids == ids_ &&
                         loads->requests.size() == records_.size();
     std::size_t place = 0;
     for (auto const& [id, record] : records_)
--- a/src/coordination/entry/backend_board.hpp
+++ b/src/coordination/entry/backend_board.hpp
@@ -148,6 +148,8 @@
     std::string own_domain_;
     std::uint64_t random_state_;
     std::map<std::string, backend_record> records_;
+    /// Sum of id_hash() over the records.
+    std::uint64_t ids_ = 0;
     std::map<std::string, backend_load> loads_;
     server_words words_;
     std::map<std::string, time_point> avoided_;
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -38,13 +38,12 @@
     return service != nullptr && service->engine.has_value();
 }
 
-void hub_state::put_server(backend_record const& told, time_point now)
+void hub_state::put_server(backend_record record, time_point now)
 {
-    auto record = told;
     record.draining = record.draining || words_.leaving(record);
     if (!is_runner(record))
     {
-        directory_.put(record);
+        directory_.put(std::move(record));
         return;
     }
     planner_.put_runner(record, now);
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -28,7 +28,7 @@
     /// quotas can be granted at once.
     void start(bool first);
 
-    void put_server(backend_record const& record, time_point now);
+    void put_server(backend_record record, time_point now);
     void remove_server(std::string const& id);
 
     /// Notices instances that are silent; call often. Apart from answer(), because its
--- a/src/coordination/entry/server_words.cpp
+++ b/src/coordination/entry/server_words.cpp
@@ -44,14 +44,20 @@
     pauses_[id] = {born_ms, now + pause_time, borne};
 }
 
+server_words::pause const* server_words::last_pause(backend_record const& record) const
+{
+    auto const found = pauses_.find(record.id);
+    bool const known = found != pauses_.end() && found->second.born_ms == record.born_ms;
+    return known ? &found->second : nullptr;
+}
+
 std::optional<time_point> server_words::paused_until(backend_record const& record,
                                                      time_point now) const
 {
-    auto const found = pauses_.find(record.id);
-    if (found == pauses_.end() || found->second.born_ms != record.born_ms ||
-        found->second.until <= now)
+    auto const* const last = last_pause(record);
+    if (last == nullptr || last->until <= now)
         return std::nullopt;
-    return found->second.until;
+    return last->until;
 }
 
 void server_words::answered(std::string const& id)
@@ -64,13 +70,10 @@
 bool server_words::takes(backend_record const& record, std::uint32_t in_flight,
                          time_point now) const
 {
-    if (leaving(record))
-        return false;
-    auto const found = pauses_.find(record.id);
-    if (found == pauses_.end() || found->second.born_ms != record.born_ms ||
-        now >= found->second.until + recovery_time)
+    auto const* const last = last_pause(record);
+    if (last == nullptr || now >= last->until + recovery_time)
         return true;
-    return now >= found->second.until && in_flight < found->second.allowed;
+    return now >= last->until && in_flight < last->allowed;
 }
 
 bool server_words::unclear(std::string const& id)
--- a/src/coordination/entry/server_words.hpp
+++ b/src/coordination/entry/server_words.hpp
@@ -40,9 +40,9 @@
     /// Notes an answer that turned nothing away.
     void answered(std::string const& id);
 
-    /// Whether the server may get one more request beside so many in flight. After a
-    /// pause it gets at most what it bore before it, and one more with each answer, so
-    /// that the requests that waited do not come as one.
+    /// Whether a server that stays may get one more request beside so many in flight.
+    /// After a pause it gets at most what it bore before it, and one more with each
+    /// answer, so that the requests that waited do not come as one.
     [[nodiscard]] bool takes(backend_record const& record, std::uint32_t in_flight,
                              time_point now) const;
 
@@ -60,6 +60,8 @@
         time_point until{};
         std::uint32_t allowed = 1;
     };
+    /// The last pause of this incarnation; null for none.
+    [[nodiscard]] pause const* last_pause(backend_record const& record) const;
 
     std::map<std::string, std::int64_t> leaving_;
     std::map<std::string, pause> pauses_;
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -1,6 +1,5 @@
 #include "transport/entry/backend_exchange.hpp"
 
-#include "platform/request_codec.hpp"
 #include "protocol/entry/bounded_number.hpp"
 #include "state/entry/time_units.hpp"
 
@@ -147,7 +146,8 @@
         }
         if (parser_->get().result_int() < 200)
             continue;
-        if (platform::decode_facts(parser_->get()).request_id == request_id_)
+        facts_ = platform::decode_facts(parser_->get());
+        if (facts_.request_id == request_id_)
             co_return read_outcome::more;
         bool const whole = co_await skip_answer();
         if (!whole)
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/request_codec.hpp"
 #include "transport/entry/io.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -40,6 +41,8 @@
     /// Reads the head of the answer; answers to other requests are skipped.
     [[nodiscard]] task<read_outcome> read_head();
     [[nodiscard]] http::response_header<> const& head() const { return parser_->get(); }
+    /// What the head says of the answer.
+    [[nodiscard]] platform::answer_facts const& facts() const { return facts_; }
 
     /// Length of the answer's body, if its head tells.
     [[nodiscard]] std::optional<std::uint64_t> length() const;
@@ -69,6 +72,7 @@
     std::string request_id_;
     boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
+    platform::answer_facts facts_;
     std::array<char, 4096> piece_{};
     std::size_t piece_size_ = 0;
     std::shared_ptr<upload> upload_;
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -408,7 +408,7 @@
 
 void begin_session(entry_services& services, tcp_socket socket)
 {
-    set_caller_options(socket, write_timeout);
+    set_connection_options(socket, write_timeout);
     auto const peer = peer_of(socket);
     services.tasks.run("serve caller", peer,
                        serve_caller(std::make_unique<caller_session>(
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -15,8 +15,6 @@
 namespace
 {
 
-/// Unacknowledged bytes end a connection after this time, in milliseconds.
-constexpr int user_timeout_ms = 4000;
 /// Idle connections are probed after this time and at this interval, in seconds.
 constexpr int keepalive_s = 2;
 constexpr int keepalive_probes = 2;
@@ -139,19 +137,12 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void set_caller_options(tcp_socket& socket, duration patience)
-{
-    set_connection_options(socket);
-    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(patience);
-    set_option(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-               static_cast<int>(ms.count()));
-}
-
-void set_connection_options(tcp_socket& socket)
+void set_connection_options(tcp_socket& socket, duration limit)
 {
+    auto const limit_ms = std::chrono::duration_cast<std::chrono::milliseconds>(limit);
     auto const handle = socket.native_handle();
     set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit_ms.count()));
     set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_s);
     set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_s);
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -108,12 +108,13 @@
 /// Whether a kept connection is still open and silent, so that it may carry a request.
 [[nodiscard]] bool quiet_and_open(tcp_socket& socket);
 
+/// Unacknowledged bytes end a connection after this time.
+inline constexpr duration unacknowledged_limit = std::chrono::seconds(4);
+
 /// Sets the options of every connection: no delay, and an end within seconds when the
 /// other side is cut off.
-void set_connection_options(tcp_socket& socket);
-
-/// The same for a caller, which may take its answer slowly: it has `patience` before what
-/// it does not take ends the connection.
-void set_caller_options(tcp_socket& socket, duration patience);
+/// @param limit time after which bytes that the other side has not taken end it; longer
+///     for callers, which may take their answers slowly.
+void set_connection_options(tcp_socket& socket, duration limit = unacknowledged_limit);
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -131,7 +131,7 @@
         }
         co_return failed_end();
     }
-    auto const facts = platform::decode_facts(exchange_->head());
+    auto const facts = exchange_->facts();
     if (facts.load)
         services_.board.load_told(server_.id, *facts.load, boot_now());
     take_word(services_, server_.id, server_.born_ms, facts.word);
