Interrupt a request, and answer that it may have run, in one place each

abandon() and stop() repeated the same four steps, three answers the same choice of reason, and the wait for a change asked for its place in the line twice.

--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -27,28 +27,26 @@
 {
 }
 
-void request_flow::close_connection()
+void request_flow::interrupt()
 {
     if (exchange_)
         exchange_->close();
     if (auto const socket = connecting_.lock())
         socket->close();
+    turn_.notify();
+    services_.changes.notify();
 }
 
 void request_flow::abandon()
 {
     abandoned_ = true;
-    close_connection();
-    turn_.notify();
-    services_.changes.notify();
+    interrupt();
 }
 
 void request_flow::stop()
 {
     stopped_ = true;
-    close_connection();
-    turn_.notify();
-    services_.changes.notify();
+    interrupt();
 }
 
 std::optional<request_flow::refusal> request_flow::admit()
@@ -224,13 +222,10 @@
 
 task<void> request_flow::wait_for_change(backend_choice const& choice, time_point now)
 {
-    auto longest = start_deadline_ - now;
-    if (place_ && !place_->first())
-        longest = std::min(longest, behind_interval);
-    else
-        longest = std::min(longest, wait_interval);
-    if (choice.outcome == choice_outcome::paused && choice.free_at > now && place_ &&
-        place_->first())
+    bool const behind = place_ && !place_->first();
+    auto longest =
+        std::min(start_deadline_ - now, behind ? behind_interval : wait_interval);
+    if (place_ && !behind && choice.free_at > now)
         longest = std::min(longest, choice.free_at - now);
     auto& signal = place_ ? turn_ : services_.changes;
     co_await signal.wait(std::max(longest, least_wait));
@@ -253,7 +248,7 @@
     if (choice.outcome == choice_outcome::paused && !place_)
         place_.emplace(services_.waiting, wanted, priority(), [this] { turn_.notify(); });
     if (choice.outcome != choice_outcome::paused)
-        leave_line();
+        place_.reset();
     return choice;
 }
 
@@ -326,7 +321,7 @@
         }
         co_await wait_for_change(choice, now);
     }
-    leave_line();
+    place_.reset();
     if (waiting)
     {
         services_.demand.waiting_ended(service_->name, head_.model);
@@ -405,18 +400,14 @@
     case attempt_end::not_sent:
     case attempt_end::not_run:
         if (runs_ == 0 && stopped_)
-            co_return co_await refuse({refusal_reason::draining, now_elsewhere});
+            co_return co_await refuse_unserved(refusal_reason::draining);
         if (runs_ == 0)
             co_return co_await refuse({refusal_reason::not_run_by_backends, soon});
-        co_return co_await refuse(
-            {stopped_ ? refusal_reason::instance_stopped : refusal_reason::backend_failed,
-             {}});
+        co_return co_await refuse_unknown();
     case attempt_end::late:
         co_return co_await refuse({refusal_reason::deadline_passed, {}});
     case attempt_end::unknown:
-        if (stopped_)
-            co_return co_await refuse({refusal_reason::instance_stopped, {}});
-        co_return co_await refuse({refusal_reason::backend_failed, {}});
+        co_return co_await refuse_unknown();
     case attempt_end::broken_off:
         log_end("answer_broken", 0);
         co_return false;
@@ -424,6 +415,13 @@
     co_return false;
 }
 
+task<bool> request_flow::refuse_unknown()
+{
+    return refuse(
+        {stopped_ ? refusal_reason::instance_stopped : refusal_reason::backend_failed,
+         {}});
+}
+
 task<bool> request_flow::refuse_unserved(refusal_reason reason)
 {
     return refuse({reason, reason == refusal_reason::draining ? now_elsewhere : later});
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -107,7 +107,6 @@
     /// The server that this request may have now, in its turn among those that wait for
     /// the end of a pause.
     [[nodiscard]] backend_choice next_choice(time_point now);
-    void leave_line() { place_.reset(); }
     [[nodiscard]] task<void> wait_for_change(backend_choice const& choice,
                                              time_point now);
     [[nodiscard]] std::uint32_t priority() const;
@@ -133,8 +132,10 @@
     [[nodiscard]] time_point silence_limit(time_point progress) const;
     [[nodiscard]] backend_wish wish() const;
     void log_end(std::string_view outcome, unsigned status);
-    /// Ends what the request waits for at a server.
-    void close_connection();
+    /// Ends whatever the request waits for.
+    void interrupt();
+    /// Answers that the request may have run.
+    [[nodiscard]] task<bool> refuse_unknown();
     /// Whether the attempt ended by no fault of the server.
     [[nodiscard]] bool ended_here() const { return abandoned_ || stopped_; }
 
