--- a/fuzz/entry_answer_fuzz.cpp
+++ b/fuzz/entry_answer_fuzz.cpp
@@ -1,12 +1,9 @@
 #include "fuzz_target.hpp"
+#include "http_head.hpp"
 #include "platform/order_codec.hpp"
 #include "platform/request_codec.hpp"
 #include "protocol/entry/bounded_number.hpp"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 using namespace carawayturn;
 namespace http = boost::beast::http;
 
@@ -46,10 +43,7 @@
 int fuzz_one(std::uint8_t const* data, std::size_t size)
 {
     http::response_parser<http::string_body> parser;
-    parser.header_limit(header_limit);
-    boost::system::error_code failure;
-    parser.put(boost::asio::buffer(data, size), failure);
-    if (failure || !parser.is_header_done())
+    if (!read_head(parser, header_limit, data, size))
         return 0;
     auto const& head = parser.get();
     check_facts(head);
--- a/fuzz/entry_caller_fuzz.cpp
+++ b/fuzz/entry_caller_fuzz.cpp
@@ -1,11 +1,8 @@
 #include "fuzz_target.hpp"
+#include "http_head.hpp"
 #include "platform/request_codec.hpp"
 #include "protocol/entry/request_framing.hpp"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
 using namespace carawayturn;
 namespace http = boost::beast::http;
 
@@ -41,10 +38,7 @@
 int fuzz_one(std::uint8_t const* data, std::size_t size)
 {
     http::request_parser<http::string_body> parser;
-    parser.header_limit(header_limit);
-    boost::system::error_code failure;
-    parser.put(boost::asio::buffer(data, size), failure);
-    if (failure || !parser.is_header_done())
+    if (!read_head(parser, header_limit, data, size))
         return 0;
     auto const& head = parser.get();
     if (entry::find_framing_fault(head) != entry::framing_fault::none)
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -17,6 +17,9 @@
 
 HANG_LIMIT_S = 60
 START_ATTEMPTS = 5
+# Set where the address sanitizer holds freed memory back, which Instance.memory_peak() counts
+# as well.
+FREED_MEMORY_IS_HELD = "CARAWAYTURN_FREED_MEMORY_IS_HELD" in os.environ
 
 
 def wait_until(condition, what: str, limit_s: float = HANG_LIMIT_S):
@@ -144,6 +147,14 @@
                 received += piece
             return received
 
+    def memory_peak(self) -> int:
+        """Returns the greatest resident memory of the process so far, in bytes."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        for line in status.splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) * 1024
+        raise AssertionError("the process has ended")
+
     def page(self, path: str) -> str:
         connection = http.client.HTTPConnection("127.0.0.1", self.peer + 1, timeout=5)
         try:
--- a/tests/entry/misbehaving_peer_test.py
+++ b/tests/entry/misbehaving_peer_test.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import threading
 import time
@@ -14,7 +13,8 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
-from entry_fleet import Instance, configuration, wait_until  # noqa: E402
+from entry_fleet import (  # noqa: E402
+    FREED_MEMORY_IS_HELD, Instance, configuration, wait_until)
 from misbehaving_peer import (  # noqa: E402
     MESSAGE_LIMIT, MisbehavingHub, Peer, STATUS_ITEMS, STATUS_LISTS,
     UPDATE_ITEMS, UPDATE_LISTS, frame, items, number, pack, record, status, update)
@@ -24,8 +24,6 @@
 # Messages that arrive, a message as decoded, with room for lists that grow, and what is kept for
 # connections: an instance's default limit is 256 MB (node_settings).
 MEMORY_GROWTH = 128 * MEGABYTE
-# Set where the address sanitizer holds freed memory back, which the peak counts as well.
-FREED_MEMORY_IS_HELD = "CARAWAYTURN_FREED_MEMORY_IS_HELD" in os.environ
 # An instance closes a connection that has sent no whole message after 6 periods of 250 ms and 3 ms
 # for each instance, 16 at first; the rest is for a busy machine.
 SILENCE_LIMIT_S = 12
@@ -33,14 +31,6 @@
 CALLS_PER_S = 40
 
 
-def memory_peak(process_id: int) -> int:
-    """Returns the greatest resident memory of the process so far, in bytes."""
-    for line in Path(f"/proc/{process_id}/status").read_text(encoding="utf-8").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) * 1024
-    raise AssertionError("the process has ended")
-
-
 class PeerFixture(unittest.TestCase):
     """One store, one plain server and one instance, which is the hub."""
 
@@ -53,7 +43,7 @@
         self.requests = 0
         self.instance.wait_until_serving(servers=1)
         wait_until(lambda: self.instance.state()["hub"]["this_instance"], "n1 is the hub")
-        self.before = memory_peak(self.instance.process.pid)
+        self.before = self.instance.memory_peak()
 
     def tearDown(self) -> None:
         self.instance.close()
@@ -74,7 +64,7 @@
         self.assertIsNone(self.instance.process.poll(), "the process lives")
         self.assert_serves()
         if not FREED_MEMORY_IS_HELD:
-            growth = memory_peak(self.instance.process.pid) - self.before
+            growth = self.instance.memory_peak() - self.before
             self.assertLess(growth, MEMORY_GROWTH, f"{growth / MEGABYTE:.0f} MB")
 
     def assert_follows_the_store(self) -> None:
@@ -189,7 +179,7 @@
                 "service": "s" * 4000, "address": "127.0.0.1:9", "zone": "a", "slots": 1,
                 "state": "draining", "seq": 1, "born": 1, "models": []})
         wait_until(lambda: len(self.instance.state()["backend_servers"]) == 201, "rows are read")
-        self.before = memory_peak(self.instance.process.pid)
+        self.before = self.instance.memory_peak()
         peers = [self.connect() for _ in range(8)]
         for peer in peers:
             # Fewer messages than the most that wait for a peer.
--- a/tests/entry/misbehaving_server_test.py
+++ b/tests/entry/misbehaving_server_test.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import http.client
-import os
 import socket
 import sys
 import unittest
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
-from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from entry_fleet import (  # noqa: E402
+    FREED_MEMORY_IS_HELD, HANG_LIMIT_S, Instance, configuration, wait_until)
 from misbehaving_server import (  # noqa: E402
     CHUNKED, END, FRAMINGS, MisbehavingServer, Request, WAYS, chunk, cut_answer, event,
     long_answer, own_body)
@@ -25,8 +25,6 @@
 SOCKET_BUFFERS = 3 * 1024 * 1024
 # Growth of a process's memory while one faulty answer is read.
 MEMORY_GROWTH = 4 * 1024 * 1024
-# Set where the address sanitizer holds freed memory back, which memory_peak() counts as well.
-FREED_MEMORY_IS_HELD = "CARAWAYTURN_FREED_MEMORY_IS_HELD" in os.environ
 
 OWN, FAILED, BROKEN = "own answer", "a failure", "an answer that is visibly incomplete"
 
@@ -60,14 +58,6 @@
     return config
 
 
-def memory_peak(process_id: int) -> int:
-    """Returns the greatest resident memory of the process so far, in bytes."""
-    for line in Path(f"/proc/{process_id}/status").read_text(encoding="utf-8").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) * 1024
-    raise AssertionError("the process has ended")
-
-
 class MisbehavingServerTest(unittest.TestCase):
     """One store, one plain server, one runner and one instance for all ways."""
 
@@ -122,7 +112,7 @@
         self.assertIsNone(self.instance.process.poll(), "the process lives")
 
     def assert_memory_is_bounded(self, before: int) -> None:
-        growth = memory_peak(self.instance.process.pid) - before
+        growth = self.instance.memory_peak() - before
         if not FREED_MEMORY_IS_HELD:
             self.assertLess(growth, MEMORY_GROWTH)
 
@@ -134,7 +124,7 @@
 
     def play_plain(self, way, expected: str) -> None:
         self.restart_if_ended()
-        before = memory_peak(self.instance.process.pid)
+        before = self.instance.memory_peak()
         self.plain.play(way)
         ran = len(self.plain.ran)
         outcome, received = self.call("book", b"x" * 40_000)
@@ -193,7 +183,7 @@
 
     def assert_stream_ends(self, way: str, events: bytes) -> None:
         """The caller gets the whole events and an end that does not look complete."""
-        before = memory_peak(self.instance.process.pid)
+        before = self.instance.memory_peak()
         outcome, received = self.stream(way)
         self.assertIn(outcome, (BROKEN, FAILED), received[:200])
         if outcome == BROKEN:
@@ -262,7 +252,7 @@
             for cut in (False, True):
                 with self.subTest(framing=framing, cut=cut):
                     self.plain.play(long_answer(head_line, bytes_of, cut))
-                    before = memory_peak(self.instance.process.pid)
+                    before = self.instance.memory_peak()
                     outcome, received = self.call("book")
                     self.assert_memory_is_bounded(before)
                     if cut:
--- a/tests/entry/misbehaving_store_test.py
+++ b/tests/entry/misbehaving_store_test.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import time
 import unittest
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
-from entry_fleet import Instance, configuration, wait_until  # noqa: E402
+from entry_fleet import (  # noqa: E402
+    FREED_MEMORY_IS_HELD, Instance, configuration, wait_until)
 from misbehaving_store import HUGE_VERSION, MisbehavingStore, WAYS  # noqa: E402
 from platform_fleet import BackendServer  # noqa: E402
 
@@ -30,8 +30,6 @@
 # Of that, a list of all servers that there is room for, in pages of 0.3 MB.
 LIST_GROWTH = MOST_SERVERS * 2100 + 2 * ANSWER_LIMIT
 LONG_WAY_S = 3
-# Set where the address sanitizer holds freed memory back, which the peak counts as well.
-FREED_MEMORY_IS_HELD = "CARAWAYTURN_FREED_MEMORY_IS_HELD" in os.environ
 # Calls in a way before the store is sound again, and the least and greatest time for them.
 CALLS = 3
 WAY_LEAST_S = 0.7
@@ -46,14 +44,6 @@
 CALLS_PER_S = 100
 
 
-def memory_peak(process_id: int) -> int:
-    """Returns the greatest resident memory of the process so far, in bytes."""
-    for line in Path(f"/proc/{process_id}/status").read_text(encoding="utf-8").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) * 1024
-    raise AssertionError("the process has ended")
-
-
 class MisbehavingStoreTest(unittest.TestCase):
     """One store, one plain server and one instance, which is the hub."""
 
@@ -112,7 +102,7 @@
         if self.instance.process.poll() is not None:
             self.instance.start()
             self.instance.wait_until_serving(servers=1)
-        before = memory_peak(self.instance.process.pid)
+        before = self.instance.memory_peak()
         began = time.monotonic()
         self.store.play(way)
         while (time.monotonic() < began + WAY_LEAST_S or
@@ -128,7 +118,7 @@
             self.assertLess(self.store.sent, ANSWER_LIMIT + SOCKET_BUFFERS)
         self.assertEqual(self.store.unbounded, [])
         if not FREED_MEMORY_IS_HELD:
-            growth = memory_peak(self.instance.process.pid) - before
+            growth = self.instance.memory_peak() - before
             self.assertLess(growth, MEMORY_GROWTH, f"{growth / 2**20:.0f} MB")
         self.assert_recovers(way in TELL_ROWS)
 
@@ -142,10 +132,10 @@
     def test_list_without_end_stops_at_the_room_for_servers(self) -> None:
         """Guards against a list of servers that is followed and kept without limit: an instance
         grew by 34 MB a second."""
-        before = memory_peak(self.instance.process.pid)
+        before = self.instance.memory_peak()
         self.store.play("pages_without_end")
         time.sleep(LONG_WAY_S)
-        growth = memory_peak(self.instance.process.pid) - before
+        growth = self.instance.memory_peak() - before
         if not FREED_MEMORY_IS_HELD:
             self.assertLess(growth, LIST_GROWTH, f"{growth / 2**20:.0f} MB")
         self.assert_recovers(tells_rows=True)
