Log why a request is not sent again, and how long its server was silent

A caller whose connection is closed here because a deadline on it passed is logged as caller_timed_out in place of caller_gone.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -70,6 +70,7 @@
                      std::optional<std::uint64_t> length) override;
     task<bool> append(std::string_view bytes) override;
     task<bool> end() override;
+    bool timed_out() const override { return socket_->expired(); }
 
     time_point idle_since() const override { return idle_since_; }
     bool no_pending_input() override { return open_and_idle(socket_->socket()); }
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -75,6 +75,7 @@
 task<request_flow::attempt_outcome> request_flow::run_attempt()
 {
     in_flight_guard const counted(services_, server_.id, head_.model.str());
+    last_received_ = boot_now();
     auto connection = co_await services_.connections.acquire(
         server_.id, server_.address, start_deadline_, &connecting_);
     auto outcome = attempt_outcome::not_run;
@@ -96,6 +97,7 @@
                          {"send", std::uint64_t{sends_}},
                          {"end", name_of(outcome)},
                          {"detail", detail},
+                         {"silent_ms", to_ms(boot_now() - last_received_)},
                          {"elapsed_ms", to_ms(boot_now() - arrival_)}});
     co_return outcome;
 }
@@ -132,6 +134,7 @@
         }
         co_return failure_outcome();
     }
+    last_received_ = boot_now();
     auto const metadata = exchange_->metadata();
     if (metadata.load)
         services_.backends.set_reported_load(server_.id, *metadata.load, boot_now());
@@ -201,7 +204,7 @@
     {
         read = co_await exchange_->read_body();
         if (read == read_outcome::more)
-            answer_body_.append(exchange_->body());
+            keep_piece();
         if (answer_body_.size() > max_buffered_answer)
             co_return co_await relay_answer();
     }
@@ -226,6 +229,12 @@
     co_return attempt_outcome::server_failure;
 }
 
+void request_flow::keep_piece()
+{
+    last_received_ = boot_now();
+    answer_body_.append(exchange_->body());
+}
+
 void request_flow::release_connection()
 {
     duration keep_alive{};
@@ -261,7 +270,7 @@
         answer_body_.clear();
         read = co_await exchange_->read_body();
         if (read == read_outcome::more)
-            answer_body_.append(exchange_->body());
+            keep_piece();
     }
     if (written && read == read_outcome::complete)
         written = co_await writer_.end();
@@ -292,6 +301,7 @@
         }
         if (read == read_outcome::complete)
             co_return co_await finish_stream();
+        last_received_ = boot_now();
         events_.append(exchange_->body());
         if (events_.incomplete_event_too_long())
         {
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -19,6 +19,16 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
+std::string_view name_of(repeat_denial denial)
+{
+    static constexpr std::array<std::string_view, 10> names{
+        "",           "final_outcome", "runs_used",
+        "sends_used", "answer_begun",  "crashes_servers",
+        "deadline",   "retry_budget",  "no_server",
+        "stopping"};
+    return names.at(static_cast<std::size_t>(denial));
+}
+
 request_flow::request_flow(entry_services& services,
                            http::request<http::string_body>& request,
                            answer_writer& writer, time_point arrival)
@@ -200,6 +210,7 @@
         {
             if (abandoned_)
                 co_return false;
+            denial_ = stopped_ ? repeat_denial::stopping : repeat_denial::no_server;
             if (answer_buffered_)
                 co_return co_await answer_after(attempt_outcome::server_failure);
             if (runs_ > 0 || stream_begun_)
@@ -209,7 +220,7 @@
         auto const outcome = co_await run_attempt();
         if (abandoned_)
         {
-            log_end("caller_gone", 0);
+            log_caller_gone();
             co_return false;
         }
         if (!may_repeat(outcome))
@@ -337,36 +348,50 @@
     co_return refused;
 }
 
-bool request_flow::may_repeat(attempt_outcome outcome)
+repeat_denial request_flow::find_repeat_denial(attempt_outcome outcome,
+                                               time_point now) const
 {
-    auto const now = boot_now();
-    bool allowed = false;
-    if (services_.crashes.is_blocked(signature_) || answer_begun_ || stopped_)
-        return false;
+    if (services_.crashes.is_blocked(signature_))
+        return repeat_denial::crashes_servers;
+    if (answer_begun_)
+        return repeat_denial::answer_begun;
+    if (stopped_)
+        return repeat_denial::stopping;
     switch (outcome)
     {
     case attempt_outcome::not_sent:
-        // Not charged to the retry budget, because no server received the request.
-        return now < (stream_begun_ ? deadline_ : start_deadline_);
     case attempt_outcome::not_run:
-        allowed = true;
         break;
     case attempt_outcome::unknown:
     case attempt_outcome::server_failure:
     case attempt_outcome::broken_off:
-        allowed = another_run_allowed();
+        if (!another_run_allowed())
+            return repeat_denial::runs_used;
         break;
     case attempt_outcome::delivered:
     case attempt_outcome::caller_gone:
     case attempt_outcome::late:
-        break;
+        return repeat_denial::final_outcome;
     }
-    auto const limit = stream_begun_ ? deadline_ : start_deadline_;
-    if (!allowed || sends_ >= max_sends || now >= limit)
+    if (now >= (stream_begun_ ? deadline_ : start_deadline_))
+        return repeat_denial::deadline_passed;
+    bool const sent = outcome != attempt_outcome::not_sent;
+    return sent && sends_ >= max_sends ? repeat_denial::sends_used : repeat_denial::none;
+}
+
+bool request_flow::may_repeat(attempt_outcome outcome)
+{
+    auto const now = boot_now();
+    denial_ = find_repeat_denial(outcome, now);
+    if (denial_ != repeat_denial::none)
         return false;
+    // Not charged to the retry budget, because no server received the request.
+    if (outcome == attempt_outcome::not_sent)
+        return true;
     if (!services_.retries.take(service_->name, now))
     {
         services_.metrics.count("repeats_denied_total");
+        denial_ = repeat_denial::retry_budget;
         return false;
     }
     if (outcome != attempt_outcome::not_run)
@@ -402,7 +427,7 @@
         co_return co_await writer_.write(answer_head_, std::move(answer_body_));
     }
     case attempt_outcome::caller_gone:
-        log_end("caller_gone", 0);
+        log_caller_gone();
         co_return false;
     case attempt_outcome::not_sent:
     case attempt_outcome::not_run:
@@ -458,6 +483,11 @@
     co_return co_await writer_.write(std::move(head), std::move(body));
 }
 
+void request_flow::log_caller_gone()
+{
+    log_end(writer_.timed_out() ? "caller_timed_out" : "caller_gone", 0);
+}
+
 void request_flow::log_end(std::string_view outcome, unsigned status)
 {
     auto const now = boot_now();
@@ -476,6 +506,7 @@
          {"model", model},
          {"server", server_.id},
          {"sends", std::uint64_t{sends_}},
+         {"not_repeated", entry::name_of(denial_)},
          {"first_event_ms", to_ms(first_event_after_)},
          {"longest_gap_ms", to_ms(longest_gap_)},
          {"elapsed_ms", to_ms(now - arrival_)},
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -37,8 +37,34 @@
     /// Ends an answer that begin() started. Without this call the answer must not look
     /// complete to the caller.
     [[nodiscard]] virtual task<bool> end() = 0;
+    /// Whether the connection was closed here because a deadline passed, and not by the
+    /// caller.
+    [[nodiscard]] virtual bool timed_out() const = 0;
 };
 
+/// Why a request is not sent again after an attempt, for the log.
+enum class repeat_denial : std::uint8_t
+{
+    /// No attempt has ended yet, or another one followed.
+    none,
+    /// The outcome is final, for example because the answer was delivered.
+    final_outcome,
+    /// The route allows no further run.
+    runs_used,
+    /// The request was sent as often as one request may be.
+    sends_used,
+    /// A long answer has begun, which no other run can continue.
+    answer_begun,
+    /// Servers crashed while they ran the request.
+    crashes_servers,
+    deadline_passed,
+    retry_budget,
+    no_server,
+    stopping
+};
+
+[[nodiscard]] std::string_view name_of(repeat_denial denial);
+
 /// Handles one request: admission, choice of a backend server, attempts and answer.
 class request_flow
 {
@@ -121,6 +147,8 @@
     receive_answer(platform::answer_metadata metadata);
     /// Forwards an answer that is too long to buffer, piece by piece as it arrives.
     [[nodiscard]] task<attempt_outcome> relay_answer();
+    /// Appends the piece of the body that was read to the buffered answer.
+    void keep_piece();
     /// Returns the connection for reuse if the exchange left it usable.
     void release_connection();
     [[nodiscard]] attempt_outcome handle_delivery();
@@ -130,6 +158,9 @@
     [[nodiscard]] attempt_outcome
     handle_rejection(platform::answer_metadata const& metadata);
     [[nodiscard]] bool may_repeat(attempt_outcome outcome);
+    /// Returns what forbids another attempt; does not ask the retry budget.
+    [[nodiscard]] repeat_denial find_repeat_denial(attempt_outcome outcome,
+                                                   time_point now) const;
     [[nodiscard]] task<bool> answer_after(attempt_outcome outcome);
     [[nodiscard]] task<bool> refuse(refusal why);
     /// Whether the request may run again after an attempt with an unknown outcome.
@@ -140,6 +171,8 @@
     [[nodiscard]] time_point stall_deadline(time_point progress) const;
     [[nodiscard]] backend_requirements criteria() const;
     void log_end(std::string_view outcome, unsigned status);
+    /// Logs that the caller's connection ended before the answer did.
+    void log_caller_gone();
     /// Cancels every wait and transfer of the request.
     void interrupt();
     /// Refuses the request with a reason that says that it may have run.
@@ -177,6 +210,10 @@
     std::uint32_t runs_ = 0;
     std::uint32_t sends_ = 0;
     std::set<std::string> excluded_;
+    repeat_denial denial_ = repeat_denial::none;
+    /// When the server of the current attempt last sent something of its answer; the
+    /// time at which the request was sent before that.
+    time_point last_received_{};
     backend_record server_;
     std::unique_ptr<backend_exchange> exchange_;
     /// The connection that is being opened to a server.
