--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -245,6 +245,10 @@
         # Seconds to wait before an answer, and before each event of a stream.
         self.answer_delay_s = 0.0
         self.event_delay_s = 0.0
+        # Seconds of silence before an event of a stream that is not resumed, by its number.
+        self.silences_s: dict[int, float] = {}
+        # Seconds to wait before the head of the answer to a resumed stream.
+        self.resume_delay_s = 0.0
         # Whether every answer carries the Server-Leaving header.
         self.leaving = False
         # Ids of the requests whose answers carried that header.
@@ -345,7 +349,7 @@
             # A 503 answer that does not say whether the request ran.
             call.answer(503, b"", {**headers, "X-Server-Seal": "s"})
             return
-        if self.mode == "full" or (self.mode == "break_shed" and resumed):
+        if self.mode == "full" or (self.mode in ("break_shed", "shed_resumed") and resumed):
             call.answer(503, b"", {**headers, "X-Not-Executed": "1"})
             return
         if self.is_runner and model and model.split("/")[0] not in self.models:
@@ -385,6 +389,8 @@
 
     def _stream(self, call: _Handler, headers: dict[str, str]) -> None:
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
+        silences = self.silences_s if first == 1 else {}
+        time.sleep(self.resume_delay_s if first > 1 else 0.0)
         call.send_response(200)
         for name, value in {**headers, "X-Server-Seal": "s",
                             "Content-Type": "text/event-stream",
@@ -398,7 +404,7 @@
                 call.wfile.flush()
                 call.drop()
                 return
-            time.sleep(self.event_delay_s)
+            time.sleep(self.event_delay_s + silences.get(number, 0.0))
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
         call.wfile.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/entry/silent_server_test.py
@@ -0,0 +1,152 @@
+"""Tests an instance process whose backend servers send nothing for a while and then go on.
+
+A server's silence is no reason to end an answer: the exchange may only be given up for another
+server that takes the request over.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from platform_fleet import BackendServer, Store  # noqa: E402
+
+# Longer than the time after which another server is looked for: five times the gap objective, a
+# second at least.
+SILENCE_S = 2.5
+# Settings with which no request may be sent a second time.
+NO_RETRY_BUDGET = "bounds.budget_slack=0\nbounds.retry_budget_ratio=0\n"
+WHOLE_STREAM = [1, 2, 3, 4, 5]
+
+
+def event_ids(answer: bytes) -> list[int]:
+    """Returns the ids of the events; 0 is appended if the answer does not end."""
+    ids = [int(line[4:]) for line in answer.splitlines() if line.startswith(b"id: ")]
+    return ids if answer.endswith(b"0\r\n\r\n") else [*ids, 0]
+
+
+class SilentServerTest(unittest.TestCase):
+    """Starts a store, two runners, a plain server and one instance."""
+
+    runner_count = 2
+    more_settings = ""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        config = configuration(1, ["k1"])
+        for route in config["routes"]:
+            route["gap_target_ms"] = 100
+        self.store.put("op", "config", config)
+        self.plain = BackendServer(self.store, "p0", "plain")
+        self.runners = [BackendServer(self.store, f"r{number}", "llm", ["m1"])
+                        for number in range(self.runner_count)]
+        for runner in self.runners:
+            runner.silences_s = {3: SILENCE_S}
+        self.instance = Instance(self.store, "n1", more_settings=self.more_settings)
+        self.instance.wait_until_serving(servers=1 + self.runner_count)
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (self.plain, *self.runners, self.store):
+            service.close()
+
+    def stream(self) -> list[int]:
+        return event_ids(self.instance.raw_answer("/draft/a", "s1", "m1"))
+
+    def runs(self) -> list[str]:
+        """Returns the names of the runners that ran a request, in the order of the runs."""
+        runs = sorted((run["at"], run["server"]) for runner in self.runners for run in runner.ran)
+        return [server for _, server in runs]
+
+
+class DeniedRetryTest(SilentServerTest):
+    """The retry budget allows no second run."""
+
+    more_settings = NO_RETRY_BUDGET
+
+    def test_stream_without_a_retry_budget_is_not_cut_for_a_silence(self) -> None:
+        """Guards against an exchange that is given up before another run is allowed."""
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_stream_without_a_retry_budget_is_not_cut_for_a_silence_in_a_stop(self) -> None:
+        """Guards against the same during a planned stop of the instance."""
+        received: list[list[int]] = []
+        caller = threading.Thread(target=lambda: received.append(self.stream()))
+        caller.start()
+        wait_until(self.runs, "the stream runs")
+        self.instance.process.send_signal(signal.SIGTERM)
+        caller.join()
+        self.assertEqual(received, [WHOLE_STREAM])
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+
+    def test_stream_with_a_late_first_event_is_not_failed_without_a_retry_budget(self) -> None:
+        """Guards against the same before the first event: the caller received 502."""
+        for runner in self.runners:
+            runner.silences_s = {1: SILENCE_S}
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+
+    def test_slow_request_is_not_failed_without_a_retry_budget(self) -> None:
+        """Guards against the same on a plain route: the caller received 502."""
+        self.plain.answer_delay_s = 3.0
+        status, _, _ = self.instance.request("/status/a", headers={"X-Deadline-Ms": "4000"})
+        self.assertEqual(status, 200)
+
+
+class OneRunnerTest(SilentServerTest):
+    """No other server can take the stream over."""
+
+    runner_count = 1
+
+    def test_stream_with_no_other_server_is_not_cut_for_a_silence(self) -> None:
+        """Guards against an exchange that is given up before there is another server."""
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_stream_with_no_other_server_is_not_cut_for_a_silence_in_a_stop(self) -> None:
+        """Guards against the same during a planned stop of the instance."""
+        received: list[list[int]] = []
+        caller = threading.Thread(target=lambda: received.append(self.stream()))
+        caller.start()
+        wait_until(self.runs, "the stream runs")
+        self.instance.process.send_signal(signal.SIGTERM)
+        caller.join()
+        self.assertEqual(received, [WHOLE_STREAM])
+
+
+class TwoRunnersTest(SilentServerTest):
+    """Another server can take the stream over."""
+
+    def test_stream_goes_on_at_another_server_after_a_silence(self) -> None:
+        """Guards against a stream that waits for a server that has stopped working."""
+        for runner in self.runners:
+            runner.silences_s = {3: 6.0}
+        began = time.monotonic()
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertLess(time.monotonic() - began, 5.0)
+        self.assertEqual(len(set(self.runs())), 2)
+
+    def test_stream_that_the_next_server_refuses_goes_on_at_the_silent_one(self) -> None:
+        """Guards against an exchange that is given up before the next server has accepted."""
+        for runner in self.runners:
+            runner.mode = "shed_resumed"
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertEqual(len(self.runs()), 1)
+
+    def test_stream_that_goes_on_before_the_next_server_answers_stays(self) -> None:
+        """Guards against events that wait while the next server does not answer."""
+        for runner in self.runners:
+            runner.resume_delay_s = 20.0
+        began = time.monotonic()
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertLess(time.monotonic() - began, 5.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
