Leave a silent server only for another one that takes the request over

Cause: the exchange with a server that had sent no event for five times the gap objective was closed as soon as the route allowed another run at all. Only then was the retry budget asked, and a server chosen. Where the budget denied the run, no server was free, or the next servers refused, the caller's answer was cut although its own server went on.

Class: a resource that is in use is given up before its replacement is known to be available.

Change: a silence only interrupts the read. In that moment the run is reserved: rules of the route, a server with room, and the charge to the retry budget, in one step. Without all three the exchange goes on and is looked at again every 200 ms. A stream keeps its exchange until the next server has accepted it, and stays if that server refuses, fails, or is slower than the silent one. 1103 server_silent says which. A silent server that keeps its request counts as failed once, so that others are preferred for new requests.

Evidence: silent_server_test, real processes.

--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -12,6 +12,7 @@
     request_ended = 1100,
     attempt_ended = 1101,
     request_malformed = 1102,
+    server_silent = 1103,
     configuration_in_force = 1110,
     configuration_unreadable = 1111,
     store_lost = 1120,
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -86,6 +86,7 @@
     {1100, info, "request_ended"},
     {1101, info, "attempt_ended"},
     {1102, info, "request_malformed"},
+    {1103, info, "server_silent"},
     {1110, info, "configuration_in_force"},
     {1111, error, "configuration_unreadable"},
     {1120, warning, "store_lost"},
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -3,11 +3,16 @@
 #include "protocol/entry/bounded_number.hpp"
 #include "state/entry/time_units.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
+#include <utility>
+
 namespace carawayturn::entry
 {
 
@@ -62,6 +67,7 @@
     : socket_(std::move(socket)), request_id_(std::move(request_id)),
       buffer_(answer_buffer_limit)
 {
+    socket_->interrupt_read_at(time_point::max());
 }
 
 task<bool> backend_exchange::send(http::request_header<> head, std::string_view body)
@@ -117,6 +123,8 @@
 task<bool> backend_exchange::skip_answer()
 {
     std::size_t skipped = 0;
+    // The answer is skipped as a whole, so its reads are not interrupted.
+    auto const limit = std::exchange(idle_limit_, time_point::max());
     while (!parser_->is_done())
     {
         // Not awaited in the condition: see CONTRIBUTING.md on GCC bug 106188.
@@ -130,21 +138,24 @@
             co_return false;
         }
     }
+    idle_limit_ = limit;
     co_return true;
 }
 
 task<read_outcome> backend_exchange::read_head()
 {
-    for (int skipped = 0; skipped <= max_skipped_answers; ++skipped)
+    while (skipped_answers_ <= max_skipped_answers)
     {
-        start_parser();
+        if (!std::exchange(head_begun_, true))
+            start_parser();
+        socket_->interrupt_read_at(idle_limit_);
         auto const [failure, size] = co_await http::async_read_header(
-            socket_->socket(), buffer_, *parser_, use_task);
+            socket_->socket(), buffer_, *parser_,
+            asio::bind_cancellation_slot(socket_->read_slot(), use_task));
         if (failure)
-        {
-            note_failure(failure);
-            co_return read_outcome::failed;
-        }
+            co_return failed_read(failure);
+        head_begun_ = false;
+        ++skipped_answers_;
         if (parser_->get().result_int() < 200)
             continue;
         metadata_ = platform::decode_answer_metadata(parser_->get());
@@ -166,6 +177,22 @@
     return *content_length;
 }
 
+read_outcome backend_exchange::failed_read(boost::system::error_code failure)
+{
+    if (failure == asio::error::operation_aborted && socket_->read_interrupted() &&
+        socket_->socket().is_open())
+        return read_outcome::idle;
+    note_failure(failure);
+    return read_outcome::failed;
+}
+
+bool backend_exchange::has_unread_input()
+{
+    char byte = 0;
+    return buffer_.size() > 0 || ::recv(socket_->socket().native_handle(), &byte, 1,
+                                        MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void backend_exchange::note_failure(boost::system::error_code failure)
 {
     failure_ = socket_->expired() ? "deadline passed" : failure.message();
@@ -182,14 +209,13 @@
     auto& body = parser_->get().body();
     body.data = piece_.data();
     body.size = piece_.size();
-    auto const [failure, size] =
-        co_await http::async_read_some(socket_->socket(), buffer_, *parser_, use_task);
+    socket_->interrupt_read_at(idle_limit_);
+    auto const [failure, size] = co_await http::async_read_some(
+        socket_->socket(), buffer_, *parser_,
+        asio::bind_cancellation_slot(socket_->read_slot(), use_task));
     piece_size_ = piece_.size() - body.size;
     if (failure && failure != http::error::need_buffer)
-    {
-        note_failure(failure);
-        co_return read_outcome::failed;
-    }
+        co_return failed_read(failure);
     co_return read_outcome::more;
 }
 
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -24,6 +24,8 @@
     more,
     /// The answer is complete.
     complete,
+    /// Nothing arrived until the time set with set_idle_limit(). The exchange goes on.
+    idle,
     /// The connection broke, the answer is malformed, or the deadline passed.
     failed
 };
@@ -39,7 +41,8 @@
     /// writing failed.
     [[nodiscard]] task<bool> send(http::request_header<> head, std::string_view body);
 
-    /// Reads the head of the answer. Skips answers to other requests.
+    /// Reads the head of the answer. Skips answers to other requests. After `idle`, it is
+    /// called again.
     [[nodiscard]] task<read_outcome> read_head();
     [[nodiscard]] http::response_header<> const& head() const { return parser_->get(); }
     /// The facts decoded from the head of the answer.
@@ -58,6 +61,11 @@
     /// Records why the caller of the exchange rejects the answer.
     void set_failure(std::string reason) { failure_ = std::move(reason); }
     void set_deadline(time_point deadline) { socket_->set_deadline(deadline); }
+    /// Ends a read with `idle` if nothing has arrived until then; time_point::max() means
+    /// never.
+    void set_idle_limit(time_point limit) { idle_limit_ = limit; }
+    /// Whether bytes of the answer have arrived that were not read yet.
+    [[nodiscard]] bool has_unread_input();
     void close() { socket_->close(); }
 
     /// Releases the connection for another exchange; null if it cannot be reused. Sets
@@ -68,6 +76,9 @@
     struct upload;
     [[nodiscard]] task<bool> skip_answer();
     void start_parser();
+    /// Returns `idle` if the read was interrupted for the idle limit. Otherwise records
+    /// the reason and returns `failed`.
+    [[nodiscard]] read_outcome failed_read(boost::system::error_code failure);
     void note_failure(boost::system::error_code failure);
 
     std::shared_ptr<deadline_socket> socket_;
@@ -79,6 +90,10 @@
     std::size_t piece_size_ = 0;
     std::shared_ptr<upload> upload_;
     bool head_request_ = false;
+    /// A read of the head was interrupted, so a part of it may have been read.
+    bool head_begun_ = false;
+    int skipped_answers_ = 0;
+    time_point idle_limit_ = time_point::max();
     std::string failure_;
     bool complete_ = false;
 };
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -86,10 +86,22 @@
     close();
 }
 
+void deadline_socket::interrupt_read_at(time_point time)
+{
+    interruption_time_ = time;
+    read_interrupted_ = false;
+}
+
 void deadline_monitor::close_expired(time_point now)
 {
     for (auto* const socket : sockets_)
     {
+        if (socket->interruption_time_ <= now)
+        {
+            socket->interrupt_read_at(time_point::max());
+            socket->read_interrupted_ = true;
+            socket->interruption_.emit(asio::cancellation_type::terminal);
+        }
         if (socket->deadline_ > now)
             continue;
         if (socket->hard_deadline_ > now && socket->has_unacknowledged_bytes())
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -63,6 +64,12 @@
         hard_deadline_ = hard_deadline;
     }
     [[nodiscard]] bool expired() const { return expired_; }
+    /// Cancels the pending read once this time has passed, and leaves the connection as
+    /// it is; time_point::max() means never. Applies to reads that use read_slot().
+    void interrupt_read_at(time_point time);
+    [[nodiscard]] asio::cancellation_slot read_slot() { return interruption_.slot(); }
+    /// Whether the last read was cancelled for that time.
+    [[nodiscard]] bool read_interrupted() const { return read_interrupted_; }
     void close();
     /// Makes a later close a reset, which discards bytes that the peer has not
     /// acknowledged. This also applies if the process is killed.
@@ -81,6 +88,9 @@
     time_point deadline_ = time_point::max();
     time_point hard_deadline_ = time_point::max();
     bool expired_ = false;
+    time_point interruption_time_ = time_point::max();
+    asio::cancellation_signal interruption_;
+    bool read_interrupted_ = false;
 };
 
 /// Enforces the deadlines of all sockets with one periodic check instead of a timer for
@@ -88,7 +98,7 @@
 class deadline_monitor
 {
 public:
-    /// Closes the sockets whose deadline has passed.
+    /// Closes the sockets whose deadline has passed, and interrupts reads that are due.
     void close_expired(time_point now);
 
 private:
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -24,86 +24,53 @@
 
 } // namespace
 
-bool request_flow::another_run_allowed() const
-{
-    return route_->retryable() && runs_ < route_->max_attempts;
-}
-
-time_point request_flow::stall_deadline(time_point progress) const
+task<request_flow::attempt_outcome> request_flow::run_attempt()
 {
-    // A stalled stream that no other server may continue is kept open until the deadline.
-    if (!another_run_allowed())
-        return deadline_;
-    return progress + std::max(stall_gap_factor * route_->gap_objective, min_stall_time);
+    in_flight_ =
+        std::make_unique<in_flight_guard>(services_, server_.id, head_.model.str());
+    auto const ended = co_await begin_attempt();
+    auto outcome = ended.value_or(attempt_outcome::unknown);
+    if (!ended)
+        outcome = co_await receive_answer();
+    log_attempt(outcome, server_.id, last_received_,
+                exchange_ ? exchange_->failure() : "no connection");
+    exchange_.reset();
+    in_flight_.reset();
+    co_return outcome;
 }
 
-time_point request_flow::first_byte_deadline() const
+void request_flow::log_attempt(attempt_outcome outcome, std::string_view server,
+                               time_point last_received, std::string_view detail)
 {
     auto const now = boot_now();
-    if (!another_run_allowed())
-        return start_deadline_;
-    // Half of the remaining time is reserved for an attempt at another server.
-    return now + std::max((start_deadline_ - now) / 2, duration(1000));
+    services_.log.write(entry_event::attempt_ended,
+                        {{"request", head_.id},
+                         {"server", server},
+                         {"send", std::uint64_t{sends_}},
+                         {"end", name_of(outcome)},
+                         {"detail", detail},
+                         {"silent_ms", to_ms(now - last_received)},
+                         {"elapsed_ms", to_ms(now - arrival_)}});
 }
 
-/// Counts a request as in flight at a server for the lifetime of the guard.
-class request_flow::in_flight_guard
+task<std::optional<request_flow::attempt_outcome>> request_flow::begin_attempt()
 {
-public:
-    in_flight_guard(entry_services& services, std::string server, std::string model)
-        : services_(services), server_and_model_(std::move(server), std::move(model))
-    {
-        services_.backends.note_sent(server_and_model_.first);
-        ++services_.in_flight[server_and_model_];
-    }
-    in_flight_guard(in_flight_guard const&) = delete;
-    in_flight_guard& operator=(in_flight_guard const&) = delete;
-    ~in_flight_guard()
-    {
-        services_.backends.note_finished(server_and_model_.first);
-        auto const found = services_.in_flight.find(server_and_model_);
-        if (found != services_.in_flight.end() && --found->second == 0)
-            services_.in_flight.erase(found);
-        services_.waiting.wake();
-    }
-
-private:
-    entry_services& services_;
-    std::pair<std::string, std::string> server_and_model_;
-};
-
-task<request_flow::attempt_outcome> request_flow::run_attempt()
-{
-    in_flight_guard const counted(services_, server_.id, head_.model.str());
     last_received_ = boot_now();
+    logged_silence_.reset();
     auto connection = co_await services_.connections.acquire(
         server_.id, server_.address, start_deadline_, &connecting_);
-    auto outcome = attempt_outcome::not_run;
-    if (connection.socket && !interrupted())
-    {
-        outcome = co_await exchange_on(std::move(connection));
-    }
-    else if (!interrupted())
-    {
-        services_.backends.note_failure(server_.id, boot_now());
-        services_.crashes.note_crash(server_.id, boot_now());
-        excluded_.insert(server_.id);
-    }
-    std::string const detail = exchange_ ? exchange_->failure() : "no connection";
-    exchange_.reset();
-    services_.log.write(entry_event::attempt_ended,
-                        {{"request", head_.id},
-                         {"server", server_.id},
-                         {"send", std::uint64_t{sends_}},
-                         {"end", name_of(outcome)},
-                         {"detail", detail},
-                         {"silent_ms", to_ms(boot_now() - last_received_)},
-                         {"elapsed_ms", to_ms(boot_now() - arrival_)}});
-    co_return outcome;
+    if (interrupted())
+        co_return attempt_outcome::not_run;
+    if (connection.socket)
+        co_return co_await exchange_heads(std::move(connection));
+    services_.backends.note_failure(server_.id, boot_now());
+    services_.crashes.note_crash(server_.id, boot_now());
+    excluded_.insert(server_.id);
+    co_return attempt_outcome::not_run;
 }
 
-task<request_flow::attempt_outcome>
-request_flow::exchange_on(backend_connection connection)
+task<std::optional<request_flow::attempt_outcome>>
+request_flow::exchange_heads(backend_connection connection)
 {
     auto const now = boot_now();
     if (!services_.backends.may_send(server_, now))
@@ -119,12 +86,14 @@
         parameters.resume_after = events_.last_id();
     ++sends_;
     ++runs_;
-    exchange_->set_deadline(first_byte_deadline());
+    exchange_->set_deadline(start_deadline_);
     // A server may answer and close the connection before it has read the whole request,
     // so the answer is read even if sending failed.
     static_cast<void>(co_await exchange_->send(
         platform::encode_attempt(request_, parameters), request_.body()));
-    auto const read = co_await exchange_->read_head();
+    auto const read = co_await read_answer_head();
+    if (read == read_outcome::idle)
+        co_return attempt_outcome::unknown;
     if (read == read_outcome::failed)
     {
         if (!interrupted())
@@ -135,7 +104,7 @@
         co_return failure_outcome();
     }
     last_received_ = boot_now();
-    auto const metadata = exchange_->metadata();
+    auto const& metadata = exchange_->metadata();
     if (metadata.load)
         services_.backends.set_reported_load(server_.id, *metadata.load, boot_now());
     apply_server_notice(services_, server_.id, server_.born_ms, metadata.notice);
@@ -143,7 +112,7 @@
         co_return handle_rejection(metadata);
     if (!metadata.notice.pause)
         services_.backends.note_answered(server_.id);
-    co_return co_await receive_answer(metadata);
+    co_return std::nullopt;
 }
 
 request_flow::attempt_outcome request_flow::failure_outcome() const
@@ -180,9 +149,9 @@
     return attempt_outcome::not_run;
 }
 
-task<request_flow::attempt_outcome>
-request_flow::receive_answer(platform::answer_metadata metadata)
+task<request_flow::attempt_outcome> request_flow::receive_answer()
 {
+    auto const& metadata = exchange_->metadata();
     auto const status = exchange_->head().result_int();
     bool const success = status >= 200 && status < 300;
     if (success && (!metadata.signed_by_server || metadata.encoded))
@@ -284,16 +253,22 @@
 
 task<request_flow::attempt_outcome> request_flow::relay_stream()
 {
-    bool const resuming = stream_begun_;
-    if (!resuming)
-        answer_head_ = platform::encode_caller_answer(exchange_->head());
-    auto progress = boot_now();
+    auto silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
     for (;;)
     {
-        auto const limit =
-            stream_begun_ ? stall_deadline(progress) : first_byte_deadline();
-        exchange_->set_deadline(std::min(deadline_, limit));
+        // Checked also after a read, because comments and parts of events may arrive.
+        if (boot_now() >= silent_at)
+        {
+            bool const moved = co_await hand_over_stream();
+            silent_at = boot_now() + recheck_interval;
+            if (moved)
+                silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
+        }
+        exchange_->set_deadline(stream_begun_ ? deadline_ : start_deadline_);
+        exchange_->set_idle_limit(silent_at);
         auto const read = co_await exchange_->read_body();
+        if (read == read_outcome::idle)
+            continue;
         if (read == read_outcome::failed)
         {
             services_.backends.note_failure(server_.id, boot_now());
@@ -313,14 +288,10 @@
         if (events.empty())
             continue;
         if (events_.last_taken_has_data())
-            progress = boot_now();
+            silent_at = stall_limit(boot_now());
         if (!stream_begun_)
         {
-            stream_begun_ = true;
-            first_event_after_ = boot_now() - arrival_;
-            last_event_ = boot_now();
-            services_.metrics.observe_first_event_latency(first_event_after_);
-            bool const begun = co_await writer_.begin(answer_head_, std::nullopt);
+            bool const begun = co_await begin_stream();
             if (!begun)
                 co_return attempt_outcome::caller_gone;
         }
@@ -332,11 +303,24 @@
     }
 }
 
+task<bool> request_flow::begin_stream()
+{
+    stream_begun_ = true;
+    answer_head_ = platform::encode_caller_answer(exchange_->head());
+    first_event_after_ = boot_now() - arrival_;
+    last_event_ = boot_now();
+    services_.metrics.observe_first_event_latency(first_event_after_);
+    co_return co_await writer_.begin(answer_head_, std::nullopt);
+}
+
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
     bool written = true;
     if (!stream_begun_)
+    {
+        answer_head_ = platform::encode_caller_answer(exchange_->head());
         written = co_await writer_.begin(answer_head_, std::nullopt);
+    }
     stream_begun_ = true;
     if (written && !events_.incomplete_event().empty())
         written = co_await writer_.append(events_.incomplete_event());
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -13,22 +13,12 @@
 
 std::string_view request_flow::name_of(attempt_outcome outcome)
 {
-    static constexpr std::array<std::string_view, 8> names{
-        "delivered", "caller_gone",    "not_run",    "not_sent",
-        "unknown",   "server_failure", "broken_off", "late"};
+    static constexpr std::array<std::string_view, 9> names{
+        "delivered",      "caller_gone", "not_run", "not_sent",   "unknown",
+        "server_failure", "broken_off",  "late",    "handed_over"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
-std::string_view name_of(repeat_denial denial)
-{
-    static constexpr std::array<std::string_view, 10> names{
-        "",           "final_outcome", "runs_used",
-        "sends_used", "answer_begun",  "crashes_servers",
-        "deadline",   "retry_budget",  "no_server",
-        "stopping"};
-    return names.at(static_cast<std::size_t>(denial));
-}
-
 request_flow::request_flow(entry_services& services,
                            http::request<http::string_body>& request,
                            answer_writer& writer, time_point arrival)
@@ -41,6 +31,8 @@
 {
     if (exchange_)
         exchange_->close();
+    if (silent_)
+        silent_->exchange->close();
     if (auto const socket = connecting_.lock())
         socket->close();
     turn_signal_.notify();
@@ -206,7 +198,8 @@
 {
     for (;;)
     {
-        if (auto refused = co_await choose_server())
+        auto refused = co_await take_server();
+        if (refused)
         {
             if (abandoned_)
                 co_return false;
@@ -228,6 +221,14 @@
     }
 }
 
+task<std::optional<request_flow::refusal>> request_flow::take_server()
+{
+    if (!reserved_server_)
+        co_return co_await choose_server();
+    server_ = *std::exchange(reserved_server_, std::nullopt);
+    co_return std::nullopt;
+}
+
 backend_requirements request_flow::criteria() const
 {
     return {service_->name, head_.model, head_.affinity, excluded_};
@@ -250,17 +251,21 @@
                                                     : route_->priority;
 }
 
+std::string request_flow::waiting_key() const
+{
+    return service_->name + "/" + head_.model.str();
+}
+
 backend_choice request_flow::next_choice(time_point now)
 {
-    auto const waiting_key = service_->name + "/" + head_.model.str();
     bool const in_turn = waiting_place_
                              ? waiting_place_->is_first()
-                             : !services_.waiting.must_wait(waiting_key, priority());
+                             : !services_.waiting.must_wait(waiting_key(), priority());
     auto choice = services_.backends.choose(criteria(), now);
     if (choice.outcome == choice_outcome::chosen && !in_turn)
         choice = {choice_outcome::paused, nullptr, 0, now};
     if (choice.outcome == choice_outcome::paused && !waiting_place_)
-        waiting_place_.emplace(services_.waiting, waiting_key, priority(),
+        waiting_place_.emplace(services_.waiting, waiting_key(), priority(),
                                [this] { turn_signal_.notify(); });
     if (choice.outcome != choice_outcome::paused)
         waiting_place_.reset();
@@ -348,62 +353,6 @@
     co_return refused;
 }
 
-repeat_denial request_flow::find_repeat_denial(attempt_outcome outcome,
-                                               time_point now) const
-{
-    if (services_.crashes.is_blocked(signature_))
-        return repeat_denial::crashes_servers;
-    if (answer_begun_)
-        return repeat_denial::answer_begun;
-    if (stopped_)
-        return repeat_denial::stopping;
-    switch (outcome)
-    {
-    case attempt_outcome::not_sent:
-    case attempt_outcome::not_run:
-        break;
-    case attempt_outcome::unknown:
-    case attempt_outcome::server_failure:
-    case attempt_outcome::broken_off:
-        if (!another_run_allowed())
-            return repeat_denial::runs_used;
-        break;
-    case attempt_outcome::delivered:
-    case attempt_outcome::caller_gone:
-    case attempt_outcome::late:
-        return repeat_denial::final_outcome;
-    }
-    if (now >= (stream_begun_ ? deadline_ : start_deadline_))
-        return repeat_denial::deadline_passed;
-    bool const sent = outcome != attempt_outcome::not_sent;
-    return sent && sends_ >= max_sends ? repeat_denial::sends_used : repeat_denial::none;
-}
-
-bool request_flow::may_repeat(attempt_outcome outcome)
-{
-    auto const now = boot_now();
-    denial_ = find_repeat_denial(outcome, now);
-    if (denial_ != repeat_denial::none)
-        return false;
-    // Not charged to the retry budget, because no server received the request.
-    if (outcome == attempt_outcome::not_sent)
-        return true;
-    if (!services_.retries.take(service_->name, now))
-    {
-        services_.metrics.count("repeats_denied_total");
-        denial_ = repeat_denial::retry_budget;
-        return false;
-    }
-    if (outcome != attempt_outcome::not_run)
-        excluded_.insert(server_.id);
-    // Discards the incomplete event of the failed run, which the next run sends again.
-    events_.discard_incomplete_event();
-    if (stream_begun_)
-        start_deadline_ = deadline_;
-    services_.metrics.count("repeats_total");
-    return true;
-}
-
 task<bool> request_flow::answer_after(attempt_outcome outcome)
 {
     // The head of the answer has been sent, so only the rest of that answer may follow.
@@ -439,6 +388,7 @@
     case attempt_outcome::late:
         co_return co_await refuse({refusal_reason::deadline_passed, {}});
     case attempt_outcome::unknown:
+    case attempt_outcome::handed_over:
         co_return co_await refuse_unknown_outcome();
     case attempt_outcome::broken_off:
         log_end("answer_broken", 0);
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -5,6 +5,7 @@
 #include "state/entry/refusal_reason.hpp"
 #include "transport/entry/backend_exchange.hpp"
 #include "transport/entry/entry_services.hpp"
+#include "transport/entry/in_flight_guard.hpp"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -114,9 +115,19 @@
         /// The answer broke off after its head was sent to the caller.
         broken_off,
         /// The deadline passed.
-        late
+        late,
+        /// The server was silent, and another one has taken the stream over.
+        handed_over
+    };
+    /// An attempt whose server is silent. It is kept while another server is asked to
+    /// take the stream over, and goes on if that server does not.
+    struct silent_attempt
+    {
+        backend_record server;
+        std::unique_ptr<in_flight_guard> in_flight;
+        std::unique_ptr<backend_exchange> exchange;
+        time_point last_received;
     };
-    class in_flight_guard;
     struct refusal
     {
         refusal_reason reason = refusal_reason::no_configuration;
@@ -132,19 +143,30 @@
     void set_deadlines();
     [[nodiscard]] task<bool> run_attempts();
     [[nodiscard]] task<std::optional<refusal>> choose_server();
+    /// Takes the reserved server, or else chooses one.
+    [[nodiscard]] task<std::optional<refusal>> take_server();
     [[nodiscard]] std::optional<refusal> waiting_refusal(backend_choice const& choice,
                                                          time_point waiting_since,
                                                          time_point now) const;
     /// Chooses a server for the request. Requests that wait for the end of a server's
     /// pause get one in order of priority, then of arrival.
     [[nodiscard]] backend_choice next_choice(time_point now);
+    [[nodiscard]] std::string waiting_key() const;
     [[nodiscard]] task<void> wait_for_change(backend_choice const& choice,
                                              time_point now);
     [[nodiscard]] std::uint32_t priority() const;
     [[nodiscard]] task<attempt_outcome> run_attempt();
-    [[nodiscard]] task<attempt_outcome> exchange_on(backend_connection connection);
-    [[nodiscard]] task<attempt_outcome>
-    receive_answer(platform::answer_metadata metadata);
+    /// Sends the request to the server and reads the head of its answer. Returns the
+    /// outcome if that ends the attempt.
+    [[nodiscard]] task<std::optional<attempt_outcome>> begin_attempt();
+    [[nodiscard]] task<std::optional<attempt_outcome>>
+    exchange_heads(backend_connection connection);
+    /// Reads the head of the answer. Returns `idle` if a silent server has gone on in the
+    /// meantime.
+    [[nodiscard]] task<read_outcome> read_answer_head();
+    void log_attempt(attempt_outcome outcome, std::string_view server,
+                     time_point last_received, std::string_view detail);
+    [[nodiscard]] task<attempt_outcome> receive_answer();
     /// Forwards an answer that is too long to buffer, piece by piece as it arrives.
     [[nodiscard]] task<attempt_outcome> relay_answer();
     /// Appends the piece of the body that was read to the buffered answer.
@@ -153,6 +175,21 @@
     void release_connection();
     [[nodiscard]] attempt_outcome handle_delivery();
     [[nodiscard]] task<attempt_outcome> relay_stream();
+    [[nodiscard]] task<bool> begin_stream();
+    /// Reserves a server and a place in the retry budget for another run, because the
+    /// current server is silent. Returns why that is not possible; the exchange then goes
+    /// on.
+    [[nodiscard]] repeat_denial reserve_next_run(time_point now);
+    [[nodiscard]] bool may_leave_silent_server();
+    void log_silence(repeat_denial denial, time_point now);
+    /// Moves a stream whose server is silent to another server, if that one accepts it.
+    /// Returns whether the stream was moved.
+    [[nodiscard]] task<bool> hand_over_stream();
+    /// Whether the head of the answer is that of a stream that may be passed on.
+    [[nodiscard]] bool accepts_stream() const;
+    void leave_server(silent_attempt& silent);
+    /// Goes on with the silent server, because the other one did not accept the stream.
+    void return_to_server(silent_attempt& silent, attempt_outcome outcome);
     [[nodiscard]] task<attempt_outcome> finish_stream();
     [[nodiscard]] attempt_outcome failure_outcome() const;
     [[nodiscard]] attempt_outcome
@@ -165,10 +202,11 @@
     [[nodiscard]] task<bool> refuse(refusal why);
     /// Whether the request may run again after an attempt with an unknown outcome.
     [[nodiscard]] bool another_run_allowed() const;
-    [[nodiscard]] time_point first_byte_deadline() const;
-    /// When a stream counts as stalled and is moved to another server. `progress` is the
-    /// time of its last event with data or an id.
-    [[nodiscard]] time_point stall_deadline(time_point progress) const;
+    /// When a server that has not begun to answer counts as silent.
+    [[nodiscard]] time_point first_byte_limit() const;
+    /// When a server that has begun a stream counts as silent. `progress` is the time of
+    /// its last event with data or an id.
+    [[nodiscard]] time_point stall_limit(time_point progress) const;
     [[nodiscard]] backend_requirements criteria() const;
     void log_end(std::string_view outcome, unsigned status);
     /// Logs that the caller's connection ended before the answer did.
@@ -215,7 +253,13 @@
     /// time at which the request was sent before that.
     time_point last_received_{};
     backend_record server_;
+    std::unique_ptr<in_flight_guard> in_flight_;
     std::unique_ptr<backend_exchange> exchange_;
+    std::optional<silent_attempt> silent_;
+    /// The server for the next attempt, which the retry budget has paid for.
+    std::optional<backend_record> reserved_server_;
+    /// The latest logged reason for which a silent server keeps the request.
+    std::optional<repeat_denial> logged_silence_;
     /// The connection that is being opened to a server.
     std::weak_ptr<deadline_socket> connecting_;
     bool stream_begun_ = false;
--- /dev/null
+++ b/src/transport/entry/silent_server.cpp
@@ -0,0 +1,159 @@
+#include "transport/entry/boot_clock.hpp"
+#include "transport/entry/request_flow.hpp"
+#include "transport/entry/request_flow_detail.hpp"
+
+#include <algorithm>
+
+// What a request does while its server is silent. A silence alone never ends an exchange:
+// the server may go on, and another run may not be available.
+namespace carawayturn::entry
+{
+
+using namespace flow;
+
+namespace
+{
+
+/// Interval at which a stream that is being handed over is checked for events of its
+/// silent server.
+constexpr duration handover_poll = std::chrono::milliseconds(50);
+
+} // namespace
+
+time_point request_flow::first_byte_limit() const
+{
+    // Half of the remaining time is reserved for an attempt at another server.
+    auto const now = boot_now();
+    return now + std::max((start_deadline_ - now) / 2, min_stall_time);
+}
+
+time_point request_flow::stall_limit(time_point progress) const
+{
+    return progress + std::max(stall_gap_factor * route_->gap_objective, min_stall_time);
+}
+
+repeat_denial request_flow::reserve_next_run(time_point now)
+{
+    auto const denial = find_repeat_denial(
+        stream_begun_ ? attempt_outcome::broken_off : attempt_outcome::unknown, now);
+    if (denial != repeat_denial::none)
+        return denial;
+    auto requirements = criteria();
+    requirements.excluded.insert(server_.id);
+    auto const choice = services_.backends.choose(requirements, now);
+    if (choice.outcome != choice_outcome::chosen ||
+        services_.waiting.must_wait(waiting_key(), priority()))
+        return repeat_denial::no_server;
+    if (!services_.retries.take(service_->name, now))
+        return repeat_denial::retry_budget;
+    reserved_server_ = *choice.backend;
+    return repeat_denial::none;
+}
+
+bool request_flow::may_leave_silent_server()
+{
+    auto const now = boot_now();
+    auto const denial = reserve_next_run(now);
+    // Other requests prefer other servers from now on.
+    if (!logged_silence_ && denial != repeat_denial::none)
+        services_.backends.note_failure(server_.id, now);
+    if (logged_silence_ != denial)
+        log_silence(denial, now);
+    return denial == repeat_denial::none;
+}
+
+void request_flow::log_silence(repeat_denial denial, time_point now)
+{
+    logged_silence_ = denial;
+    bool const leaves = denial == repeat_denial::none;
+    if (denial == repeat_denial::retry_budget)
+        services_.metrics.count("repeats_denied_total");
+    services_.log.write(entry_event::server_silent,
+                        {{"request", head_.id},
+                         {"server", server_.id},
+                         {"next_server", leaves ? std::string_view(reserved_server_->id)
+                                                : std::string_view()},
+                         {"not_repeated", entry::name_of(denial)},
+                         {"silent_ms", to_ms(now - last_received_)},
+                         {"elapsed_ms", to_ms(now - arrival_)}});
+}
+
+task<read_outcome> request_flow::read_answer_head()
+{
+    auto silent_at = silent_ ? boot_now() : first_byte_limit();
+    for (;;)
+    {
+        exchange_->set_idle_limit(silent_at);
+        auto const read = co_await exchange_->read_head();
+        if (read != read_outcome::idle)
+        {
+            exchange_->set_idle_limit(time_point::max());
+            co_return read;
+        }
+        if (silent_ && silent_->exchange->has_unread_input())
+        {
+            exchange_->set_failure("the silent server went on");
+            co_return read_outcome::idle;
+        }
+        if (!silent_ && may_leave_silent_server())
+        {
+            exchange_->set_failure("silent");
+            co_return read_outcome::failed;
+        }
+        silent_at = boot_now() + (silent_ ? handover_poll : recheck_interval);
+    }
+}
+
+task<bool> request_flow::hand_over_stream()
+{
+    bool const leaving = may_leave_silent_server();
+    if (!leaving)
+        co_return false;
+    silent_.emplace(silent_attempt{std::move(server_), std::move(in_flight_),
+                                   std::move(exchange_), last_received_});
+    server_ = *std::exchange(reserved_server_, std::nullopt);
+    in_flight_ =
+        std::make_unique<in_flight_guard>(services_, server_.id, head_.model.str());
+    if (stream_begun_)
+        start_deadline_ = deadline_;
+    services_.metrics.count("repeats_total");
+    auto const ended = co_await begin_attempt();
+    bool const accepted = !ended && accepts_stream();
+    auto silent = std::move(*silent_);
+    silent_.reset();
+    if (accepted)
+        leave_server(silent);
+    else
+        return_to_server(silent, ended.value_or(attempt_outcome::unknown));
+    co_return accepted;
+}
+
+bool request_flow::accepts_stream() const
+{
+    auto const status = exchange_->head().result_int();
+    auto const& metadata = exchange_->metadata();
+    return status >= 200 && status < 300 && metadata.signed_by_server &&
+           !metadata.encoded;
+}
+
+void request_flow::leave_server(silent_attempt& silent)
+{
+    services_.backends.note_failure(silent.server.id, boot_now());
+    excluded_.insert(silent.server.id);
+    // The next run sends the event anew.
+    events_.discard_incomplete_event();
+    log_attempt(attempt_outcome::handed_over, silent.server.id, silent.last_received, {});
+}
+
+void request_flow::return_to_server(silent_attempt& silent, attempt_outcome outcome)
+{
+    log_attempt(outcome, server_.id, last_received_,
+                exchange_ ? exchange_->failure() : "no connection");
+    excluded_.insert(server_.id);
+    server_ = std::move(silent.server);
+    in_flight_ = std::move(silent.in_flight);
+    exchange_ = std::move(silent.exchange);
+    last_received_ = silent.last_received;
+}
+
+} // namespace carawayturn::entry
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -245,6 +245,8 @@
         # Seconds to wait before an answer, and before each event of a stream.
         self.answer_delay_s = 0.0
         self.event_delay_s = 0.0
+        # Seconds between the two halves of the body of a plain answer.
+        self.body_delay_s = 0.0
         # Seconds of silence before an event of a stream that is not resumed, by its number.
         self.silences_s: dict[int, float] = {}
         # Seconds to wait before the head of the answer to a resumed stream.
@@ -369,8 +371,22 @@
         elif self.is_runner:
             self._stream(call, headers)
         else:
-            call.answer(200, b"done by " + self.name.encode(),
-                        {**headers, "X-Server-Seal": "s"})
+            self._plain_answer(call, headers)
+
+    def _plain_answer(self, call: _Handler, headers: dict[str, str]) -> None:
+        body = b"done by " + self.name.encode()
+        headers = {**headers, "X-Server-Seal": "s"}
+        if not self.body_delay_s:
+            call.answer(200, body, headers)
+            return
+        call.send_response(200)
+        for name, value in {**headers, "Content-Length": str(len(body))}.items():
+            call.send_header(name, value)
+        call.end_headers()
+        call.wfile.write(body[:4])
+        call.wfile.flush()
+        time.sleep(self.body_delay_s)
+        call.wfile.write(body[4:])
 
     def count(self, _: int) -> None:
         """Called with the number of bytes sent by a function of WAYS; ignored here."""
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -98,6 +98,12 @@
         status, _, _ = self.instance.request("/status/a", headers={"X-Deadline-Ms": "4000"})
         self.assertEqual(status, 200)
 
+    def test_slow_body_of_a_plain_answer_is_whole(self) -> None:
+        """Guards against an answer that counts as complete where its server was silent."""
+        self.plain.body_delay_s = SILENCE_S
+        status, body, _ = self.instance.request("/status/a", headers={"X-Deadline-Ms": "6000"})
+        self.assertEqual((status, body), (200, b"done by p0"))
+
 
 class OneRunnerTest(SilentServerTest):
     """No other server can take the stream over."""
