Do not take a pause of the instance for a silence of the server

What callers saw: streams that were sent to a second server, or cut where the retry budget denied that, after the instance itself had not run for a second, although its server had gone on and the events had arrived.

Cause: when the process runs again, the stall limit has passed before the events that wait in the socket are read.

Change: a server does not count as silent while bytes from it wait to be read.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -181,7 +181,10 @@
 {
     if (failure == asio::error::operation_aborted && socket_->read_interrupted() &&
         socket_->socket().is_open())
+    {
+        buffer_parsed_ = true;
         return read_outcome::idle;
+    }
     note_failure(failure);
     return read_outcome::failed;
 }
@@ -189,8 +192,9 @@
 bool backend_exchange::has_unread_input()
 {
     char byte = 0;
-    return buffer_.size() > 0 || ::recv(socket_->socket().native_handle(), &byte, 1,
-                                        MSG_PEEK | MSG_DONTWAIT) > 0;
+    return (!buffer_parsed_ && buffer_.size() > 0) ||
+           ::recv(socket_->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >
+               0;
 }
 
 void backend_exchange::note_failure(boost::system::error_code failure)
@@ -209,6 +213,7 @@
     auto& body = parser_->get().body();
     body.data = piece_.data();
     body.size = piece_.size();
+    buffer_parsed_ = false;
     socket_->interrupt_read_at(idle_limit_);
     auto const [failure, size] = co_await http::async_read_some(
         socket_->socket(), buffer_, *parser_,
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -64,7 +64,7 @@
     /// Ends a read with `idle` if nothing has arrived until then; time_point::max() means
     /// never.
     void set_idle_limit(time_point limit) { idle_limit_ = limit; }
-    /// Whether bytes of the answer have arrived that were not read yet.
+    /// Whether bytes of the answer have arrived that the next read can use.
     [[nodiscard]] bool has_unread_input();
     void close() { socket_->close(); }
 
@@ -93,6 +93,8 @@
     /// A read of the head was interrupted, so a part of it may have been read.
     bool head_begun_ = false;
     int skipped_answers_ = 0;
+    /// The buffer holds only bytes that cannot be parsed before more of them arrive.
+    bool buffer_parsed_ = false;
     time_point idle_limit_ = time_point::max();
     std::string failure_;
     bool complete_ = false;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -57,6 +57,7 @@
 {
     last_received_ = boot_now();
     logged_silence_.reset();
+    unread_since_.reset();
     auto connection = co_await services_.connections.acquire(
         server_.id, server_.address, start_deadline_, &connecting_);
     if (interrupted())
@@ -257,7 +258,7 @@
     for (;;)
     {
         // Checked also after a read, because comments and parts of events may arrive.
-        if (boot_now() >= silent_at)
+        if (is_silent(silent_at))
         {
             bool const moved = co_await hand_over_stream();
             silent_at = boot_now() + recheck_interval;
@@ -288,7 +289,10 @@
         if (events.empty())
             continue;
         if (events_.last_taken_has_data())
+        {
             silent_at = stall_limit(boot_now());
+            unread_since_.reset();
+        }
         if (!stream_begun_)
         {
             bool const begun = co_await begin_stream();
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -176,6 +176,8 @@
     [[nodiscard]] attempt_outcome handle_delivery();
     [[nodiscard]] task<attempt_outcome> relay_stream();
     [[nodiscard]] task<bool> begin_stream();
+    /// Whether the server counts as silent, which it does from `silent_at` on.
+    [[nodiscard]] bool is_silent(time_point silent_at);
     /// Reserves a server and a place in the retry budget for another run, because the
     /// current server is silent. Returns why that is not possible; the exchange then goes
     /// on.
@@ -260,6 +262,8 @@
     std::optional<backend_record> reserved_server_;
     /// The latest logged reason for which a silent server keeps the request.
     std::optional<repeat_denial> logged_silence_;
+    /// When the server counted as silent although unread bytes had arrived from it.
+    std::optional<time_point> unread_since_;
     /// The connection that is being opened to a server.
     std::weak_ptr<deadline_socket> connecting_;
     bool stream_begun_ = false;
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -32,6 +32,20 @@
     return progress + std::max(stall_gap_factor * route_->gap_objective, min_stall_time);
 }
 
+bool request_flow::is_silent(time_point silent_at)
+{
+    auto const now = boot_now();
+    if (now < silent_at)
+        return false;
+    if (!exchange_->has_unread_input())
+        return true;
+    // After a pause of this process, events may have arrived that were not read yet. What
+    // arrives without end, but is no event, counts as silence all the same.
+    if (!unread_since_)
+        unread_since_ = now;
+    return now >= *unread_since_ + min_stall_time;
+}
+
 repeat_denial request_flow::reserve_next_run(time_point now)
 {
     auto const denial = find_repeat_denial(
@@ -95,7 +109,7 @@
             exchange_->set_failure("the silent server went on");
             co_return read_outcome::idle;
         }
-        if (!silent_ && may_leave_silent_server())
+        if (!silent_ && is_silent(silent_at) && may_leave_silent_server())
         {
             exchange_->set_failure("silent");
             co_return read_outcome::failed;
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -138,6 +138,23 @@
         self.assertLess(time.monotonic() - began, 5.0)
         self.assertEqual(len(set(self.runs())), 2)
 
+    def test_stream_stays_at_its_server_when_the_instance_was_paused(self) -> None:
+        """Guards against a pause of the process that counts as a silence of the server."""
+        for runner in self.runners:
+            runner.silences_s = {}
+            runner.event_delay_s = 0.3
+        received: list[list[int]] = []
+        caller = threading.Thread(target=lambda: received.append(self.stream()))
+        caller.start()
+        wait_until(self.runs, "the stream runs")
+        time.sleep(0.5)
+        self.instance.process.send_signal(signal.SIGSTOP)
+        time.sleep(SILENCE_S)
+        self.instance.process.send_signal(signal.SIGCONT)
+        caller.join()
+        self.assertEqual(received, [WHOLE_STREAM])
+        self.assertEqual(len(self.runs()), 1)
+
     def test_stream_that_the_next_server_refuses_goes_on_at_the_silent_one(self) -> None:
         """Guards against an exchange that is given up before the next server has accepted."""
         for runner in self.runners:
