Take back the time limit of a write to a caller after the write

Callers of a stream that may not be resumed lost it when its server was silent for more than ten seconds and then went on, with and without a planned stop. The same holds for long plain answers that are forwarded as they arrive.

begin() and append() set the deadline of the caller's connection to ten seconds from now and never took it back. Each write renewed it, so that it passed during the first silence of ten seconds, although nothing was being written, and the deadline monitor closed the connection.

The limit is now an object that lives as long as the write. A caller that takes nothing is still given up after ten seconds, and the request's own deadline still ends an exchange.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -48,6 +48,23 @@
            failure != http::error::partial_message;
 }
 
+/// The time limit of one write to a caller. The destructor takes it back, because the next
+/// piece of the answer may come much later.
+class write_limit
+{
+public:
+    explicit write_limit(deadline_socket& socket) : socket_(socket)
+    {
+        socket_.set_deadline(boot_now() + write_timeout);
+    }
+    write_limit(write_limit const&) = delete;
+    write_limit& operator=(write_limit const&) = delete;
+    ~write_limit() { socket_.set_deadline(time_point::max()); }
+
+private:
+    deadline_socket& socket_;
+};
+
 /// One caller's connection: reads its requests and writes the answers.
 class caller_session final : public answer_writer, public caller_connection
 {
@@ -279,7 +296,7 @@
         answer.content_length(answer.body().size());
     if (head_request_)
         answer.body().clear();
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const [failure, size] =
         co_await http::async_write(socket_->socket(), answer, use_task);
     co_return !failure;
@@ -306,7 +323,7 @@
     if (!length && http_1_0_)
         socket_->reset_on_close();
     http::response_serializer<http::empty_body> serializer(answer);
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const [failure, size] =
         co_await http::async_write_header(socket_->socket(), serializer, use_task);
     co_return !failure;
@@ -317,7 +334,7 @@
     // An empty chunk would mark the end of the answer.
     if (bytes.empty())
         co_return true;
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const piece = asio::buffer(bytes.data(), bytes.size());
     if (!chunked_)
     {
@@ -337,7 +354,7 @@
         socket_->clear_reset_on_close();
         co_return true;
     }
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const [failure, size] =
         co_await asio::async_write(socket_->socket(), http::make_chunk_last(), use_task);
     co_return !failure;
--- /dev/null
+++ b/tests/entry/answer_deadlines_test.py
@@ -0,0 +1,114 @@
+"""Tests that no timer of an instance process ends an answer that its backend server goes on with.
+
+Each test lets one side be slow in a way that is no fault: a server that is silent or reads late, a
+caller that reads late, or an instance that does not run for a while.
+"""
+
+from __future__ import annotations
+
+import re
+import signal
+import sys
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from planned_stop_case import Caller, head  # noqa: E402
+from platform_fleet import BackendServer, Store  # noqa: E402
+
+# Longer than the instance's limit for one write to a caller (write_timeout).
+LONG_SILENCE_S = 11.0
+WHOLE_STREAM = [1, 2, 3, 4, 5]
+
+
+def event_ids(answer: bytes) -> list[int]:
+    """Returns the ids of the events; 0 is appended if the answer does not end."""
+    ids = [int(number) for number in re.findall(rb"^id: (\d+)", answer, re.MULTILINE)]
+    return ids if answer.endswith(b"0\r\n\r\n") else [*ids, 0]
+
+
+def last_request(path: str) -> str:
+    """Returns a request after whose answer the connection ends."""
+    return head(path, id="s").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n") + "x"
+
+
+class AnswerDeadlinesCase(unittest.TestCase):
+    """Starts a store, a runner, a plain server and one instance."""
+
+
+    def setUp(self) -> None:
+        self.store = Store()
+        config = configuration(1, ["k1"])
+        for route in config["routes"]:
+            route["timeout_ms"] = 35_000
+        config["routes"][2]["resumable"] = False
+        self.store.put("op", "config", config)
+        self.plain = BackendServer(self.store, "p0", "plain")
+        self.runner = BackendServer(self.store, "r0", "llm", ["m1"])
+        self.instance = Instance(self.store, "n1")
+        self.instance.wait_until_serving(servers=2)
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (self.plain, self.runner, self.store):
+            service.close()
+
+    def caller(self, receive_buffer: int = 0) -> Caller:
+        caller = Caller(self.instance, receive_buffer)
+        self.addCleanup(caller.socket.close)
+        return caller
+
+    def start_stream(self, receive_buffer: int = 0) -> Caller:
+        caller = self.caller(receive_buffer)
+        caller.send(last_request("/draft/a"))
+        wait_until(lambda: self.runner.ran, "the stream runs")
+        return caller
+
+    def signal(self, number: int) -> None:
+        self.instance.process.send_signal(number)
+
+
+class LongSilenceTest(AnswerDeadlinesCase):
+    """No other run may continue the stream, and its time is 35 s."""
+
+    def test_stream_is_not_cut_for_a_silence_after_a_write(self) -> None:
+        """Guards against the time limit of one write that stays set after the write."""
+        self.runner.silences_s = {3: LONG_SILENCE_S}
+        self.assertEqual(event_ids(self.start_stream().answer()), WHOLE_STREAM)
+
+    def test_stream_is_not_cut_for_a_silence_after_a_write_in_a_stop(self) -> None:
+        """Guards against the same during a planned stop of the instance."""
+        self.runner.silences_s = {3: LONG_SILENCE_S}
+        caller = self.start_stream()
+        text = self.instance.settings.read_text(encoding="utf-8")
+        self.instance.settings.write_text(text.replace("grace_s=8", "grace_s=30"),
+                                          encoding="utf-8")
+        self.signal(signal.SIGTERM)
+        self.assertEqual(event_ids(caller.answer()), WHOLE_STREAM)
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+
+    def test_long_answer_is_not_cut_for_a_silence_after_a_write(self) -> None:
+        """Guards against the same for an answer that is forwarded as it arrives."""
+        body = b"q" * 200_000
+
+        def answer(call, headers) -> None:
+            call.send_response(200)
+            for name, value in {**headers, "X-Server-Seal": "s",
+                                "Content-Length": str(len(body))}.items():
+                call.send_header(name, value)
+            call.end_headers()
+            call.wfile.write(body[:150_000])
+            time.sleep(LONG_SILENCE_S)
+            call.wfile.write(body[150_000:])
+
+        self.plain._run = lambda call, _: answer(
+            call, {"X-Request-Id": call.headers["X-Request-Id"]})
+        caller = self.caller()
+        caller.send(last_request("/book/a"))
+        self.assertTrue(caller.answer().endswith(body))
+
+
+if __name__ == "__main__":
+    unittest.main()
