Do not count a server as stalled while its caller takes the events

A caller that took its stream's events slowly lost the rest of the stream, although its server went on, where the retry budget allowed no second run.

relay_stream() sets the stall limit before it reads, and the limit stayed in force while the events were written to the caller. While that write waited for the caller, nothing was read from the server, and after five times the gap objective (a second at least) the deadline monitor closed the server's connection.

While events are written only the request's deadline holds, and the time of the write does not count as time without progress.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -314,6 +314,9 @@
             continue;
         if (events_.last_taken_has_data())
             progress = boot_now();
+        // Nothing is read while the caller takes the events, so the server is not
+        // stalled.
+        exchange_->set_deadline(deadline_);
         if (!stream_begun_)
         {
             stream_begun_ = true;
@@ -329,6 +332,7 @@
         bool const written = co_await writer_.append(events);
         if (!written)
             co_return attempt_outcome::caller_gone;
+        progress += boot_now() - last_event_;
     }
 }
 
--- a/tests/entry/answer_deadlines_test.py
+++ b/tests/entry/answer_deadlines_test.py
@@ -20,6 +20,8 @@
 
 # Longer than the instance's limit for one write to a caller (write_timeout).
 LONG_SILENCE_S = 11.0
+# Read by the instance in several pieces.
+LONG_EVENT_BYTES = 20_000
 WHOLE_STREAM = [1, 2, 3, 4, 5]
 
 
@@ -37,17 +39,19 @@
 class AnswerDeadlinesCase(unittest.TestCase):
     """Starts a store, a runner, a plain server and one instance."""
 
+    more_settings = ""
+    resumable = False
 
     def setUp(self) -> None:
         self.store = Store()
         config = configuration(1, ["k1"])
         for route in config["routes"]:
             route["timeout_ms"] = 35_000
-        config["routes"][2]["resumable"] = False
+        config["routes"][2].update(resumable=self.resumable, gap_target_ms=100)
         self.store.put("op", "config", config)
         self.plain = BackendServer(self.store, "p0", "plain")
         self.runner = BackendServer(self.store, "r0", "llm", ["m1"])
-        self.instance = Instance(self.store, "n1")
+        self.instance = Instance(self.store, "n1", more_settings=self.more_settings)
         self.instance.wait_until_serving(servers=2)
 
     def tearDown(self) -> None:
@@ -110,5 +114,35 @@
         self.assertTrue(caller.answer().endswith(body))
 
 
+class StallTest(AnswerDeadlinesCase):
+    """Another run may continue the stream, but the retry budget allows none."""
+
+    more_settings = "bounds.budget_slack=0\nbounds.retry_budget_ratio=0\n"
+    resumable = True
+
+    def stream_long_events(self, count: int, delay_s: float) -> None:
+        """Makes the runner send `count` long events, one each `delay_s`."""
+        def stream(call, headers) -> None:
+            call.send_response(200)
+            for name, value in {**headers, "X-Server-Seal": "s",
+                                "Transfer-Encoding": "chunked"}.items():
+                call.send_header(name, value)
+            call.end_headers()
+            for number in range(1, count + 1):
+                time.sleep(delay_s)
+                event = b"id: %d\ndata: %s\n\n" % (number, b"z" * LONG_EVENT_BYTES)
+                call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            call.wfile.write(b"0\r\n\r\n")
+
+        self.runner._stream = stream
+
+    def test_slow_caller_does_not_make_its_runner_count_as_stalled(self) -> None:
+        """Guards against a stall limit that runs while an event is written to the caller."""
+        self.stream_long_events(count=600, delay_s=0.0)
+        caller = self.start_stream(receive_buffer=4096)
+        time.sleep(3.0)
+        self.assertEqual(event_ids(caller.answer()), list(range(1, 601)))
+
+
 if __name__ == "__main__":
     unittest.main()
