Read what arrived during a pause before enforcing deadlines

Callers of a stream that may go on at another server lost it when the instance did not run for longer than the stall limit and the retry budget allowed no second run, although the server went on sending meanwhile.

After a pause, the periodic check of deadlines ran between two reads of what had arrived: an event that needs several reads does not move the stall limit, which had passed during the pause, and the server's connection was closed.

The new test stops the process for 1.6 s while the server sends an event of 20,000 bytes each 0.6 s.

The first check after a pause of 300 ms or more closes nothing. What has arrived is read before the next check, 50 ms later, and moves the limits. pause_detector holds this decision and the one on the time of a signal that came during a pause; on a machine that is always late, every second check enforces deadlines.

--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -419,8 +419,10 @@
         timer.expires_after(tick_interval);
         co_await timer.async_wait(use_task);
         auto const now = boot_now();
-        previous_tick_ = std::exchange(last_tick_, now);
-        deadlines_.close_expired(now);
+        pauses_.note_check(now);
+        // What arrived during a pause is read before its deadline is enforced.
+        if (!pauses_.just_resumed())
+            deadlines_.close_expired(now);
         connections_.close_expired(now);
         crashes_.expire(now);
         link_.update_hub_availability(now);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -4,6 +4,7 @@
 #include "coordination/entry/directory_sync.hpp"
 #include "coordination/entry/hub_state.hpp"
 #include "coordination/entry/order_authorization.hpp"
+#include "coordination/entry/pause_detector.hpp"
 #include "coordination/entry/peer_addresses.hpp"
 #include "coordination/entry/store_read_policy.hpp"
 #include "state/result.hpp"
@@ -142,10 +143,7 @@
     /// Whether the lease has been released, or is left to expire.
     bool lease_settled_ = false;
     bool requests_cut_ = false;
-    /// Times of the last two ticks. They are far apart if the process was paused in
-    /// between.
-    time_point last_tick_ = boot_now();
-    time_point previous_tick_ = last_tick_;
+    pause_detector pauses_{boot_now()};
     crash_tracker crashes_;
     hub_lease lease_;
     order_authorization order_authorization_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -21,9 +21,6 @@
 
 /// Time limit for a probe of readiness or metrics.
 constexpr duration probe_timeout = std::chrono::seconds(2);
-/// A signal that is handled later than this is assumed to have arrived while the process
-/// was paused.
-constexpr duration max_signal_delay = std::chrono::milliseconds(300);
 constexpr duration drain_poll = std::chrono::milliseconds(50);
 /// Maximum size of the head of a probe, in bytes.
 constexpr std::size_t max_probe_bytes = 8192;
@@ -139,12 +136,8 @@
 time_point entry_node::signal_time() const
 {
     auto const now = boot_now();
-    auto const earliest =
-        now - last_tick_ < max_signal_delay ? previous_tick_ : last_tick_;
-    if (now - earliest < max_signal_delay)
-        return now;
-    // The signal arrived at an unknown time while the process was paused.
-    return std::max(earliest, now - settings_.bounds.shutdown_grace / 2);
+    return std::max(pauses_.earliest_arrival(now),
+                    now - settings_.bounds.shutdown_grace / 2);
 }
 
 task<void> entry_node::handle_signals()
--- a/tests/entry/answer_deadlines_test.py
+++ b/tests/entry/answer_deadlines_test.py
@@ -143,6 +143,17 @@
         time.sleep(3.0)
         self.assertEqual(event_ids(caller.answer()), list(range(1, 601)))
 
+    def test_pause_of_the_instance_does_not_make_its_runner_count_as_stalled(self) -> None:
+        """Guards against a limit that ends an exchange after a pause of the process, before
+        what arrived during the pause has been read."""
+        self.stream_long_events(count=5, delay_s=0.6)
+        caller = self.start_stream()
+        self.assertTrue(received := caller.socket.recv(65536))
+        self.signal(signal.SIGSTOP)
+        time.sleep(1.6)
+        self.signal(signal.SIGCONT)
+        self.assertEqual(event_ids(received + caller.answer()), WHOLE_STREAM)
+
 
 if __name__ == "__main__":
     unittest.main()
