Cut begun answers last when the time of SIGTERM is uncertain

Callers of a stream that would have ended within the grace time lost it in a planned stop when the instance had not run for a while before it saw SIGTERM.

The signal may have come at any time of such a pause, so the grace time was counted from the pause's begin, up to half of it earlier, and every open request was cut by that. This is right for a request whose caller can still be told 502 or 503, but a begun answer that is cut early is lost, as it would be by SIGKILL.

The new test stops the process for 2.5 s, sends SIGTERM at the end of that, and lets the stream end 6.5 s after SIGTERM with a grace time of 8 s.

The plan now has two cuts: requests without an answer at the earliest possible end of the grace time, as before, and begun answers at the latest one.

--- a/src/coordination/entry/shutdown_plan.cpp
+++ b/src/coordination/entry/shutdown_plan.cpp
@@ -21,11 +21,12 @@
 
 } // namespace
 
-shutdown_plan::shutdown_plan(time_point began, duration grace)
-    : cut_at_(began + std::max(grace - cut_margin, duration::zero())),
-      end_at_(began + std::max(grace - end_margin, duration::zero())),
-      intake_end_(std::min(began + notice_time, cut_at_)),
-      last_first_byte_(std::min(intake_end_ + idle_close_delay, cut_at_))
+shutdown_plan::shutdown_plan(signal_time_range began, duration grace)
+    : cut_unanswered_at_(began.earliest + std::max(grace - cut_margin, duration::zero())),
+      cut_at_(began.latest + std::max(grace - cut_margin, duration::zero())),
+      end_at_(began.latest + std::max(grace - end_margin, duration::zero())),
+      intake_end_(std::min(began.earliest + notice_time, cut_unanswered_at_)),
+      last_first_byte_(std::min(intake_end_ + idle_close_delay, cut_unanswered_at_))
 {
 }
 
@@ -34,23 +35,26 @@
     if (now < intake_end_)
         return shutdown_step::serve;
     bool const finished = state.unfinished == 0 && state.intake_closed;
-    if (now < cut_at_)
+    if (now < cut_unanswered_at_)
         return finished && state.lease_settled ? shutdown_step::end
                                                : shutdown_step::finish;
+    if (finished)
+        return shutdown_step::end;
+    if (now < cut_at_)
+        return shutdown_step::cut_unanswered;
     // A process that was paused may reach this point after the end without having cut the
     // open requests.
-    bool const over = now >= end_at_ && state.cut;
-    return finished || over ? shutdown_step::end : shutdown_step::cut;
+    return now >= end_at_ && state.cut ? shutdown_step::end : shutdown_step::cut;
 }
 
 bool shutdown_plan::may_begin(time_point first_byte, time_point now) const
 {
-    return first_byte < last_first_byte_ && now < cut_at_ - min_service_time;
+    return first_byte < last_first_byte_ && now < cut_unanswered_at_ - min_service_time;
 }
 
 std::string_view shutdown_plan::end_reason(time_point now) const
 {
-    return now < cut_at_ ? "finished" : "grace_time_over";
+    return now < cut_unanswered_at_ ? "finished" : "grace_time_over";
 }
 
 } // namespace carawayturn::entry
--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -16,7 +16,10 @@
     serve,
     /// Accepts no connections; finishes the requests on open ones.
     finish,
-    /// The grace time is running out: ends all open requests with an error answer.
+    /// The grace time may be running out, depending on when the signal arrived: refuses
+    /// or fails the open requests whose answer has not begun.
+    cut_unanswered,
+    /// The grace time is running out: ends all open requests.
     cut,
     /// Ends the process.
     end
@@ -32,10 +35,17 @@
     bool lease_settled = false;
     /// No further connections are accepted, and `unfinished` was counted after that.
     bool intake_closed = false;
-    /// The open requests have been cut and their callers answered.
+    /// All open requests have been cut and their callers answered.
     bool cut = false;
 };
 
+/// When a signal arrived, as far as it is known.
+struct signal_time_range
+{
+    time_point earliest;
+    time_point latest;
+};
+
 /// During a shutdown an idle connection is closed after this time without traffic,
 /// because its caller may have sent a request before it could learn of the shutdown.
 inline constexpr duration idle_close_delay = std::chrono::milliseconds(300);
@@ -43,12 +53,15 @@
 /// Decides the phases of one shutdown. Only the end of the grace time, and no fixed
 /// delay, ends it while a request is open. Handles the load pattern "requests keep
 /// arriving, slowly and on kept connections, while the instance stops".
+///
+/// The time of the signal is uncertain if the process was paused. Callers without an
+/// answer are told before the earliest end of the grace time. Answers that have begun may
+/// go on until its latest end, because being cut is as bad for them as the kill.
 class shutdown_plan
 {
 public:
-    /// @param began when the signal was sent.
     /// @param grace time from the signal until the process is killed.
-    shutdown_plan(time_point began, duration grace);
+    shutdown_plan(signal_time_range began, duration grace);
 
     [[nodiscard]] shutdown_step step(time_point now, shutdown_state state) const;
 
@@ -61,6 +74,7 @@
     [[nodiscard]] std::string_view end_reason(time_point now) const;
 
 private:
+    time_point cut_unanswered_at_;
     time_point cut_at_;
     time_point end_at_;
     time_point intake_end_;
--- a/src/transport/entry/caller_connections.cpp
+++ b/src/transport/entry/caller_connections.cpp
@@ -61,10 +61,10 @@
             connection->close();
 }
 
-void caller_connections::stop()
+void caller_connections::stop(stop_scope scope)
 {
     for (auto* const connection : connections_)
-        connection->stop();
+        connection->stop(scope);
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/caller_connections.hpp
+++ b/src/transport/entry/caller_connections.hpp
@@ -23,6 +23,14 @@
 };
 inline constexpr std::size_t caller_stage_count = 4;
 
+/// The requests that a shutdown stops.
+enum class stop_scope
+{
+    /// Requests whose answer has not begun.
+    unanswered,
+    all
+};
+
 class caller_connections;
 
 /// One caller's connection, registered and counted by stage while the object exists.
@@ -40,9 +48,9 @@
     /// Whether the connection is open and no received byte is unread.
     [[nodiscard]] virtual bool no_pending_input() = 0;
     virtual void close() = 0;
-    /// Stops the work on the connection. A caller that has not received any of its answer
-    /// is told whether its request may have run.
-    virtual void stop() = 0;
+    /// Stops the work on the connection if it is in the scope. A caller that has not
+    /// received any of its answer is told whether its request may have run.
+    virtual void stop(stop_scope scope) = 0;
 
 protected:
     void enter(caller_stage stage);
@@ -67,8 +75,8 @@
     /// Closes the connections that have been idle since before `idle_before` and have no
     /// unread bytes.
     void close_idle(time_point idle_before);
-    /// Stops the work on all connections.
-    void stop();
+    /// Stops the work on all connections that are in the scope.
+    void stop(stop_scope scope);
 
 private:
     friend class caller_connection;
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -48,8 +48,8 @@
            failure != http::error::partial_message;
 }
 
-/// The time limit of one write to a caller. The destructor takes it back, because the next
-/// piece of the answer may come much later.
+/// The time limit of one write to a caller. The destructor takes it back, because the
+/// next piece of the answer may come much later.
 class write_limit
 {
 public:
@@ -92,7 +92,7 @@
     time_point idle_since() const override { return idle_since_; }
     bool no_pending_input() override { return open_and_idle(socket_->socket()); }
     void close() override { socket_->close(); }
-    void stop() override;
+    void stop(stop_scope scope) override;
 
 private:
     using parser = http::request_parser<http::string_body>;
@@ -266,7 +266,7 @@
     }
 }
 
-void caller_session::stop()
+void caller_session::stop(stop_scope scope)
 {
     if (stage() == caller_stage::reading)
     {
@@ -274,7 +274,8 @@
         boost::system::error_code ignored;
         socket_->socket().cancel(ignored);
     }
-    else if (auto const flow = flow_.lock())
+    else if (auto const flow = flow_.lock();
+             flow && (scope == stop_scope::all || !flow->answer_begun()))
         flow->stop();
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -81,8 +81,8 @@
     [[nodiscard]] std::string readiness_page() const;
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
-    /// Returns the assumed arrival time of the signal that is being handled.
-    [[nodiscard]] time_point signal_time() const;
+    /// Returns when the signal that is being handled may have arrived.
+    [[nodiscard]] signal_time_range signal_time() const;
     /// Releases the lease once no order can leave this instance or arrive at a runner any
     /// more. If that takes longer than the lease lasts, lets the lease expire.
     [[nodiscard]] task<void> release_lease();
@@ -142,6 +142,7 @@
     std::optional<shutdown_plan> shutdown_;
     /// Whether the lease has been released, or is left to expire.
     bool lease_settled_ = false;
+    bool unanswered_cut_ = false;
     bool requests_cut_ = false;
     pause_detector pauses_{boot_now()};
     crash_tracker crashes_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -133,11 +133,12 @@
     }
 }
 
-time_point entry_node::signal_time() const
+signal_time_range entry_node::signal_time() const
 {
     auto const now = boot_now();
-    return std::max(pauses_.earliest_arrival(now),
-                    now - settings_.bounds.shutdown_grace / 2);
+    return {std::max(pauses_.earliest_arrival(now),
+                     now - settings_.bounds.shutdown_grace / 2),
+            now};
 }
 
 task<void> entry_node::handle_signals()
@@ -200,7 +201,7 @@
     if (!caller_acceptor_.is_open())
         return;
     // Connections that cannot be accepted for lack of file descriptors are retried.
-    if (!accept_pending_callers(services_, caller_acceptor_) && !requests_cut_)
+    if (!accept_pending_callers(services_, caller_acceptor_) && !unanswered_cut_)
         return;
     boost::system::error_code ignored;
     caller_acceptor_.close(ignored);
@@ -228,13 +229,17 @@
         return;
     caller_connections_.close_idle(boot_now() - idle_close_delay);
     stop_accepting();
-    if (step != shutdown_step::cut)
+    if (step == shutdown_step::finish)
         return;
-    if (!std::exchange(requests_cut_, true))
+    bool const all = step == shutdown_step::cut;
+    bool const logged = all ? requests_cut_ : unanswered_cut_;
+    unanswered_cut_ = true;
+    requests_cut_ = all;
+    if (!logged)
         log_callers(entry_event::requests_cut, shutdown_->end_reason(boot_now()));
     // Repeated in each step: a request may have been between two reads before, or may
     // have started since.
-    caller_connections_.stop();
+    caller_connections_.stop(all ? stop_scope::all : stop_scope::unanswered);
 }
 
 task<void> entry_node::drain()
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -86,6 +86,9 @@
     /// Stops all work on the request because the caller has closed its connection.
     void abandon();
 
+    /// Whether the head of the answer has been sent and the rest follows.
+    [[nodiscard]] bool answer_begun() const { return stream_begun_ || answer_begun_; }
+
     /// Stops all work because the instance shuts down. The answer tells the caller
     /// whether the request may have run.
     void stop();
--- a/tests/entry/planned_stop_case.py
+++ b/tests/entry/planned_stop_case.py
@@ -68,6 +68,8 @@
 
     # Overrides of the configuration's limits.
     limits: dict[str, int] = {}
+    # Whether another run may continue a stream.
+    resumable = True
 
     def setUp(self) -> None:
         self.store = Store()
@@ -75,6 +77,7 @@
         config["limits"].update(self.limits)
         for entry in config["routes"]:
             entry["timeout_ms"] = 1000 * HANG_LIMIT_S
+            entry["resumable"] = entry["kind"] == "streaming" and self.resumable
         # The table "op" contains the operators' configuration.
         self.store.put("op", "config", config)
         self.plain = BackendServer(self.store, "p0", "plain")
--- a/tests/entry/planned_stop_faults_test.py
+++ b/tests/entry/planned_stop_faults_test.py
@@ -247,6 +247,45 @@
             service.close()
 
 
+class PauseBeforeSignalTest(PlannedStopCase):
+    """The process does not run for a while before it is told to stop."""
+
+    resumable = False
+
+    def stream_until(self, seconds: float) -> Caller:
+        """Returns a caller whose stream has begun and ends after this time."""
+        def stream(call, headers) -> None:
+            begin_stream(call, headers)
+            for number in range(1, 11):
+                send_event(call, number)
+                time.sleep(seconds / 10)
+            call.wfile.write(b"0\r\n\r\n")
+
+        self.runner._stream = stream
+        caller = self.caller()
+        caller.send(head("/draft/a", id="s") + "x")
+        self.received = b""
+        while b"id: 1" not in self.received:
+            self.received += caller.socket.recv(65536)
+        return caller
+
+    def terminate_after_pause(self, seconds: float) -> None:
+        """Pauses the process for this time and sends SIGTERM at the end of the pause."""
+        self.instance.process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.instance.process.send_signal(signal.SIGTERM)
+        self.instance.process.send_signal(signal.SIGCONT)
+
+    def test_begun_stream_may_use_the_whole_grace_time(self) -> None:
+        """Guards against a stream that is cut early because SIGTERM may have come at the
+        begin of the pause."""
+        caller = self.stream_until(9.0)
+        self.terminate_after_pause(2.5)
+        answer = self.received + caller.answer()
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+
+
 class PlannedStopUploadTest(PlannedStopCase):
     """Tests stops while callers send long bodies."""
 
--- a/tests/entry/shutdown_plan_test.cpp
+++ b/tests/entry/shutdown_plan_test.cpp
@@ -31,7 +31,7 @@
 
     bool intake_closed_ = true;
     bool cut_ = false;
-    shutdown_plan plan_{begin, std::chrono::seconds(8)};
+    shutdown_plan plan_{{begin, begin}, std::chrono::seconds(8)};
 };
 
 // Guards against callers that are refused before the platform has noticed the shutdown.
@@ -109,7 +109,7 @@
 // which new connections are served.
 TEST_F(shutdown_plan_test, short_grace_time_still_cuts_before_the_kill)
 {
-    shutdown_plan const brief(begin, std::chrono::seconds(1));
+    shutdown_plan const brief({begin, begin}, std::chrono::seconds(1));
     EXPECT_EQ(brief.step(begin + milliseconds(399), {1, true, true, false}),
               shutdown_step::serve);
     EXPECT_EQ(brief.step(begin + milliseconds(400), {1, true, true, false}),
@@ -119,5 +119,23 @@
     EXPECT_FALSE(brief.may_begin(begin, begin));
 }
 
+// Guards against a stream that is cut early because the signal may have arrived during a
+// pause, and against callers that are told too late for the same reason.
+TEST_F(shutdown_plan_test, uncertain_signal_time_cuts_begun_answers_last)
+{
+    shutdown_plan const uncertain({begin - milliseconds(2500), begin},
+                                  std::chrono::seconds(8));
+    auto const step_at = [&uncertain](int ms, std::size_t unfinished, bool cut) {
+        return uncertain.step(begin + milliseconds(ms), {unfinished, true, true, cut});
+    };
+    EXPECT_EQ(step_at(4899, 1, false), shutdown_step::finish);
+    EXPECT_EQ(step_at(4900, 1, false), shutdown_step::cut_unanswered);
+    EXPECT_EQ(step_at(7399, 1, false), shutdown_step::cut_unanswered);
+    EXPECT_EQ(step_at(7399, 0, false), shutdown_step::end);
+    EXPECT_EQ(step_at(7400, 1, false), shutdown_step::cut);
+    EXPECT_EQ(step_at(7800, 1, true), shutdown_step::end);
+    EXPECT_FALSE(uncertain.may_begin(begin, begin + milliseconds(3900)));
+}
+
 } // namespace
 } // namespace carawayturn::entry
