--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -48,6 +48,23 @@
            failure != http::error::partial_message;
 }
 
+/// The time limit of one write to a caller. The destructor takes it back, because the
+/// next piece of the answer may come much later.
+class write_limit
+{
+public:
+    explicit write_limit(deadline_socket& socket) : socket_(socket)
+    {
+        socket_.set_deadline(boot_now() + write_timeout);
+    }
+    write_limit(write_limit const&) = delete;
+    write_limit& operator=(write_limit const&) = delete;
+    ~write_limit() { socket_.set_deadline(time_point::max()); }
+
+private:
+    deadline_socket& socket_;
+};
+
 /// One caller's connection: reads its requests and writes the answers.
 class caller_session final : public answer_writer, public caller_connection
 {
@@ -75,7 +92,7 @@
     time_point idle_since() const override { return idle_since_; }
     bool no_pending_input() override { return open_and_idle(socket_->socket()); }
     void close() override { socket_->close(); }
-    void stop() override;
+    void stop(stop_scope scope) override;
 
 private:
     using parser = http::request_parser<http::string_body>;
@@ -249,7 +266,7 @@
     }
 }
 
-void caller_session::stop()
+void caller_session::stop(stop_scope scope)
 {
     if (stage() == caller_stage::reading)
     {
@@ -257,7 +274,8 @@
         boost::system::error_code ignored;
         socket_->socket().cancel(ignored);
     }
-    else if (auto const flow = flow_.lock())
+    else if (auto const flow = flow_.lock();
+             flow && (scope == stop_scope::all || !flow->answer_begun()))
         flow->stop();
 }
 
@@ -279,7 +297,7 @@
         answer.content_length(answer.body().size());
     if (head_request_)
         answer.body().clear();
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const [failure, size] =
         co_await http::async_write(socket_->socket(), answer, use_task);
     co_return !failure;
@@ -306,7 +324,7 @@
     if (!length && http_1_0_)
         socket_->reset_on_close();
     http::response_serializer<http::empty_body> serializer(answer);
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const [failure, size] =
         co_await http::async_write_header(socket_->socket(), serializer, use_task);
     co_return !failure;
@@ -317,7 +335,7 @@
     // An empty chunk would mark the end of the answer.
     if (bytes.empty())
         co_return true;
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const piece = asio::buffer(bytes.data(), bytes.size());
     if (!chunked_)
     {
@@ -337,7 +355,7 @@
         socket_->clear_reset_on_close();
         co_return true;
     }
-    socket_->set_deadline(boot_now() + write_timeout);
+    write_limit const limit(*socket_);
     auto const [failure, size] =
         co_await asio::async_write(socket_->socket(), http::make_chunk_last(), use_task);
     co_return !failure;
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -4,6 +4,7 @@
 #include "coordination/entry/directory_sync.hpp"
 #include "coordination/entry/hub_state.hpp"
 #include "coordination/entry/order_authorization.hpp"
+#include "coordination/entry/pause_detector.hpp"
 #include "coordination/entry/peer_addresses.hpp"
 #include "coordination/entry/store_read_policy.hpp"
 #include "state/result.hpp"
@@ -80,8 +81,8 @@
     [[nodiscard]] std::string readiness_page() const;
     [[nodiscard]] task<void> handle_signals();
     [[nodiscard]] task<void> drain();
-    /// Returns the assumed arrival time of the signal that is being handled.
-    [[nodiscard]] time_point signal_time() const;
+    /// Returns when the signal that is being handled may have arrived.
+    [[nodiscard]] signal_time_range signal_time() const;
     /// Releases the lease once no order can leave this instance or arrive at a runner any
     /// more. If that takes longer than the lease lasts, lets the lease expire.
     [[nodiscard]] task<void> release_lease();
@@ -141,11 +142,9 @@
     std::optional<shutdown_plan> shutdown_;
     /// Whether the lease has been released, or is left to expire.
     bool lease_settled_ = false;
+    bool unanswered_cut_ = false;
     bool requests_cut_ = false;
-    /// Times of the last two ticks. They are far apart if the process was paused in
-    /// between.
-    time_point last_tick_ = boot_now();
-    time_point previous_tick_ = last_tick_;
+    pause_detector pauses_{boot_now()};
     crash_tracker crashes_;
     hub_lease lease_;
     order_authorization order_authorization_;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -304,6 +304,8 @@
         bool const written = co_await writer_.append(events);
         if (!written)
             co_return attempt_outcome::caller_gone;
+        // Nothing was read while the caller took the events.
+        silent_at += boot_now() - last_event_;
     }
 }
 
