Send a request id at most once on a kept connection to a server

Callers were answered 503, "not run", for requests that a server had run or was running, and one that is not idempotent ran up to four times, when a server repeated an earlier rejection on a kept connection. A caller that used an id again got the answer to its earlier request.

Cause: an answer is matched to its request by X-Request-Id alone, and an id may be sent to a server several times: by the next attempt of the same request, or because its caller sends it again. The connection of a rejected request is closed, so a copy on that connection never was accepted (those tests pass before and after); one on another kept connection was. After an answer that is no rejection, the connection was kept, and a copy of that answer was accepted on it.

repeated_answer_test before, on: 24 of 24 cases with a copy on a kept connection failed (503 and 429, three kinds of routes, one server and two, sent again by the instance or the caller): "4 != 0 : answered 503 although it ran"; and of six answers to six requests with one id only three or four were different. All pass now.

sent_requests records server and id of what was sent, and an id that it knows goes to that server on a new connection, on which nothing of an earlier request can arrive. A kept connection whose first request is older than the record is not used again.

A list of ids for each connection was considered: it would not see a copy on another connection, and would take up to 512 bytes for each. Keeping the connection of a rejected request would be possible now; closing it stays, so that no rejection can be repeated there.

--- a/src/transport/entry/backend_connections.cpp
+++ b/src/transport/entry/backend_connections.cpp
@@ -19,20 +19,48 @@
 {
 }
 
-task<backend_connection>
-backend_connections::acquire(std::string const& server, std::string const& address,
-                             time_point deadline,
-                             std::weak_ptr<deadline_socket>* connecting)
+std::shared_ptr<deadline_socket> backend_connections::take_idle(std::string const& server)
 {
     auto& idle = idle_[server];
     while (!idle.empty())
     {
         auto socket = std::move(idle.back().socket);
         idle.pop_back();
-        if (open_and_idle(socket->socket()))
+        if (sent_.covers(socket->first_request()) && open_and_idle(socket->socket()))
+            return socket;
+    }
+    return nullptr;
+}
+
+task<backend_connection> backend_connections::acquire(std::string const& server,
+                                                      std::string const& address,
+                                                      time_point deadline)
+{
+    if (auto socket = take_idle(server))
+        co_return backend_connection{std::move(socket), true};
+    co_return co_await open(address, deadline);
+}
+
+task<backend_connection> backend_connections::acquire_for_request(
+    std::string const& server, std::string const& address, std::string const& request_id,
+    time_point deadline, std::weak_ptr<deadline_socket>& connecting)
+{
+    auto const sent = sent_.record(server, request_id);
+    if (!sent.repeated)
+    {
+        if (auto socket = take_idle(server))
             co_return backend_connection{std::move(socket), true};
     }
-    co_return co_await open(address, deadline, connecting);
+    else if (auto& idle = idle_[server]; !idle.empty())
+    {
+        // The new connection takes the place of an idle one. Otherwise an id that is sent
+        // often would leave one more idle connection each time.
+        idle.pop_front();
+    }
+    auto connection = co_await open(address, deadline, &connecting);
+    if (connection.socket)
+        connection.socket->set_first_request(sent.position);
+    co_return connection;
 }
 
 task<backend_connection>
@@ -42,6 +70,8 @@
     ++opened_;
     auto const limit = std::min(deadline, boot_now() + connect_timeout);
     auto socket = co_await connect_to(io_, deadlines_, address, limit, connecting);
+    if (socket)
+        socket->set_first_request(sent_.next_position());
     co_return backend_connection{std::move(socket), false};
 }
 
--- a/src/transport/entry/backend_connections.hpp
+++ b/src/transport/entry/backend_connections.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/sent_requests.hpp"
 #include "transport/entry/io.hpp"
 
 #include <deque>
@@ -24,12 +25,19 @@
 public:
     backend_connections(asio::io_context& io, deadline_monitor& deadlines);
 
-    /// Returns an idle connection that is still open, or opens a new one. The socket is
-    /// null if none could be opened before the deadline. If `connecting` is not null, it
-    /// refers to the new socket while the connection is being opened.
+    /// Returns a connection for a call without an id: an idle one that is still open, or
+    /// a new one. The socket is null if none could be opened before the deadline.
     [[nodiscard]] task<backend_connection>
-    acquire(std::string const& server, std::string const& address, time_point deadline,
-            std::weak_ptr<deadline_socket>* connecting = nullptr);
+    acquire(std::string const& server, std::string const& address, time_point deadline);
+
+    /// Returns a connection for a request. It is a new one if the server may have been
+    /// sent a request with this id before, so that no answer to the earlier request can
+    /// arrive on it. `connecting` refers to the new socket while the connection is being
+    /// opened.
+    [[nodiscard]] task<backend_connection>
+    acquire_for_request(std::string const& server, std::string const& address,
+                        std::string const& request_id, time_point deadline,
+                        std::weak_ptr<deadline_socket>& connecting);
 
     /// Opens a new connection without looking for an idle one.
     [[nodiscard]] task<backend_connection>
@@ -54,8 +62,13 @@
         time_point expiry;
     };
 
+    /// Takes an idle connection that is still open and whose requests are all known from
+    /// the pool; null if there is none.
+    [[nodiscard]] std::shared_ptr<deadline_socket> take_idle(std::string const& server);
+
     asio::io_context& io_;
     deadline_monitor& deadlines_;
+    sent_requests sent_;
     std::map<std::string, std::deque<idle_connection>> idle_;
     std::uint64_t opened_ = 0;
 };
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -63,6 +64,10 @@
         hard_deadline_ = hard_deadline;
     }
     [[nodiscard]] bool expired() const { return expired_; }
+    /// Place of the connection's first request in the record of sent_requests; 0 for a
+    /// connection that a peer opened.
+    [[nodiscard]] std::uint64_t first_request() const { return first_request_; }
+    void set_first_request(std::uint64_t position) { first_request_ = position; }
     void close();
     /// Makes a later close a reset, which discards bytes that the peer has not
     /// acknowledged. This also applies if the process is killed.
@@ -81,6 +86,7 @@
     time_point deadline_ = time_point::max();
     time_point hard_deadline_ = time_point::max();
     bool expired_ = false;
+    std::uint64_t first_request_ = 0;
 };
 
 /// Enforces the deadlines of all sockets with one periodic check instead of a timer for
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -76,8 +76,8 @@
 {
     in_flight_guard const counted(services_, server_.id, head_.model.str());
     last_received_ = boot_now();
-    auto connection = co_await services_.connections.acquire(
-        server_.id, server_.address, start_deadline_, &connecting_);
+    auto connection = co_await services_.connections.acquire_for_request(
+        server_.id, server_.address, head_.id, start_deadline_, connecting_);
     auto outcome = attempt_outcome::not_run;
     if (connection.socket && !interrupted())
     {
