Take an answer with several request ids for no request's answer

A caller was answered 503, "not run", for a request that its server ran, if the server wrote a rejection with two X-Request-Id headers, as when the answers to two requests are joined.

Cause: of several ids the first one was compared with the request's. Callers' requests with two ids were refused already.

Such an answer is skipped now, as the answer to another request is.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -148,7 +148,7 @@
         if (parser_->get().result_int() < 200)
             continue;
         metadata_ = platform::decode_answer_metadata(parser_->get());
-        if (metadata_.request_id == request_id_)
+        if (!metadata_.several_ids && metadata_.request_id == request_id_)
             co_return read_outcome::more;
         bool const whole = co_await skip_answer();
         if (!whole)
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -206,6 +206,17 @@
     EXPECT_TRUE(decode_answer_metadata(other).not_run);
 }
 
+// Guards against an answer to another request that is taken for this one's, because its
+// first id is this one's.
+TEST(answer_codec_test, answer_with_two_ids_is_reported)
+{
+    http::response_header<> answer;
+    answer.set("X-Request-Id", "a");
+    EXPECT_FALSE(decode_answer_metadata(answer).several_ids);
+    answer.insert("X-Request-Id", "b");
+    EXPECT_TRUE(decode_answer_metadata(answer).several_ids);
+}
+
 // Guards against treating a backend server as leaving because of a repeated or invalid
 // Server-Leaving header.
 TEST(server_notice_codec_test, only_a_single_leaving_header_with_value_1_counts)
