--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -70,6 +71,10 @@
     [[nodiscard]] asio::cancellation_slot read_slot() { return interruption_.slot(); }
     /// Whether the last read was cancelled for that time.
     [[nodiscard]] bool read_interrupted() const { return read_interrupted_; }
+    /// Place of the connection's first request in the record of sent_requests; 0 for a
+    /// connection that a peer opened.
+    [[nodiscard]] std::uint64_t first_request() const { return first_request_; }
+    void set_first_request(std::uint64_t position) { first_request_ = position; }
     void close();
     /// Makes a later close a reset, which discards bytes that the peer has not
     /// acknowledged. This also applies if the process is killed.
@@ -91,6 +96,7 @@
     time_point interruption_time_ = time_point::max();
     asio::cancellation_signal interruption_;
     bool read_interrupted_ = false;
+    std::uint64_t first_request_ = 0;
 };
 
 /// Enforces the deadlines of all sockets with one periodic check instead of a timer for
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -58,8 +58,8 @@
     last_received_ = boot_now();
     logged_silence_.reset();
     unread_since_.reset();
-    auto connection = co_await services_.connections.acquire(
-        server_.id, server_.address, start_deadline_, &connecting_);
+    auto connection = co_await services_.connections.acquire_for_request(
+        server_.id, server_.address, head_.id, start_deadline_, connecting_);
     if (interrupted())
         co_return attempt_outcome::not_run;
     if (connection.socket)
@@ -293,6 +293,8 @@
             silent_at = stall_limit(boot_now());
             unread_since_.reset();
         }
+        // Nothing is read while the caller takes the events, so the server is not silent.
+        exchange_->set_deadline(deadline_);
         if (!stream_begun_)
         {
             bool const begun = co_await begin_stream();
@@ -304,7 +306,6 @@
         bool const written = co_await writer_.append(events);
         if (!written)
             co_return attempt_outcome::caller_gone;
-        // Nothing was read while the caller took the events.
         silent_at += boot_now() - last_event_;
     }
 }
