Check the head of an answer that resumes a begun stream

A stream had begun and broke off, and the next server answered the resumed run with a 200 or 206 whose body was a JSON error, or with a 204: callers received the error's text after the events, and the stream ended as if it were complete. Every answer with a status of success and a signature was taken for a continuation.

The head of a resumed run's answer is now compared with the head that the caller has (find_head_fault): same status, same media type, signed, without a content coding. Any other answer adds nothing; another run is tried if one is allowed, else the stream ends visibly cut, and 1101 names the reason.

resumed_stream_test before the fix, for the status 200, as complete: id: 1, data: 1, id: 2, data: 2, {"error":{"code":"not_found"}} and the same for 206 and, without the text, for 204. A content coding and the statuses 302, 404 and 500 were cut before, too; for these the test failed because the log did not say why.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -185,6 +185,12 @@
 {
     auto const status = exchange_->head().result_int();
     bool const success = status >= 200 && status < 300;
+    if (stream_begun_ && !continues_stream())
+    {
+        if (success)
+            services_.backends.note_failure(server_.id, boot_now());
+        co_return attempt_outcome::broken_off;
+    }
     if (success && (!metadata.signed_by_server || metadata.encoded))
     {
         services_.backends.note_failure(server_.id, boot_now());
@@ -192,9 +198,6 @@
     }
     if (success && route_->kind == request_kind::stream)
         co_return co_await relay_stream();
-    // The server answered with a failure instead of continuing the stream.
-    if (stream_begun_)
-        co_return attempt_outcome::broken_off;
     exchange_->set_deadline(deadline_);
     answer_head_ = platform::encode_caller_answer(exchange_->head());
     answer_body_.clear();
@@ -229,6 +232,16 @@
     co_return attempt_outcome::server_failure;
 }
 
+bool request_flow::continues_stream() const
+{
+    auto const fault = find_head_fault(platform::decode_answer_form(answer_head_),
+                                       platform::decode_answer_form(exchange_->head()));
+    if (fault == continuation_fault::none)
+        return true;
+    exchange_->set_failure("no continuation: " + std::string(entry::name_of(fault)));
+    return false;
+}
+
 void request_flow::keep_piece()
 {
     last_received_ = boot_now();
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/request_codec.hpp"
 #include "protocol/entry/event_splitter.hpp"
+#include "protocol/entry/stream_continuation.hpp"
 #include "state/entry/refusal_reason.hpp"
 #include "transport/entry/backend_exchange.hpp"
 #include "transport/entry/entry_services.hpp"
@@ -145,6 +146,9 @@
     [[nodiscard]] task<attempt_outcome> exchange_on(backend_connection connection);
     [[nodiscard]] task<attempt_outcome>
     receive_answer(platform::answer_metadata metadata);
+    /// Whether the answer's head lets it continue the stream that has begun. If not,
+    /// records the reason as the exchange's failure.
+    [[nodiscard]] bool continues_stream() const;
     /// Forwards an answer that is too long to buffer, piece by piece as it arrives.
     [[nodiscard]] task<attempt_outcome> relay_answer();
     /// Appends the piece of the body that was read to the buffered answer.
--- /dev/null
+++ b/tests/entry/resumed_stream_test.py
@@ -0,0 +1,148 @@
+"""Tests an instance process whose backend servers break a stream off and resume it wrongly.
+
+The first run of each stream sends two events and closes the connection. What a later run sends may
+reach the caller only if it continues the stream.
+"""
+
+from __future__ import annotations
+
+import http.client
+import sys
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from misbehaving_server import (  # noqa: E402
+    END, STREAM, Connection, MisbehavingServer, Request, chunk, event, head, stream)
+from platform_fleet import Store  # noqa: E402
+
+RUNNERS = 3
+# Settings with which the retry budget covers every further run of a test.
+RETRIES = "bounds.budget_slack=200\n"
+ERROR = b'{"error":{"code":"not_found"}}'
+JSON = f"Content-Type: application/json\r\nContent-Length: {len(ERROR)}\r\n"
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
+BEGUN_STREAM = event(1) + event(2)
+
+
+def sends(framing: str, *pieces: bytes, status: int = 200):
+    """Returns a way to answer: a head with these header lines, the pieces, and the end of the
+    connection."""
+    def play(connection: Connection, request: Request) -> None:
+        connection.send(head(request.id, framing, status) + b"".join(pieces))
+        connection.finish()
+    return play
+
+
+def sends_events(*events: bytes):
+    """Returns a way to answer: a complete chunked stream of these events."""
+    return sends(STREAM, *map(chunk, events), END)
+
+
+def breaks_off_after(*events: bytes):
+    """Returns a way to answer: a stream of these events that breaks off."""
+    return sends(STREAM, *map(chunk, events))
+
+
+breaks_off = breaks_off_after(event(1), event(2))
+
+
+class ResumedStreamTest(unittest.TestCase):
+    """Runs one store, three runners and one instance. The runs of a stream, at whichever runner,
+    follow the ways that a test selects, in their order; further runs repeat the last one."""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        config = configuration(1, ["k1"])
+        draft = next(route for route in config["routes"] if route["name"] == "draft")
+        draft["max_attempts"] = RUNNERS
+        self.store.put("op", "config", config)
+        self.runners = [MisbehavingServer(self.store, f"r{number}", "llm", ["m1"])
+                        for number in range(RUNNERS)]
+        self.instance = Instance(self.store, "n1", more_settings=RETRIES)
+        self.instance.wait_until_serving(servers=RUNNERS)
+        self.ways: list = []
+        # The Last-Event-Id header of each run.
+        self.resume_points: list[str | None] = []
+        for runner in self.runners:
+            runner.play(self.run_next_way)
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (*self.runners, self.store):
+            service.close()
+
+    def run_next_way(self, connection: Connection, request: Request) -> None:
+        self.resume_points.append(request.headers.get("last-event-id"))
+        way = self.ways.pop(0) if len(self.ways) > 1 else self.ways[0]
+        way(connection, request)
+
+    def stream(self, *ways) -> tuple[bytes, bool]:
+        """Sends a request. Returns the received bytes of the stream and whether it ended as
+        complete."""
+        self.ways, self.resume_points = list(ways), []
+        connection = http.client.HTTPConnection("127.0.0.1", self.instance.front_port,
+                                                timeout=HANG_LIMIT_S)
+        try:
+            connection.request("POST", "/draft/a", b"x", {
+                "Host": "h.example", "X-Request-Id": "s1", "X-Model": "m1",
+                "Authorization": "Token k1"})
+            answer = connection.getresponse()
+            self.headers = answer.headers
+            return answer.read(), answer.status == 200
+        except http.client.IncompleteRead as failure:
+            return failure.partial, False
+        finally:
+            connection.close()
+
+    def attempt_details(self) -> set[str]:
+        return {ended["detail"] for ended in self.instance.events(1101)}
+
+    def assert_not_continued_by(self, way, reason: str,
+                                begun: bytes = BEGUN_STREAM) -> None:
+        """Checks that a run of this way adds nothing to the caller's stream: the stream is cut if
+        every run is like this, and continued by a later run that continues it."""
+        self.assertEqual(self.stream(breaks_off, way), (begun, False))
+        detail = f"no continuation: {reason}"
+        wait_until(lambda: detail in self.attempt_details(), f"{detail} is logged", 5)
+        self.assertEqual(self.stream(breaks_off, way, stream), (WHOLE_STREAM, True))
+
+    def test_stream_that_the_next_run_continues_is_whole(self) -> None:
+        """Guards against the refusal of a correct continuation."""
+        self.assertEqual(self.stream(breaks_off, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "2"])
+
+    def test_stream_whose_end_alone_is_missing_is_ended_by_the_next_run(self) -> None:
+        """Guards against the refusal of a continuation to which no event is left."""
+        self.assertEqual(
+            self.stream(breaks_off_after(*(event(number) for number in range(1, 6))), stream),
+            (WHOLE_STREAM, True))
+
+    def test_error_with_status_200_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against an error's text at the end of a stream that looks complete."""
+        self.assert_not_continued_by(sends(JSON, ERROR), "media_type")
+
+    def test_error_with_status_206_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against the same with another status of success."""
+        self.assert_not_continued_by(sends(JSON, ERROR, status=206), "status")
+
+    def test_answer_without_a_body_does_not_end_the_stream(self) -> None:
+        """Guards against a cut stream that looks complete."""
+        self.assert_not_continued_by(sends("", status=204), "status")
+
+    def test_encoded_answer_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against encoded bytes in a stream whose head names no encoding."""
+        self.assert_not_continued_by(
+            sends("Content-Encoding: gzip\r\n" + STREAM, chunk(event(3)), END),
+            "content_coding")
+
+    def test_failure_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against an error's text in the middle of a stream."""
+        for status in (302, 404, 500):
+            with self.subTest(status=status):
+                self.assert_not_continued_by(sends(JSON, ERROR, status=status), "status")
+
+
+if __name__ == "__main__":
+    unittest.main()
