Check that the events of a resumed run follow the last one passed on

A server that resumed a stream began again at its first event, or one event too early: callers received events twice. Events without an id, and the text of an error in an answer that named itself an event stream, were passed on too, and the stream ended as complete.

stream_continuation keeps the last id that was passed on, which the event splitter did before, and checks each event of a resumed run: its id must be a greater decimal number, of any length; an event without an id needs one with a good id before it in the same run. Other ids are refused, because their order is unknown: comparing them with the last one alone lets a run through that started over. Comments and reconnection times are no events. Events before the one at fault are kept, since each of them was checked; the next allowed run goes on after them, else the stream ends visibly cut.

The splitter's test of ids and its checks of last_id() are now in stream_continuation_test, as strict as before.

The test's servers answer orders apart from runs: an order that the hub sent would otherwise have used up one of the selected answers.

--- a/src/protocol/entry/event_splitter.cpp
+++ b/src/protocol/entry/event_splitter.cpp
@@ -24,25 +24,6 @@
     return end;
 }
 
-/// Returns the value of the last id field, or an empty view if there is none.
-std::string_view find_last_id(std::string_view events)
-{
-    constexpr std::string_view field = "id:";
-    auto found = events.rfind(field);
-    while (found != std::string_view::npos)
-    {
-        if (found == 0 || events[found - 1] == '\n')
-        {
-            auto value = events.substr(found + field.size());
-            value = value.substr(0, value.find_first_of("\r\n"));
-            value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
-            return value;
-        }
-        found = events.rfind(field, found - 1);
-    }
-    return {};
-}
-
 /// Returns whether a line of the events starts with the field name.
 bool has_field(std::string_view events, std::string_view field)
 {
@@ -75,10 +56,7 @@
     std::string events = pending_.substr(0, begin + end);
     pending_.erase(0, begin + end);
     searched_bytes_ = pending_.size();
-    auto const id = find_last_id(events);
-    if (!id.empty())
-        last_id_ = id;
-    last_taken_has_data_ = !id.empty() || has_field(events, "data");
+    last_taken_has_data_ = has_field(events, "id:") || has_field(events, "data");
     return events;
 }
 
--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -28,8 +28,6 @@
         return pending_.size() > max_event_bytes;
     }
 
-    /// Returns the id of the last taken event that has one; empty before the first.
-    [[nodiscard]] std::string const& last_id() const { return last_id_; }
     /// Returns the received bytes of the event whose end has not arrived.
     [[nodiscard]] std::string const& incomplete_event() const { return pending_; }
     /// Discards the received bytes of the event whose end has not arrived.
@@ -44,7 +42,6 @@
     /// Number of bytes of pending_ that have been searched for an event's end, so that
     /// each byte is searched only once.
     std::size_t searched_bytes_ = 0;
-    std::string last_id_;
     bool last_taken_has_data_ = false;
 };
 
--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 namespace carawayturn::entry
 {
@@ -19,12 +20,39 @@
     return type.substr(0, type.find_last_not_of(" \t") + 1);
 }
 
+/// Removes and returns the first line, without its end.
+std::string_view take_line(std::string_view& text)
+{
+    auto const end = text.find_first_of("\r\n");
+    auto const line = text.substr(0, end);
+    text.remove_prefix(line.size());
+    auto const end_bytes = text.substr(0, 2) == "\r\n" ? 2U : 1U;
+    text.remove_prefix(std::min<std::size_t>(end_bytes, text.size()));
+    return line;
+}
+
+bool is_decimal(std::string_view id)
+{
+    return !id.empty() && id.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+/// Compares decimal numbers of any length.
+bool is_greater(std::string_view number, std::string_view than)
+{
+    number.remove_prefix(std::min(number.find_first_not_of('0'), number.size()));
+    than.remove_prefix(std::min(than.find_first_not_of('0'), than.size()));
+    if (number.size() != than.size())
+        return number.size() > than.size();
+    return number > than;
+}
+
 } // namespace
 
 std::string_view name_of(continuation_fault fault)
 {
-    static constexpr std::array<std::string_view, 5> names{"", "status", "media_type",
-                                                           "content_coding", "signature"};
+    static constexpr std::array<std::string_view, 8> names{
+        "",          "status",           "media_type",           "content_coding",
+        "signature", "event_id_missing", "event_id_not_numeric", "event_id_not_greater"};
     return names.at(static_cast<std::size_t>(fault));
 }
 
@@ -42,4 +70,73 @@
     return continuation_fault::none;
 }
 
+/// The fields of one event that matter for resuming a stream.
+struct stream_continuation::event_fields
+{
+    /// Whether there is a line other than a comment and the reconnection time.
+    bool has_content = false;
+    std::optional<std::string_view> id;
+};
+
+/// Removes the first event and returns its fields.
+stream_continuation::event_fields
+stream_continuation::take_event(std::string_view& events)
+{
+    event_fields fields;
+    while (!events.empty())
+    {
+        auto const line = take_line(events);
+        if (line.empty())
+            break;
+        auto const name = line.substr(0, line.find(':'));
+        if (name.empty() || name == "retry")
+            continue;
+        fields.has_content = true;
+        if (name != "id")
+            continue;
+        auto value = line.substr(std::min(name.size() + 1, line.size()));
+        if (value.substr(0, 1) == " ")
+            value.remove_prefix(1);
+        fields.id = value;
+    }
+    return fields;
+}
+
+void stream_continuation::begin_run()
+{
+    resumed_ = !last_id_.empty();
+    run_has_id_ = false;
+}
+
+continuation_fault stream_continuation::find_event_fault(event_fields const& event) const
+{
+    if (!event.has_content || (!event.id && run_has_id_))
+        return continuation_fault::none;
+    if (!event.id)
+        return continuation_fault::event_id_missing;
+    if (!is_decimal(*event.id))
+        return continuation_fault::event_id_not_numeric;
+    if (!is_greater(*event.id, last_id_))
+        return continuation_fault::event_id_not_greater;
+    return continuation_fault::none;
+}
+
+accepted_events stream_continuation::accept(std::string_view events)
+{
+    auto rest = events;
+    while (!rest.empty())
+    {
+        auto const accepted = events.size() - rest.size();
+        auto const event = take_event(rest);
+        auto const fault = resumed_ ? find_event_fault(event) : continuation_fault::none;
+        if (fault != continuation_fault::none)
+            return {accepted, fault};
+        if (!event.id || event.id->empty())
+            continue;
+        last_id_ = *event.id;
+        run_has_id_ = true;
+    }
+    return {events.size(), continuation_fault::none};
+}
+
 } // namespace carawayturn::entry
--- a/src/protocol/entry/stream_continuation.hpp
+++ b/src/protocol/entry/stream_continuation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace carawayturn::entry
@@ -17,7 +18,13 @@
     /// The body has a content coding.
     content_coding,
     /// The backend server's signature is missing.
-    signature
+    signature,
+    /// No id tells whether the caller already has the event.
+    event_id_missing,
+    /// The order of the event and those that the caller has is unknown.
+    event_id_not_numeric,
+    /// The caller already has the event, or the run started over.
+    event_id_not_greater
 };
 
 [[nodiscard]] std::string_view name_of(continuation_fault fault);
@@ -38,4 +45,43 @@
 [[nodiscard]] continuation_fault find_head_fault(answer_form const& begun,
                                                  answer_form const& answer);
 
+/// Events of which the first `bytes` may be passed on to the caller.
+struct accepted_events
+{
+    std::size_t bytes = 0;
+    /// Why the event after them does not continue the stream.
+    continuation_fault fault = continuation_fault::none;
+};
+
+/// Keeps the id up to which the caller has received a text/event-stream, and checks that
+/// the events of a run that resumes the stream follow that id.
+///
+/// The ids of a stream increase. They are compared as decimal numbers of any length. The
+/// order of other ids is unknown, so an event of another run that has one may be an event
+/// that the caller already has.
+class stream_continuation
+{
+public:
+    /// Begins the events of another run, which was asked for the events after last_id().
+    /// Without that id, the run starts from the beginning and its events are not checked.
+    void begin_run();
+
+    /// Takes complete events of the current run and returns how many of them may be
+    /// passed on. The events of the first run are passed on as they are.
+    [[nodiscard]] accepted_events accept(std::string_view events);
+
+    /// Returns the id of the last accepted event that has one; empty before the first.
+    [[nodiscard]] std::string const& last_id() const { return last_id_; }
+
+private:
+    struct event_fields;
+    [[nodiscard]] static event_fields take_event(std::string_view& events);
+    [[nodiscard]] continuation_fault find_event_fault(event_fields const& event) const;
+
+    std::string last_id_;
+    bool resumed_ = false;
+    /// Whether the current run has sent an event with an id.
+    bool run_has_id_ = false;
+};
+
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -116,7 +116,7 @@
     parameters.time_left = deadline_ - now;
     parameters.priority = priority();
     if (stream_begun_)
-        parameters.resume_after = events_.last_id();
+        parameters.resume_after = continuation_.last_id();
     ++sends_;
     ++runs_;
     exchange_->set_deadline(first_byte_deadline());
@@ -238,10 +238,15 @@
                                        platform::decode_answer_form(exchange_->head()));
     if (fault == continuation_fault::none)
         return true;
-    exchange_->set_failure("no continuation: " + std::string(entry::name_of(fault)));
+    set_continuation_failure(fault);
     return false;
 }
 
+void request_flow::set_continuation_failure(continuation_fault fault) const
+{
+    exchange_->set_failure("no continuation: " + std::string(entry::name_of(fault)));
+}
+
 void request_flow::keep_piece()
 {
     last_received_ = boot_now();
@@ -298,7 +303,9 @@
 task<request_flow::attempt_outcome> request_flow::relay_stream()
 {
     bool const resuming = stream_begun_;
-    if (!resuming)
+    if (resuming)
+        continuation_.begin_run();
+    else
         answer_head_ = platform::encode_caller_answer(exchange_->head());
     auto progress = boot_now();
     for (;;)
@@ -322,9 +329,11 @@
             services_.backends.note_failure(server_.id, boot_now());
             co_return failure_outcome();
         }
-        auto const events = events_.take_events();
+        auto events = events_.take_events();
         if (events.empty())
             continue;
+        auto const accepted = continuation_.accept(events);
+        events.resize(accepted.bytes);
         if (events_.last_taken_has_data())
             progress = boot_now();
         if (!stream_begun_)
@@ -342,11 +351,23 @@
         bool const written = co_await writer_.append(events);
         if (!written)
             co_return attempt_outcome::caller_gone;
+        if (accepted.fault != continuation_fault::none)
+            co_return reject_continuation(accepted.fault);
     }
 }
 
+request_flow::attempt_outcome request_flow::reject_continuation(continuation_fault fault)
+{
+    set_continuation_failure(fault);
+    services_.backends.note_failure(server_.id, boot_now());
+    return failure_outcome();
+}
+
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
+    auto const accepted = continuation_.accept(events_.incomplete_event());
+    if (accepted.fault != continuation_fault::none)
+        co_return reject_continuation(accepted.fault);
     bool written = true;
     if (!stream_begun_)
         written = co_await writer_.begin(answer_head_, std::nullopt);
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -149,6 +149,9 @@
     /// Whether the answer's head lets it continue the stream that has begun. If not,
     /// records the reason as the exchange's failure.
     [[nodiscard]] bool continues_stream() const;
+    void set_continuation_failure(continuation_fault fault) const;
+    /// Ends an attempt whose answer does not continue the stream.
+    [[nodiscard]] attempt_outcome reject_continuation(continuation_fault fault);
     /// Forwards an answer that is too long to buffer, piece by piece as it arrives.
     [[nodiscard]] task<attempt_outcome> relay_answer();
     /// Appends the piece of the body that was read to the buffered answer.
@@ -227,6 +230,7 @@
     duration first_event_after_{};
     duration longest_gap_{};
     event_splitter events_;
+    stream_continuation continuation_;
     http::response_header<> answer_head_;
     std::string answer_body_;
     bool answer_buffered_ = false;
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -27,7 +27,6 @@
         EXPECT_EQ(taken, text);
         EXPECT_TRUE(events_.incomplete_event().empty());
     }
-    EXPECT_EQ(events_.last_id(), "2");
 }
 
 // Guards against counting comment lines as progress of a stalled stream.
@@ -65,18 +64,8 @@
 {
     events_.append("id: 1\ndata: a\n\nid: 2\nda");
     EXPECT_EQ(events_.take_events(), "id: 1\ndata: a\n\n");
-    EXPECT_EQ(events_.last_id(), "1");
     events_.append("ta: b\n\n");
     EXPECT_EQ(events_.take_events(), "id: 2\ndata: b\n\n");
-    EXPECT_EQ(events_.last_id(), "2");
-}
-
-// Guards against mistaking the text "id:" inside the data for the event's id field.
-TEST_F(event_splitter_test, id_in_data_is_not_the_event_id)
-{
-    events_.append("id: 7\ndata: id: 9\n\n");
-    static_cast<void>(events_.take_events());
-    EXPECT_EQ(events_.last_id(), "7");
 }
 
 } // namespace
--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -54,7 +54,7 @@
 
     def setUp(self) -> None:
         self.store = Store()
-        config = configuration(1, ["k1"])
+        config = configuration(1, ["k1"], ("m1",))
         draft = next(route for route in config["routes"] if route["name"] == "draft")
         draft["max_attempts"] = RUNNERS
         self.store.put("op", "config", config)
@@ -74,6 +74,9 @@
             service.close()
 
     def run_next_way(self, connection: Connection, request: Request) -> None:
+        if request.path == "/order":
+            connection.send(head(request.id, "Content-Length: 0\r\n", 409))
+            return
         self.resume_points.append(request.headers.get("last-event-id"))
         way = self.ways.pop(0) if len(self.ways) > 1 else self.ways[0]
         way(connection, request)
@@ -143,6 +146,38 @@
             with self.subTest(status=status):
                 self.assert_not_continued_by(sends(JSON, ERROR, status=status), "status")
 
+    def test_run_that_starts_over_adds_no_event_twice(self) -> None:
+        """Guards against a server that ignores the resume point: events came twice."""
+        self.assert_not_continued_by(
+            sends_events(*(event(number) for number in range(1, 6))), "event_id_not_greater")
+
+    def test_event_that_the_caller_has_is_not_sent_again(self) -> None:
+        """Guards against a run that resumes one event too early."""
+        self.assert_not_continued_by(
+            sends_events(event(2), event(3), event(4), event(5)), "event_id_not_greater")
+
+    def test_events_without_an_id_do_not_continue_a_stream_with_ids(self) -> None:
+        """Guards against events of which nobody knows whether the caller has them."""
+        self.assert_not_continued_by(sends_events(b"data: 3\n\n", event(4)),
+                                     "event_id_missing")
+
+    def test_error_in_an_event_stream_is_not_passed_on(self) -> None:
+        """Guards against an error's text in an answer that names itself an event stream."""
+        for text in (ERROR, ERROR + b"\n\n"):
+            with self.subTest(text=text):
+                self.assert_not_continued_by(sends_events(text), "event_id_missing")
+
+    def test_event_id_that_is_no_number_does_not_continue_a_stream(self) -> None:
+        """Guards against ids whose order is unknown."""
+        self.assert_not_continued_by(sends_events(b"id: x\ndata: 3\n\n"),
+                                     "event_id_not_numeric")
+
+    def test_events_before_the_one_that_repeats_are_kept(self) -> None:
+        """Guards against a run that starts over after it has resumed the stream."""
+        joined = sends_events(event(3), event(1), event(2), event(3))
+        self.assertEqual(self.stream(breaks_off, joined, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "2", "3"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 namespace carawayturn::entry
 {
 namespace
@@ -32,6 +35,14 @@
     EXPECT_EQ(fault(), continuation_fault::none);
 }
 
+// Guards against a reason that ends the request because it has no name.
+TEST_F(continuation_head_test, each_fault_has_a_name_of_its_own)
+{
+    std::set<std::string_view> names;
+    for (int i = 0; i <= static_cast<int>(continuation_fault::event_id_not_greater); ++i)
+        EXPECT_TRUE(names.insert(name_of(static_cast<continuation_fault>(i))).second);
+}
+
 // Guards against an answer without events that ends a stream as complete.
 TEST_F(continuation_head_test, other_status_is_no_continuation)
 {
@@ -67,5 +78,134 @@
     EXPECT_EQ(fault(), continuation_fault::signature);
 }
 
+class stream_continuation_test : public testing::Test
+{
+protected:
+    /// Returns the part of the events that may be passed on.
+    std::string_view accept(std::string_view events)
+    {
+        auto const accepted = stream_.accept(events);
+        fault_ = accepted.fault;
+        return events.substr(0, accepted.bytes);
+    }
+
+    /// Begins another run after a first one with these events.
+    void resume_after(std::string_view events)
+    {
+        ASSERT_EQ(accept(events), events);
+        stream_.begin_run();
+    }
+
+    stream_continuation stream_;
+    continuation_fault fault_ = continuation_fault::none;
+};
+
+// Guards against a resume point of an event that the caller does not have.
+TEST_F(stream_continuation_test, last_id_is_that_of_the_last_accepted_event)
+{
+    EXPECT_EQ(stream_.last_id(), "");
+    EXPECT_EQ(accept("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(stream_.last_id(), "1");
+    for (std::string_view const events :
+         {"id: 2\r\ndata: b\r\n\r\n", "id:2\n\n", "data: b\rid: 2\r\n\n",
+          "id: 1\n\n: comment\n\nid: 2\ndata: b\n\ndata: c\n\n"})
+    {
+        stream_ = {};
+        EXPECT_EQ(accept(events), events);
+        EXPECT_EQ(stream_.last_id(), "2") << events;
+    }
+}
+
+// Guards against mistaking the text "id:" inside the data for the event's id field.
+TEST_F(stream_continuation_test, id_in_data_is_not_the_event_id)
+{
+    EXPECT_FALSE(accept("id: 7\ndata: id: 9\ndata:id:10\nid2: 11\n:id: 12\n\n").empty());
+    EXPECT_EQ(stream_.last_id(), "7");
+}
+
+// Guards against events twice when a run starts over in place of resuming.
+TEST_F(stream_continuation_test, run_that_starts_over_is_no_continuation)
+{
+    for (std::string_view const id : {"1", "2", "02", "0", "00000000000000000000000"})
+    {
+        stream_ = {};
+        resume_after("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        EXPECT_EQ(accept("id: " + std::string(id) + "\ndata: x\n\n"), "");
+        EXPECT_EQ(fault_, continuation_fault::event_id_not_greater) << id;
+        EXPECT_EQ(stream_.last_id(), "2");
+    }
+}
+
+// Guards against a comparison as text or as numbers of a fixed size.
+TEST_F(stream_continuation_test, greater_ids_continue_the_stream)
+{
+    resume_after("id: 9\ndata: a\n\n");
+    for (std::string_view const id :
+         {"10", "0011", "18446744073709551616", "18446744073709551617",
+          "340282366920938463463374607431768211456"})
+    {
+        auto const event = "id: " + std::string(id) + "\ndata: x\n\n";
+        EXPECT_EQ(accept(event), event);
+        EXPECT_EQ(stream_.last_id(), id);
+    }
+}
+
+// Guards against an event that the caller may already have.
+TEST_F(stream_continuation_test, event_without_an_id_is_no_continuation)
+{
+    resume_after("id: 2\ndata: b\n\n");
+    for (std::string_view const event :
+         {"data: x\n\n", "data\n\n", "event: x\ndata: x\n\n", "{\"error\":{}}\n\n"})
+    {
+        EXPECT_EQ(accept(event), "") << event;
+        EXPECT_EQ(fault_, continuation_fault::event_id_missing) << event;
+    }
+}
+
+// Guards against ids whose order is unknown.
+TEST_F(stream_continuation_test, id_that_is_no_number_is_no_continuation)
+{
+    resume_after("id: 2\ndata: b\n\n");
+    for (std::string_view const event :
+         {"id: a\n\n", "id: -3\n\n", "id: 3a\n\n", "id:  3\n\n", "id: 3.0\n\n", "id:\n\n",
+          "id\n\n", "id: 0x3\n\n"})
+    {
+        EXPECT_EQ(accept(event), "") << event;
+        EXPECT_EQ(fault_, continuation_fault::event_id_not_numeric) << event;
+    }
+    std::string_view const with_nul("id: 3\0\n\n", 8);
+    EXPECT_EQ(accept(with_nul), "");
+    EXPECT_EQ(fault_, continuation_fault::event_id_not_numeric);
+}
+
+// Guards against the refusal of what carries no event.
+TEST_F(stream_continuation_test, comments_and_events_after_an_id_are_accepted)
+{
+    resume_after("id: 2\ndata: b\n\n");
+    std::string_view const events =
+        ": comment\n\nretry: 100\n\n\r\nid: 3\ndata: c\n\ndata: d\n\n";
+    EXPECT_EQ(accept(events), events);
+    EXPECT_EQ(fault_, continuation_fault::none);
+}
+
+// Guards against the loss of the events before the one that is no continuation.
+TEST_F(stream_continuation_test, events_before_the_fault_are_accepted)
+{
+    resume_after("id: 2\ndata: b\n\n");
+    EXPECT_EQ(accept("id: 3\ndata: c\n\nid: 3\ndata: c\n\nid: 4\n\n"),
+              "id: 3\ndata: c\n\n");
+    EXPECT_EQ(fault_, continuation_fault::event_id_not_greater);
+    EXPECT_EQ(stream_.last_id(), "3");
+}
+
+// Guards against the refusal of a run that starts from the beginning because the caller
+// has no event yet.
+TEST_F(stream_continuation_test, run_without_a_resume_point_is_accepted)
+{
+    resume_after(": comment\n\n");
+    std::string_view const events = "data: a\n\nid: 1\ndata: b\n\n";
+    EXPECT_EQ(accept(events), events);
+}
+
 } // namespace
 } // namespace carawayturn::entry
