Resume a stream only where the last id covers what was passed on

A stream broke off after an event without an id, or had no ids at all: the next run was asked for the events after an earlier id, or for all, and callers received events twice or events of two runs joined. The same after ids that repeat, go backwards or are empty; ids that are no number, hold a NUL or are longer than a header were sent to the next server as they were.

stream_continuation now tells whether a stream can be resumed: each id is a number greater than those before, of at most 256 bytes, and no event without an id follows the last one. Comments and reconnection times need no id. Otherwise the stream ends visibly cut when it breaks off, and 1100 has stream_not_resumable. For the same reason such a stream is not given up for a silence. What the first run sends is passed on as it is.

--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -131,12 +131,25 @@
         auto const fault = resumed_ ? find_event_fault(event) : continuation_fault::none;
         if (fault != continuation_fault::none)
             return {accepted, fault};
-        if (!event.id || event.id->empty())
-            continue;
-        last_id_ = *event.id;
-        run_has_id_ = true;
+        note(event);
     }
     return {events.size(), continuation_fault::none};
 }
 
+void stream_continuation::note(event_fields const& event)
+{
+    if (!event.has_content)
+        return;
+    last_id_covers_all_ = event.id.has_value();
+    if (!event.id)
+        return;
+    run_has_id_ = true;
+    bool const increases =
+        is_decimal(*event.id) && (last_id_.empty() || is_greater(*event.id, last_id_));
+    if (increases)
+        last_id_ = *event.id;
+    if (!increases || event.id->size() > max_resume_id_bytes)
+        ids_usable_ = false;
+}
+
 } // namespace carawayturn::entry
--- a/src/protocol/entry/stream_continuation.hpp
+++ b/src/protocol/entry/stream_continuation.hpp
@@ -45,6 +45,10 @@
 [[nodiscard]] continuation_fault find_head_fault(answer_form const& begun,
                                                  answer_form const& answer);
 
+/// Limit for the length of an id after which a stream is resumed, in bytes. The id is
+/// sent in a header.
+inline constexpr std::size_t max_resume_id_bytes = 256;
+
 /// Events of which the first `bytes` may be passed on to the caller.
 struct accepted_events
 {
@@ -56,7 +60,9 @@
 /// Keeps the id up to which the caller has received a text/event-stream, and checks that
 /// the events of a run that resumes the stream follow that id.
 ///
-/// The ids of a stream increase. They are compared as decimal numbers of any length. The
+/// A stream may only be resumed after an id that covers everything that was passed on:
+/// another run would repeat events that have no id, or join its own to them. The ids of a
+/// stream increase. They are compared as decimal numbers of any length. The
 /// order of other ids is unknown, so an event of another run that has one may be an event
 /// that the caller already has.
 class stream_continuation
@@ -70,6 +76,8 @@
     /// passed on. The events of the first run are passed on as they are.
     [[nodiscard]] accepted_events accept(std::string_view events);
 
+    /// Returns whether a run after last_id() neither repeats nor omits an event.
+    [[nodiscard]] bool resumable() const { return ids_usable_ && last_id_covers_all_; }
     /// Returns the id of the last accepted event that has one; empty before the first.
     [[nodiscard]] std::string const& last_id() const { return last_id_; }
 
@@ -78,7 +86,14 @@
     [[nodiscard]] static event_fields take_event(std::string_view& events);
     [[nodiscard]] continuation_fault find_event_fault(event_fields const& event) const;
 
+    void note(event_fields const& event);
+
     std::string last_id_;
+    /// Whether each id so far is a number that is greater than those before it and short
+    /// enough for a header.
+    bool ids_usable_ = true;
+    /// Whether no event without an id was accepted after the one with last_id_.
+    bool last_id_covers_all_ = true;
     bool resumed_ = false;
     /// Whether the current run has sent an event with an id.
     bool run_has_id_ = false;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -32,7 +32,7 @@
 time_point request_flow::stall_deadline(time_point progress) const
 {
     // A stalled stream that no other server may continue is kept open until the deadline.
-    if (!another_run_allowed())
+    if (!another_run_allowed() || !continuation_.resumable())
         return deadline_;
     return progress + std::max(stall_gap_factor * route_->gap_objective, min_stall_time);
 }
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -21,11 +21,17 @@
 
 std::string_view name_of(repeat_denial denial)
 {
-    static constexpr std::array<std::string_view, 10> names{
-        "",           "final_outcome", "runs_used",
-        "sends_used", "answer_begun",  "crashes_servers",
-        "deadline",   "retry_budget",  "no_server",
-        "stopping"};
+    static constexpr std::array<std::string_view, 11> names{"",
+                                                            "final_outcome",
+                                                            "runs_used",
+                                                            "sends_used",
+                                                            "answer_begun",
+                                                            "stream_not_resumable",
+                                                            "crashes_servers",
+                                                            "deadline",
+                                                            "retry_budget",
+                                                            "no_server",
+                                                            "stopping"};
     return names.at(static_cast<std::size_t>(denial));
 }
 
@@ -373,6 +379,8 @@
     case attempt_outcome::late:
         return repeat_denial::final_outcome;
     }
+    if (!continuation_.resumable())
+        return repeat_denial::stream_not_resumable;
     if (now >= (stream_begun_ ? deadline_ : start_deadline_))
         return repeat_denial::deadline_passed;
     bool const sent = outcome != attempt_outcome::not_sent;
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -56,6 +56,8 @@
     sends_used,
     /// A long answer has begun, which no other run can continue.
     answer_begun,
+    /// No id tells where another run would have to continue the stream.
+    stream_not_resumable,
     /// Servers crashed while they ran the request.
     crashes_servers,
     deadline_passed,
--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -8,6 +8,7 @@
 
 import http.client
 import sys
+import time
 import unittest
 from pathlib import Path
 
@@ -20,6 +21,8 @@
 RUNNERS = 3
 # Settings with which the retry budget covers every further run of a test.
 RETRIES = "bounds.budget_slack=200\n"
+# Longer than the time after which another server is looked for: five times the gap objective.
+SILENCE_S = 2.5
 ERROR = b'{"error":{"code":"not_found"}}'
 JSON = f"Content-Type: application/json\r\nContent-Length: {len(ERROR)}\r\n"
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
@@ -178,6 +181,51 @@
         self.assertEqual(self.stream(breaks_off, joined, stream), (WHOLE_STREAM, True))
         self.assertEqual(self.resume_points, [None, "2", "3"])
 
+    def assert_not_resumed(self, *events: bytes) -> None:
+        """Checks that a stream that breaks off after these events is cut, without another run."""
+        self.assertEqual(self.stream(breaks_off_after(*events), stream),
+                         (b"".join(events), False))
+        self.assertEqual(self.resume_points, [None])
+        wait_until(lambda: "stream_not_resumable" in {
+            ended["not_repeated"] for ended in self.instance.events(1100)}, "it is logged", 5)
+
+    def test_stream_of_events_without_an_id_is_not_resumed(self) -> None:
+        """Guards against a second run from the beginning: events came twice."""
+        self.assert_not_resumed(b"data: 1\n\n", b"data: 2\n\n")
+
+    def test_stream_that_broke_off_after_an_event_without_an_id_is_not_resumed(self) -> None:
+        """Guards against a run that repeats the events after the last id."""
+        self.assert_not_resumed(event(1), event(2), b"data: more of 2\n\n")
+
+    def test_stream_whose_ids_do_not_increase_is_not_resumed(self) -> None:
+        """Guards against a resume point that does not tell which events the caller has."""
+        for odd_id in (b"2", b"1", b"", b"x", b"3\0", b"3" * 300):
+            with self.subTest(id=odd_id):
+                self.assert_not_resumed(event(1), event(2), b"id: " + odd_id + b"\ndata: 3\n\n")
+
+    def test_stream_is_resumed_after_the_next_event_with_an_id(self) -> None:
+        """Guards against the loss of a stream that can be resumed."""
+        begun = (b"data: 0\n\n", event(1), b": comment\n\n")
+        self.assertEqual(self.stream(breaks_off_after(*begun), stream),
+                         (b"".join(begun) + b"".join(map(event, range(2, 6))), True))
+        self.assertEqual(self.resume_points, [None, "1"])
+
+    def test_stream_without_a_resume_point_is_not_given_up_for_a_silence(self) -> None:
+        """Guards against a stream that is cut for another run that cannot continue it."""
+        def pauses(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, STREAM) + chunk(b"data: 1\n\n"))
+            time.sleep(SILENCE_S)
+            connection.send(chunk(event(2)) + END)
+
+        self.assertEqual(self.stream(pauses), (b"data: 1\n\n" + event(2), True))
+        self.assertEqual(self.resume_points, [None])
+
+    def test_complete_stream_without_ids_is_not_logged_as_one_that_is_not_resumable(self) -> None:
+        """Guards against a log that gives a reason for a run that nobody needs."""
+        self.assertEqual(self.stream(sends_events(b"data: 1\n\n")), (b"data: 1\n\n", True))
+        ended = wait_until(lambda: self.instance.events(1100), "the end is logged", 5)
+        self.assertEqual([line["not_repeated"] for line in ended], ["final_outcome"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -207,5 +207,52 @@
     EXPECT_EQ(accept(events), events);
 }
 
+// Guards against a run that repeats events without an id, or joins others to them.
+TEST_F(stream_continuation_test, stream_is_resumable_while_an_id_covers_all_events)
+{
+    EXPECT_TRUE(stream_.resumable());
+    accept(": comment\n\nretry: 100\n\n");
+    EXPECT_TRUE(stream_.resumable());
+    accept("data: a\n\n");
+    EXPECT_FALSE(stream_.resumable());
+    accept("id: 1\ndata: b\n\n: comment\n\n");
+    EXPECT_TRUE(stream_.resumable());
+    accept("id: 2\n\nevent: x\n\n");
+    EXPECT_FALSE(stream_.resumable());
+    accept("data: d\nid: 3\n\n");
+    EXPECT_TRUE(stream_.resumable());
+}
+
+// Guards against a resume point that does not tell what the caller has.
+TEST_F(stream_continuation_test, stream_whose_ids_do_not_increase_is_not_resumable)
+{
+    std::string const too_long(max_resume_id_bytes + 1, '3');
+    for (std::string const& id : {std::string("2"), std::string("1"), std::string(),
+                                  std::string("x"), std::string("3\0", 2), too_long})
+    {
+        stream_ = {};
+        accept("id: 2\ndata: a\n\n");
+        auto const event = "id: " + id + "\ndata: b\n\n";
+        EXPECT_EQ(accept(event), event);
+        EXPECT_FALSE(stream_.resumable()) << id;
+        accept("id: 9\n\n");
+        EXPECT_FALSE(stream_.resumable()) << id;
+    }
+}
+
+// Guards against a resumed run after whose events without an id the stream is resumed.
+TEST_F(stream_continuation_test, resumed_run_can_end_what_is_resumable)
+{
+    resume_after("id: 2\ndata: b\n\n");
+    accept("id: 3\ndata: c\n\ndata: d\n\n");
+    EXPECT_FALSE(stream_.resumable());
+    accept("id: 4\ndata: e\n\n");
+    EXPECT_TRUE(stream_.resumable());
+    auto const too_long = "id: " + std::string(max_resume_id_bytes + 1, '5') + "\n\n";
+    EXPECT_EQ(accept(too_long), too_long);
+    EXPECT_FALSE(stream_.resumable());
+    EXPECT_EQ(accept("id: 6\n\n"), "");
+}
+
 } // namespace
 } // namespace carawayturn::entry
