Do not end a stream as complete whose connection ended inside an event

A server sent a stream without a length and without chunks, and its connection ended inside an event, as runners may stop: callers received the part of the event and an end that looked complete. A resumed run whose connection ended right after its head ended the stream as complete, too.

The end of the connection is the only end of such an answer, so it ends the stream only between events and, in a resumed run, after one. Otherwise it is a break: another run goes on if one is allowed, else the stream ends visibly cut. A chunked answer to which no event is left still ends a stream whose end alone is missing, since its end is explicit. Answers that are no event streams are passed on as before.

--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -9,6 +9,14 @@
 namespace carawayturn::entry
 {
 
+/// The fields of one event that matter for resuming a stream.
+struct event_fields
+{
+    /// Whether there is a line other than a comment and the reconnection time.
+    bool has_content = false;
+    std::optional<std::string_view> id;
+};
+
 namespace
 {
 
@@ -46,41 +54,8 @@
     return number > than;
 }
 
-} // namespace
-
-std::string_view name_of(continuation_fault fault)
-{
-    static constexpr std::array<std::string_view, 8> names{
-        "",          "status",           "media_type",           "content_coding",
-        "signature", "event_id_missing", "event_id_not_numeric", "event_id_not_greater"};
-    return names.at(static_cast<std::size_t>(fault));
-}
-
-continuation_fault find_head_fault(answer_form const& begun, answer_form const& answer)
-{
-    if (answer.status != begun.status)
-        return continuation_fault::status;
-    if (!answer.signed_by_server)
-        return continuation_fault::signature;
-    if (answer.encoded)
-        return continuation_fault::content_coding;
-    if (!boost::beast::iequals(media_type(answer.content_type),
-                               media_type(begun.content_type)))
-        return continuation_fault::media_type;
-    return continuation_fault::none;
-}
-
-/// The fields of one event that matter for resuming a stream.
-struct stream_continuation::event_fields
-{
-    /// Whether there is a line other than a comment and the reconnection time.
-    bool has_content = false;
-    std::optional<std::string_view> id;
-};
-
 /// Removes the first event and returns its fields.
-stream_continuation::event_fields
-stream_continuation::take_event(std::string_view& events)
+event_fields take_event(std::string_view& events)
 {
     event_fields fields;
     while (!events.empty())
@@ -102,6 +77,44 @@
     return fields;
 }
 
+} // namespace
+
+std::string_view name_of(continuation_fault fault)
+{
+    static constexpr std::array<std::string_view, 9> names{
+        "",          "status",           "media_type",           "content_coding",
+        "signature", "event_id_missing", "event_id_not_numeric", "event_id_not_greater",
+        "no_event"};
+    return names.at(static_cast<std::size_t>(fault));
+}
+
+bool is_event_stream(std::string_view content_type)
+{
+    return boost::beast::iequals(media_type(content_type), "text/event-stream");
+}
+
+bool has_event_content(std::string_view bytes)
+{
+    while (!bytes.empty())
+        if (take_event(bytes).has_content)
+            return true;
+    return false;
+}
+
+continuation_fault find_head_fault(answer_form const& begun, answer_form const& answer)
+{
+    if (answer.status != begun.status)
+        return continuation_fault::status;
+    if (!answer.signed_by_server)
+        return continuation_fault::signature;
+    if (answer.encoded)
+        return continuation_fault::content_coding;
+    if (!boost::beast::iequals(media_type(answer.content_type),
+                               media_type(begun.content_type)))
+        return continuation_fault::media_type;
+    return continuation_fault::none;
+}
+
 void stream_continuation::begin_run()
 {
     resumed_ = !last_id_.empty();
--- a/src/protocol/entry/stream_continuation.hpp
+++ b/src/protocol/entry/stream_continuation.hpp
@@ -24,7 +24,9 @@
     /// The order of the event and those that the caller has is unknown.
     event_id_not_numeric,
     /// The caller already has the event, or the run started over.
-    event_id_not_greater
+    event_id_not_greater,
+    /// The answer ended without an event, and only the connection's end marks its end.
+    no_event
 };
 
 [[nodiscard]] std::string_view name_of(continuation_fault fault);
@@ -40,6 +42,12 @@
     bool encoded = false;
 };
 
+/// Returns whether a Content-Type header names the media type text/event-stream.
+[[nodiscard]] bool is_event_stream(std::string_view content_type);
+
+/// Returns whether the bytes hold more of an event than comments and blank lines.
+[[nodiscard]] bool has_event_content(std::string_view bytes);
+
 /// Returns why the body of an answer cannot continue a stream that began with the head
 /// `begun`. Only the status and the content type of `begun` are compared.
 [[nodiscard]] continuation_fault find_head_fault(answer_form const& begun,
@@ -49,6 +57,8 @@
 /// sent in a header.
 inline constexpr std::size_t max_resume_id_bytes = 256;
 
+struct event_fields;
+
 /// Events of which the first `bytes` may be passed on to the caller.
 struct accepted_events
 {
@@ -62,9 +72,9 @@
 ///
 /// A stream may only be resumed after an id that covers everything that was passed on:
 /// another run would repeat events that have no id, or join its own to them. The ids of a
-/// stream increase. They are compared as decimal numbers of any length. The
-/// order of other ids is unknown, so an event of another run that has one may be an event
-/// that the caller already has.
+/// stream increase and are compared as decimal numbers of any length. The order of other
+/// ids is unknown: one that merely differs from the last id may be that of any earlier
+/// event.
 class stream_continuation
 {
 public:
@@ -76,16 +86,17 @@
     /// passed on. The events of the first run are passed on as they are.
     [[nodiscard]] accepted_events accept(std::string_view events);
 
+    /// Returns whether the current run was asked for the events after an id and has sent
+    /// none of them.
+    [[nodiscard]] bool resumed_without_event() const { return resumed_ && !run_has_id_; }
     /// Returns whether a run after last_id() neither repeats nor omits an event.
     [[nodiscard]] bool resumable() const { return ids_usable_ && last_id_covers_all_; }
     /// Returns the id of the last accepted event that has one; empty before the first.
     [[nodiscard]] std::string const& last_id() const { return last_id_; }
 
 private:
-    struct event_fields;
-    [[nodiscard]] static event_fields take_event(std::string_view& events);
     [[nodiscard]] continuation_fault find_event_fault(event_fields const& event) const;
-
+    /// Records an event that is passed on.
     void note(event_fields const& event);
 
     std::string last_id_;
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -48,6 +48,9 @@
     /// Length of the answer's body, if its head states it.
     [[nodiscard]] std::optional<std::uint64_t> length() const;
 
+    /// Whether only the end of the connection marks the end of the answer.
+    [[nodiscard]] bool ends_with_connection() const { return parser_->need_eof(); }
+
     /// Reads the next piece of the body. After `more`, body() returns the piece, which
     /// may be empty.
     [[nodiscard]] task<read_outcome> read_body();
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -363,8 +363,25 @@
     return failure_outcome();
 }
 
+bool request_flow::stream_cut_by_connection()
+{
+    if (!exchange_->ends_with_connection() ||
+        !is_event_stream(platform::decode_answer_form(answer_head_).content_type))
+        return false;
+    if (has_event_content(events_.incomplete_event()))
+        exchange_->set_failure("the connection ended inside an event");
+    else if (continuation_.resumed_without_event())
+        set_continuation_failure(continuation_fault::no_event);
+    else
+        return false;
+    services_.backends.note_failure(server_.id, boot_now());
+    return true;
+}
+
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
+    if (stream_cut_by_connection())
+        co_return failure_outcome();
     auto const accepted = continuation_.accept(events_.incomplete_event());
     if (accepted.fault != continuation_fault::none)
         co_return reject_continuation(accepted.fault);
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -163,6 +163,9 @@
     [[nodiscard]] attempt_outcome handle_delivery();
     [[nodiscard]] task<attempt_outcome> relay_stream();
     [[nodiscard]] task<attempt_outcome> finish_stream();
+    /// Whether an answer without a length ended where a stream does not end. If so,
+    /// records the reason as the exchange's failure.
+    [[nodiscard]] bool stream_cut_by_connection();
     [[nodiscard]] attempt_outcome failure_outcome() const;
     [[nodiscard]] attempt_outcome
     handle_rejection(platform::answer_metadata const& metadata);
--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -25,6 +25,8 @@
 SILENCE_S = 2.5
 ERROR = b'{"error":{"code":"not_found"}}'
 JSON = f"Content-Type: application/json\r\nContent-Length: {len(ERROR)}\r\n"
+# A stream without a length and without chunks, which ends with its connection.
+UNFRAMED = "Content-Type: text/event-stream\r\n"
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
 BEGUN_STREAM = event(1) + event(2)
 
@@ -105,14 +107,15 @@
     def attempt_details(self) -> set[str]:
         return {ended["detail"] for ended in self.instance.events(1101)}
 
-    def assert_not_continued_by(self, way, reason: str,
-                                begun: bytes = BEGUN_STREAM) -> None:
-        """Checks that a run of this way adds nothing to the caller's stream: the stream is cut if
-        every run is like this, and continued by a later run that continues it."""
-        self.assertEqual(self.stream(breaks_off, way), (begun, False))
+    def assert_not_continued_by(self, way, reason: str, comment: bytes = b"") -> None:
+        """Checks that a run of this way adds no more than its comment to the caller's stream: the
+        stream is cut if every run is like this, and continued by a later run that continues
+        it."""
+        self.assertEqual(self.stream(breaks_off, way), (BEGUN_STREAM + 2 * comment, False))
         detail = f"no continuation: {reason}"
         wait_until(lambda: detail in self.attempt_details(), f"{detail} is logged", 5)
-        self.assertEqual(self.stream(breaks_off, way, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.stream(breaks_off, way, stream),
+                         (WHOLE_STREAM.replace(BEGUN_STREAM, BEGUN_STREAM + comment), True))
 
     def test_stream_that_the_next_run_continues_is_whole(self) -> None:
         """Guards against the refusal of a correct continuation."""
@@ -226,6 +229,45 @@
         ended = wait_until(lambda: self.instance.events(1100), "the end is logged", 5)
         self.assertEqual([line["not_repeated"] for line in ended], ["final_outcome"])
 
+    def test_stream_whose_connection_ends_inside_an_event_is_resumed(self) -> None:
+        """Guards against a part of an event at the end of a stream that looks complete."""
+        cut = sends(UNFRAMED, BEGUN_STREAM, b"id: 3\nda")
+        self.assertEqual(self.stream(cut, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "2"])
+        self.assertEqual(self.stream(cut), (BEGUN_STREAM, False))
+
+    def test_stream_whose_connection_ends_inside_its_first_event_is_sent_again(self) -> None:
+        """Guards against the same before the caller has an event."""
+        self.assertEqual(self.stream(sends(UNFRAMED, b"id: 1\nda"), stream),
+                         (WHOLE_STREAM, True))
+
+    def test_stream_that_ends_with_its_connection_after_an_event_is_complete(self) -> None:
+        """Guards against the refusal of a complete stream, first or resumed."""
+        whole = sends(UNFRAMED, WHOLE_STREAM + b": comment")
+        self.assertEqual(self.stream(whole), (WHOLE_STREAM + b": comment", True))
+        rest = sends(UNFRAMED, *map(event, range(3, 6)))
+        self.assertEqual(self.stream(breaks_off, rest), (WHOLE_STREAM, True))
+
+    def test_connection_that_ends_after_the_head_does_not_end_the_stream(self) -> None:
+        """Guards against a cut stream that looks complete."""
+        for comment in (b"", b": comment\n\n"):
+            with self.subTest(comment=comment):
+                self.assert_not_continued_by(sends(UNFRAMED, comment), "no_event", comment)
+
+    def test_answer_that_is_no_event_stream_is_passed_on(self) -> None:
+        """Guards against the refusal of a body without events because its last event has no
+        end."""
+        self.assertEqual(self.stream(sends("Content-Type: application/json\r\n", ERROR)),
+                         (ERROR, True))
+
+    def test_trailers_of_a_stream_do_not_reach_the_caller(self) -> None:
+        """Guards against trailers that are taken for headers of the answer."""
+        trailers = sends(STREAM, *map(chunk, map(event, range(1, 6))),
+                         b"0\r\nX-Trailer: a\r\nContent-Type: text/plain\r\n\r\n")
+        self.assertEqual(self.stream(trailers), (WHOLE_STREAM, True))
+        self.assertNotIn("X-Trailer", self.headers)
+        self.assertEqual(self.headers.get_all("Content-Type"), ["text/event-stream"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -39,7 +39,7 @@
 TEST_F(continuation_head_test, each_fault_has_a_name_of_its_own)
 {
     std::set<std::string_view> names;
-    for (int i = 0; i <= static_cast<int>(continuation_fault::event_id_not_greater); ++i)
+    for (int i = 0; i <= static_cast<int>(continuation_fault::no_event); ++i)
         EXPECT_TRUE(names.insert(name_of(static_cast<continuation_fault>(i))).second);
 }
 
@@ -254,5 +254,26 @@
     EXPECT_EQ(accept("id: 6\n\n"), "");
 }
 
+// Guards against a cut stream that is taken for complete, and the reverse.
+TEST_F(stream_continuation_test, run_without_event_is_known_until_its_first_id)
+{
+    EXPECT_FALSE(stream_.resumed_without_event());
+    resume_after("id: 2\ndata: b\n\n");
+    EXPECT_TRUE(stream_.resumed_without_event());
+    accept(": comment\n\n");
+    EXPECT_TRUE(stream_.resumed_without_event());
+    accept("id: 3\n\n");
+    EXPECT_FALSE(stream_.resumed_without_event());
+}
+
+// Guards against taking a part of an event for a complete answer's last bytes.
+TEST(event_content_test, comments_and_blank_lines_are_no_content)
+{
+    for (std::string_view const bytes : {"", "\n", "\r", ": comment", ": a\r\n\n:b"})
+        EXPECT_FALSE(has_event_content(bytes)) << bytes;
+    for (std::string_view const bytes : {"d", "id: 1", ": a\n\ndata", "\n\n{"})
+        EXPECT_TRUE(has_event_content(bytes)) << bytes;
+}
+
 } // namespace
 } // namespace carawayturn::entry
