Forward events whose lines end with a carriage return

An event stream may end its lines with a carriage return alone. Such events were not recognised: they were held back until the stream ended, and if it broke off, callers received none of them.

The splitter searched for two byte sequences; it now follows the lines, each byte once, and a blank line ends an event whichever way its lines end.

resumed_stream_test before the fix: a stream of two such events that broke off was begun anew by the next run, in place of being resumed after id 2.

--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -9,9 +9,9 @@
 /// Limit for the size of one event, in bytes.
 inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
-/// Splits a text/event-stream into complete events. Only complete events reach the
-/// caller, so a stream that breaks off inside an event can be resumed at another backend
-/// server.
+/// Splits a text/event-stream into complete events. A line ends with "\n", "\r\n" or
+/// "\r", and a blank line ends an event. Only complete events reach the caller, so a
+/// stream that breaks off inside an event can be resumed at another backend server.
 class event_splitter
 {
 public:
@@ -31,17 +31,22 @@
     /// Returns the received bytes of the event whose end has not arrived.
     [[nodiscard]] std::string const& incomplete_event() const { return pending_; }
     /// Discards the received bytes of the event whose end has not arrived.
-    void discard_incomplete_event()
-    {
-        pending_.clear();
-        searched_bytes_ = 0;
-    }
+    void discard_incomplete_event();
 
 private:
+    /// Searches the bytes that were not searched before. Returns the position after their
+    /// last blank line, or 0 if there is none.
+    [[nodiscard]] std::size_t find_last_event_end();
+
     std::string pending_;
     /// Number of bytes of pending_ that have been searched for an event's end, so that
     /// each byte is searched only once.
     std::size_t searched_bytes_ = 0;
+    /// Whether the next byte begins a line, unless it is the second one of "\r\n".
+    bool at_line_start_ = true;
+    bool after_cr_ = false;
+    /// Whether the last line end ended a blank line.
+    bool blank_line_ended_ = false;
     bool last_taken_has_data_ = false;
 };
 
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -16,7 +16,9 @@
 // Guards against missing the end of an event whose bytes arrive in separate reads.
 TEST_F(event_splitter_test, blank_line_in_several_reads_ends_the_event)
 {
-    for (std::string_view const text : {"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n"})
+    for (std::string_view const text :
+         {"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\rdata: c\r\r",
+          "data: d\r\n\n", "data: e\n\r\n", "data: f\n\r"})
     {
         std::string taken;
         for (char const c : text)
@@ -29,6 +31,28 @@
     }
 }
 
+// Guards against events that are held back because their lines end with a carriage
+// return.
+TEST_F(event_splitter_test, each_kind_of_line_end_ends_the_event)
+{
+    for (std::string_view const text :
+         {"data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", "data: a\r\n\r", "data: a\n\r",
+          "data: a\r\rid: 2\r\n\r\n"})
+    {
+        events_.append(text);
+        EXPECT_EQ(events_.take_events(), text);
+        EXPECT_TRUE(events_.last_taken_has_data());
+        events_.discard_incomplete_event();
+    }
+    for (std::string_view const text : {"data: a\n", "data: a\r\n", "data: a\r"})
+    {
+        events_.append(text);
+        EXPECT_EQ(events_.take_events(), "") << text;
+        EXPECT_EQ(events_.incomplete_event(), text);
+        events_.discard_incomplete_event();
+    }
+}
+
 // Guards against counting comment lines as progress of a stalled stream.
 TEST_F(event_splitter_test, comment_line_is_no_data)
 {
--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -260,6 +260,16 @@
         self.assertEqual(self.stream(sends("Content-Type: application/json\r\n", ERROR)),
                          (ERROR, True))
 
+    def test_events_with_other_line_ends_are_passed_on_as_they_arrive(self) -> None:
+        """Guards against events that are held back until the stream ends, and are lost if it
+        breaks off."""
+        for line_end in (b"\r", b"\r\n"):
+            with self.subTest(line_end=line_end):
+                begun = BEGUN_STREAM.replace(b"\n", line_end)
+                self.assertEqual(self.stream(breaks_off_after(begun), stream),
+                                 (WHOLE_STREAM.replace(BEGUN_STREAM, begun), True))
+                self.assertEqual(self.resume_points, [None, "2"])
+
     def test_trailers_of_a_stream_do_not_reach_the_caller(self) -> None:
         """Guards against trailers that are taken for headers of the answer."""
         trailers = sends(STREAM, *map(chunk, map(event, range(1, 6))),
