--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -84,7 +84,7 @@
     parameters.time_left = deadline_ - now;
     parameters.priority = priority();
     if (stream_begun_)
-        parameters.resume_after = events_.last_id();
+        parameters.resume_after = continuation_.last_id();
     ++sends_;
     ++runs_;
     exchange_->set_deadline(start_deadline_);
@@ -155,6 +155,12 @@
     auto const& metadata = exchange_->metadata();
     auto const status = exchange_->head().result_int();
     bool const success = status >= 200 && status < 300;
+    if (stream_begun_ && !continues_stream())
+    {
+        if (success)
+            services_.backends.note_failure(server_.id, boot_now());
+        co_return attempt_outcome::broken_off;
+    }
     if (success && (!metadata.signed_by_server || metadata.encoded))
     {
         services_.backends.note_failure(server_.id, boot_now());
@@ -162,9 +168,6 @@
     }
     if (success && route_->kind == request_kind::stream)
         co_return co_await relay_stream();
-    // The server answered with a failure instead of continuing the stream.
-    if (stream_begun_)
-        co_return attempt_outcome::broken_off;
     exchange_->set_deadline(deadline_);
     answer_head_ = platform::encode_caller_answer(exchange_->head());
     answer_body_.clear();
@@ -199,6 +202,21 @@
     co_return attempt_outcome::server_failure;
 }
 
+bool request_flow::continues_stream() const
+{
+    auto const fault = find_head_fault(platform::decode_answer_form(answer_head_),
+                                       platform::decode_answer_form(exchange_->head()));
+    if (fault == continuation_fault::none)
+        return true;
+    set_continuation_failure(fault);
+    return false;
+}
+
+void request_flow::set_continuation_failure(continuation_fault fault) const
+{
+    exchange_->set_failure("no continuation: " + std::string(entry::name_of(fault)));
+}
+
 void request_flow::keep_piece()
 {
     last_received_ = boot_now();
@@ -254,6 +272,8 @@
 
 task<request_flow::attempt_outcome> request_flow::relay_stream()
 {
+    if (stream_begun_)
+        continuation_.begin_run();
     auto silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
     for (;;)
     {
@@ -285,9 +305,11 @@
             services_.backends.note_failure(server_.id, boot_now());
             co_return failure_outcome();
         }
-        auto const events = events_.take_events();
+        auto events = events_.take_events();
         if (events.empty())
             continue;
+        auto const accepted = continuation_.accept(events);
+        events.resize(accepted.bytes);
         if (events_.last_taken_has_data())
         {
             silent_at = stall_limit(boot_now());
@@ -306,6 +328,8 @@
         bool const written = co_await writer_.append(events);
         if (!written)
             co_return attempt_outcome::caller_gone;
+        if (accepted.fault != continuation_fault::none)
+            co_return reject_continuation(accepted.fault);
         silent_at += boot_now() - last_event_;
     }
 }
@@ -320,14 +344,40 @@
     co_return co_await writer_.begin(answer_head_, std::nullopt);
 }
 
+request_flow::attempt_outcome request_flow::reject_continuation(continuation_fault fault)
+{
+    set_continuation_failure(fault);
+    services_.backends.note_failure(server_.id, boot_now());
+    return failure_outcome();
+}
+
+bool request_flow::stream_cut_by_connection()
+{
+    if (!exchange_->ends_with_connection() ||
+        !is_event_stream(platform::decode_answer_form(answer_head_).content_type))
+        return false;
+    if (has_event_content(events_.incomplete_event()))
+        exchange_->set_failure("the connection ended inside an event");
+    else if (continuation_.resumed_without_event())
+        set_continuation_failure(continuation_fault::no_event);
+    else
+        return false;
+    services_.backends.note_failure(server_.id, boot_now());
+    return true;
+}
+
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
-    bool written = true;
     if (!stream_begun_)
-    {
         answer_head_ = platform::encode_caller_answer(exchange_->head());
+    if (stream_cut_by_connection())
+        co_return failure_outcome();
+    auto const accepted = continuation_.accept(events_.incomplete_event());
+    if (accepted.fault != continuation_fault::none)
+        co_return reject_continuation(accepted.fault);
+    bool written = true;
+    if (!stream_begun_)
         written = co_await writer_.begin(answer_head_, std::nullopt);
-    }
     stream_begun_ = true;
     if (written && !events_.incomplete_event().empty())
         written = co_await writer_.append(events_.incomplete_event());
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/request_codec.hpp"
 #include "protocol/entry/event_splitter.hpp"
+#include "protocol/entry/stream_continuation.hpp"
 #include "state/entry/refusal_reason.hpp"
 #include "transport/entry/backend_exchange.hpp"
 #include "transport/entry/entry_services.hpp"
@@ -56,6 +57,8 @@
     sends_used,
     /// A long answer has begun, which no other run can continue.
     answer_begun,
+    /// No id tells where another run would have to continue the stream.
+    stream_not_resumable,
     /// Servers crashed while they ran the request.
     crashes_servers,
     deadline_passed,
@@ -170,6 +173,12 @@
     void log_attempt(attempt_outcome outcome, std::string_view server,
                      time_point last_received, std::string_view detail);
     [[nodiscard]] task<attempt_outcome> receive_answer();
+    /// Whether the answer's head lets it continue the stream that has begun. If not,
+    /// records the reason as the exchange's failure.
+    [[nodiscard]] bool continues_stream() const;
+    void set_continuation_failure(continuation_fault fault) const;
+    /// Ends an attempt whose answer does not continue the stream.
+    [[nodiscard]] attempt_outcome reject_continuation(continuation_fault fault);
     /// Forwards an answer that is too long to buffer, piece by piece as it arrives.
     [[nodiscard]] task<attempt_outcome> relay_answer();
     /// Appends the piece of the body that was read to the buffered answer.
@@ -196,6 +205,9 @@
     /// Goes on with the silent server, because the other one did not accept the stream.
     void return_to_server(silent_attempt& silent, attempt_outcome outcome);
     [[nodiscard]] task<attempt_outcome> finish_stream();
+    /// Whether an answer without a length ended where a stream does not end. If so,
+    /// records the reason as the exchange's failure.
+    [[nodiscard]] bool stream_cut_by_connection();
     [[nodiscard]] attempt_outcome failure_outcome() const;
     [[nodiscard]] attempt_outcome
     handle_rejection(platform::answer_metadata const& metadata);
@@ -274,6 +286,7 @@
     duration first_event_after_{};
     duration longest_gap_{};
     event_splitter events_;
+    stream_continuation continuation_;
     http::response_header<> answer_head_;
     std::string answer_body_;
     bool answer_buffered_ = false;
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -144,6 +144,8 @@
 
 bool request_flow::accepts_stream() const
 {
+    if (stream_begun_)
+        return continues_stream();
     auto const status = exchange_->head().result_int();
     auto const& metadata = exchange_->metadata();
     return status >= 200 && status < 300 && metadata.signed_by_server &&
@@ -156,6 +158,8 @@
     excluded_.insert(silent.server.id);
     // The next run sends the event anew.
     events_.discard_incomplete_event();
+    if (stream_begun_)
+        continuation_.begin_run();
     log_attempt(attempt_outcome::handed_over, silent.server.id, silent.last_received, {});
 }
 
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -16,7 +16,9 @@
 // Guards against missing the end of an event whose bytes arrive in separate reads.
 TEST_F(event_splitter_test, blank_line_in_several_reads_ends_the_event)
 {
-    for (std::string_view const text : {"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n"})
+    for (std::string_view const text :
+         {"id: 1\ndata: a\n\n", "id: 2\r\ndata: b\r\n\r\n", "id: 3\rdata: c\r\r",
+          "data: d\r\n\n", "data: e\n\r\n", "data: f\n\r"})
     {
         std::string taken;
         for (char const c : text)
@@ -27,7 +29,28 @@
         EXPECT_EQ(taken, text);
         EXPECT_TRUE(events_.incomplete_event().empty());
     }
-    EXPECT_EQ(events_.last_id(), "2");
+}
+
+// Guards against events that are held back because their lines end with a carriage
+// return.
+TEST_F(event_splitter_test, each_kind_of_line_end_ends_the_event)
+{
+    for (std::string_view const text :
+         {"data: a\n\n", "data: a\r\n\r\n", "data: a\r\r", "data: a\r\n\r", "data: a\n\r",
+          "data: a\r\rid: 2\r\n\r\n"})
+    {
+        events_.append(text);
+        EXPECT_EQ(events_.take_events(), text);
+        EXPECT_TRUE(events_.last_taken_has_data());
+        events_.discard_incomplete_event();
+    }
+    for (std::string_view const text : {"data: a\n", "data: a\r\n", "data: a\r"})
+    {
+        events_.append(text);
+        EXPECT_EQ(events_.take_events(), "") << text;
+        EXPECT_EQ(events_.incomplete_event(), text);
+        events_.discard_incomplete_event();
+    }
 }
 
 // Guards against counting comment lines as progress of a stalled stream.
@@ -65,18 +88,8 @@
 {
     events_.append("id: 1\ndata: a\n\nid: 2\nda");
     EXPECT_EQ(events_.take_events(), "id: 1\ndata: a\n\n");
-    EXPECT_EQ(events_.last_id(), "1");
     events_.append("ta: b\n\n");
     EXPECT_EQ(events_.take_events(), "id: 2\ndata: b\n\n");
-    EXPECT_EQ(events_.last_id(), "2");
-}
-
-// Guards against mistaking the text "id:" inside the data for the event's id field.
-TEST_F(event_splitter_test, id_in_data_is_not_the_event_id)
-{
-    events_.append("id: 7\ndata: id: 9\n\n");
-    static_cast<void>(events_.take_events());
-    EXPECT_EQ(events_.last_id(), "7");
 }
 
 } // namespace
--- /dev/null
+++ b/tests/entry/resumed_stream_test.py
@@ -0,0 +1,283 @@
+"""Tests an instance process whose backend servers break a stream off and resume it wrongly.
+
+The first run of each stream sends two events and closes the connection. What a later run sends may
+reach the caller only if it continues the stream.
+"""
+
+from __future__ import annotations
+
+import http.client
+import sys
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from misbehaving_server import (  # noqa: E402
+    END, STREAM, Connection, MisbehavingServer, Request, chunk, event, head, stream)
+from platform_fleet import Store  # noqa: E402
+
+RUNNERS = 3
+# Settings with which the retry budget covers every further run of a test.
+RETRIES = "bounds.budget_slack=200\n"
+# Longer than the time after which another server is looked for: five times the gap objective.
+SILENCE_S = 2.5
+ERROR = b'{"error":{"code":"not_found"}}'
+JSON = f"Content-Type: application/json\r\nContent-Length: {len(ERROR)}\r\n"
+# A stream without a length and without chunks, which ends with its connection.
+UNFRAMED = "Content-Type: text/event-stream\r\n"
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
+BEGUN_STREAM = event(1) + event(2)
+
+
+def sends(framing: str, *pieces: bytes, status: int = 200):
+    """Returns a way to answer: a head with these header lines, the pieces, and the end of the
+    connection."""
+    def play(connection: Connection, request: Request) -> None:
+        connection.send(head(request.id, framing, status) + b"".join(pieces))
+        connection.finish()
+    return play
+
+
+def sends_events(*events: bytes):
+    """Returns a way to answer: a complete chunked stream of these events."""
+    return sends(STREAM, *map(chunk, events), END)
+
+
+def breaks_off_after(*events: bytes):
+    """Returns a way to answer: a stream of these events that breaks off."""
+    return sends(STREAM, *map(chunk, events))
+
+
+breaks_off = breaks_off_after(event(1), event(2))
+
+
+class ResumedStreamTest(unittest.TestCase):
+    """Runs one store, three runners and one instance. The runs of a stream, at whichever runner,
+    follow the ways that a test selects, in their order; further runs repeat the last one."""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        config = configuration(1, ["k1"], ("m1",))
+        draft = next(route for route in config["routes"] if route["name"] == "draft")
+        draft["max_attempts"] = RUNNERS
+        self.store.put("op", "config", config)
+        self.runners = [MisbehavingServer(self.store, f"r{number}", "llm", ["m1"])
+                        for number in range(RUNNERS)]
+        self.instance = Instance(self.store, "n1", more_settings=RETRIES)
+        self.instance.wait_until_serving(servers=RUNNERS)
+        self.ways: list = []
+        # The Last-Event-Id header of each run.
+        self.resume_points: list[str | None] = []
+        for runner in self.runners:
+            runner.play(self.run_next_way)
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (*self.runners, self.store):
+            service.close()
+
+    def run_next_way(self, connection: Connection, request: Request) -> None:
+        if request.path == "/order":
+            connection.send(head(request.id, "Content-Length: 0\r\n", 409))
+            return
+        self.resume_points.append(request.headers.get("last-event-id"))
+        way = self.ways.pop(0) if len(self.ways) > 1 else self.ways[0]
+        way(connection, request)
+
+    def stream(self, *ways) -> tuple[bytes, bool]:
+        """Sends a request. Returns the received bytes of the stream and whether it ended as
+        complete."""
+        self.ways, self.resume_points = list(ways), []
+        connection = http.client.HTTPConnection("127.0.0.1", self.instance.front_port,
+                                                timeout=HANG_LIMIT_S)
+        try:
+            connection.request("POST", "/draft/a", b"x", {
+                "Host": "h.example", "X-Request-Id": "s1", "X-Model": "m1",
+                "Authorization": "Token k1"})
+            answer = connection.getresponse()
+            self.headers = answer.headers
+            return answer.read(), answer.status == 200
+        except http.client.IncompleteRead as failure:
+            return failure.partial, False
+        finally:
+            connection.close()
+
+    def attempt_details(self) -> set[str]:
+        return {ended["detail"] for ended in self.instance.events(1101)}
+
+    def assert_not_continued_by(self, way, reason: str, comment: bytes = b"") -> None:
+        """Checks that a run of this way adds no more than its comment to the caller's stream: the
+        stream is cut if every run is like this, and continued by a later run that continues
+        it."""
+        self.assertEqual(self.stream(breaks_off, way), (BEGUN_STREAM + 2 * comment, False))
+        detail = f"no continuation: {reason}"
+        wait_until(lambda: detail in self.attempt_details(), f"{detail} is logged", 5)
+        self.assertEqual(self.stream(breaks_off, way, stream),
+                         (WHOLE_STREAM.replace(BEGUN_STREAM, BEGUN_STREAM + comment), True))
+
+    def test_stream_that_the_next_run_continues_is_whole(self) -> None:
+        """Guards against the refusal of a correct continuation."""
+        self.assertEqual(self.stream(breaks_off, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "2"])
+
+    def test_stream_whose_end_alone_is_missing_is_ended_by_the_next_run(self) -> None:
+        """Guards against the refusal of a continuation to which no event is left."""
+        self.assertEqual(
+            self.stream(breaks_off_after(*(event(number) for number in range(1, 6))), stream),
+            (WHOLE_STREAM, True))
+
+    def test_error_with_status_200_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against an error's text at the end of a stream that looks complete."""
+        self.assert_not_continued_by(sends(JSON, ERROR), "media_type")
+
+    def test_error_with_status_206_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against the same with another status of success."""
+        self.assert_not_continued_by(sends(JSON, ERROR, status=206), "status")
+
+    def test_answer_without_a_body_does_not_end_the_stream(self) -> None:
+        """Guards against a cut stream that looks complete."""
+        self.assert_not_continued_by(sends("", status=204), "status")
+
+    def test_encoded_answer_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against encoded bytes in a stream whose head names no encoding."""
+        self.assert_not_continued_by(
+            sends("Content-Encoding: gzip\r\n" + STREAM, chunk(event(3)), END),
+            "content_coding")
+
+    def test_failure_is_not_passed_on_into_the_stream(self) -> None:
+        """Guards against an error's text in the middle of a stream."""
+        for status in (302, 404, 500):
+            with self.subTest(status=status):
+                self.assert_not_continued_by(sends(JSON, ERROR, status=status), "status")
+
+    def test_run_that_starts_over_adds_no_event_twice(self) -> None:
+        """Guards against a server that ignores the resume point: events came twice."""
+        self.assert_not_continued_by(
+            sends_events(*(event(number) for number in range(1, 6))), "event_id_not_greater")
+
+    def test_event_that_the_caller_has_is_not_sent_again(self) -> None:
+        """Guards against a run that resumes one event too early."""
+        self.assert_not_continued_by(
+            sends_events(event(2), event(3), event(4), event(5)), "event_id_not_greater")
+
+    def test_events_without_an_id_do_not_continue_a_stream_with_ids(self) -> None:
+        """Guards against events of which nobody knows whether the caller has them."""
+        self.assert_not_continued_by(sends_events(b"data: 3\n\n", event(4)),
+                                     "event_id_missing")
+
+    def test_error_in_an_event_stream_is_not_passed_on(self) -> None:
+        """Guards against an error's text in an answer that names itself an event stream."""
+        for text in (ERROR, ERROR + b"\n\n"):
+            with self.subTest(text=text):
+                self.assert_not_continued_by(sends_events(text), "event_id_missing")
+
+    def test_event_id_that_is_no_number_does_not_continue_a_stream(self) -> None:
+        """Guards against ids whose order is unknown."""
+        self.assert_not_continued_by(sends_events(b"id: x\ndata: 3\n\n"),
+                                     "event_id_not_numeric")
+
+    def test_events_before_the_one_that_repeats_are_kept(self) -> None:
+        """Guards against a run that starts over after it has resumed the stream."""
+        joined = sends_events(event(3), event(1), event(2), event(3))
+        self.assertEqual(self.stream(breaks_off, joined, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "2", "3"])
+
+    def assert_not_resumed(self, *events: bytes) -> None:
+        """Checks that a stream that breaks off after these events is cut, without another run."""
+        self.assertEqual(self.stream(breaks_off_after(*events), stream),
+                         (b"".join(events), False))
+        self.assertEqual(self.resume_points, [None])
+        wait_until(lambda: "stream_not_resumable" in {
+            ended["not_repeated"] for ended in self.instance.events(1100)}, "it is logged", 5)
+
+    def test_stream_of_events_without_an_id_is_not_resumed(self) -> None:
+        """Guards against a second run from the beginning: events came twice."""
+        self.assert_not_resumed(b"data: 1\n\n", b"data: 2\n\n")
+
+    def test_stream_that_broke_off_after_an_event_without_an_id_is_not_resumed(self) -> None:
+        """Guards against a run that repeats the events after the last id."""
+        self.assert_not_resumed(event(1), event(2), b"data: more of 2\n\n")
+
+    def test_stream_whose_ids_do_not_increase_is_not_resumed(self) -> None:
+        """Guards against a resume point that does not tell which events the caller has."""
+        for odd_id in (b"2", b"1", b"", b"x", b"3\0", b"3" * 300):
+            with self.subTest(id=odd_id):
+                self.assert_not_resumed(event(1), event(2), b"id: " + odd_id + b"\ndata: 3\n\n")
+
+    def test_stream_is_resumed_after_the_next_event_with_an_id(self) -> None:
+        """Guards against the loss of a stream that can be resumed."""
+        begun = (b"data: 0\n\n", event(1), b": comment\n\n")
+        self.assertEqual(self.stream(breaks_off_after(*begun), stream),
+                         (b"".join(begun) + b"".join(map(event, range(2, 6))), True))
+        self.assertEqual(self.resume_points, [None, "1"])
+
+    def test_stream_without_a_resume_point_is_not_given_up_for_a_silence(self) -> None:
+        """Guards against a stream that is cut for another run that cannot continue it."""
+        def pauses(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, STREAM) + chunk(b"data: 1\n\n"))
+            time.sleep(SILENCE_S)
+            connection.send(chunk(event(2)) + END)
+
+        self.assertEqual(self.stream(pauses), (b"data: 1\n\n" + event(2), True))
+        self.assertEqual(self.resume_points, [None])
+
+    def test_complete_stream_without_ids_is_not_logged_as_one_that_is_not_resumable(self) -> None:
+        """Guards against a log that gives a reason for a run that nobody needs."""
+        self.assertEqual(self.stream(sends_events(b"data: 1\n\n")), (b"data: 1\n\n", True))
+        ended = wait_until(lambda: self.instance.events(1100), "the end is logged", 5)
+        self.assertEqual([line["not_repeated"] for line in ended], ["final_outcome"])
+
+    def test_stream_whose_connection_ends_inside_an_event_is_resumed(self) -> None:
+        """Guards against a part of an event at the end of a stream that looks complete."""
+        cut = sends(UNFRAMED, BEGUN_STREAM, b"id: 3\nda")
+        self.assertEqual(self.stream(cut, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "2"])
+        self.assertEqual(self.stream(cut), (BEGUN_STREAM, False))
+
+    def test_stream_whose_connection_ends_inside_its_first_event_is_sent_again(self) -> None:
+        """Guards against the same before the caller has an event."""
+        self.assertEqual(self.stream(sends(UNFRAMED, b"id: 1\nda"), stream),
+                         (WHOLE_STREAM, True))
+
+    def test_stream_that_ends_with_its_connection_after_an_event_is_complete(self) -> None:
+        """Guards against the refusal of a complete stream, first or resumed."""
+        whole = sends(UNFRAMED, WHOLE_STREAM + b": comment")
+        self.assertEqual(self.stream(whole), (WHOLE_STREAM + b": comment", True))
+        rest = sends(UNFRAMED, *map(event, range(3, 6)))
+        self.assertEqual(self.stream(breaks_off, rest), (WHOLE_STREAM, True))
+
+    def test_connection_that_ends_after_the_head_does_not_end_the_stream(self) -> None:
+        """Guards against a cut stream that looks complete."""
+        for comment in (b"", b": comment\n\n"):
+            with self.subTest(comment=comment):
+                self.assert_not_continued_by(sends(UNFRAMED, comment), "no_event", comment)
+
+    def test_answer_that_is_no_event_stream_is_passed_on(self) -> None:
+        """Guards against the refusal of a body without events because its last event has no
+        end."""
+        self.assertEqual(self.stream(sends("Content-Type: application/json\r\n", ERROR)),
+                         (ERROR, True))
+
+    def test_events_with_other_line_ends_are_passed_on_as_they_arrive(self) -> None:
+        """Guards against events that are held back until the stream ends, and are lost if it
+        breaks off."""
+        for line_end in (b"\r", b"\r\n"):
+            with self.subTest(line_end=line_end):
+                begun = BEGUN_STREAM.replace(b"\n", line_end)
+                self.assertEqual(self.stream(breaks_off_after(begun), stream),
+                                 (WHOLE_STREAM.replace(BEGUN_STREAM, begun), True))
+                self.assertEqual(self.resume_points, [None, "2"])
+
+    def test_trailers_of_a_stream_do_not_reach_the_caller(self) -> None:
+        """Guards against trailers that are taken for headers of the answer."""
+        trailers = sends(STREAM, *map(chunk, map(event, range(1, 6))),
+                         b"0\r\nX-Trailer: a\r\nContent-Type: text/plain\r\n\r\n")
+        self.assertEqual(self.stream(trailers), (WHOLE_STREAM, True))
+        self.assertNotIn("X-Trailer", self.headers)
+        self.assertEqual(self.headers.get_all("Content-Type"), ["text/event-stream"])
+
+
+if __name__ == "__main__":
+    unittest.main()
