Wait for a server that reads a long request body late

Callers who sent a long body got 502 when the server did not read for more than four seconds and would then have read and answered.

TCP_USER_TIMEOUT, four seconds on connections to servers, ends a connection not only when the peer is unreachable, but also when it acknowledges everything and its receive buffer stays full. A body that exceeds the buffers of both sides gets there.

The new test sends 12 MB to a server that begins to read six seconds after the head.

A server that becomes unreachable during such a request is now found by the exchange's deadline, not by this limit. Other connections keep it.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -88,6 +88,8 @@
             note_failure(failure);
         co_return upload_->finished;
     }
+    // A server may read a long body late. The deadline of the exchange still applies.
+    socket_->allow_unread_bytes();
     auto write = [](std::shared_ptr<deadline_socket> socket,
                     std::shared_ptr<upload> data) -> task<void>
     {
@@ -202,6 +204,7 @@
     keep_alive = keep_alive_time(parser_->get());
     if (keep_alive <= duration::zero())
         return nullptr;
+    socket_->limit_unread_bytes();
     return std::move(socket_);
 }
 
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -20,6 +20,12 @@
 constexpr int keepalive_s = 2;
 constexpr int keepalive_probes = 2;
 
+int to_timeout_option(duration limit)
+{
+    return static_cast<int>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+}
+
 void set_option(int socket, int level, int option, int value)
 {
     // Failures are ignored: the connection also works without the option.
@@ -80,6 +86,21 @@
            bytes > 0;
 }
 
+void deadline_socket::allow_unread_bytes()
+{
+    unread_bytes_allowed_ = true;
+    set_option(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, 0);
+}
+
+void deadline_socket::limit_unread_bytes()
+{
+    if (!unread_bytes_allowed_ || has_unacknowledged_bytes())
+        return;
+    unread_bytes_allowed_ = false;
+    set_option(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               to_timeout_option(unacknowledged_timeout));
+}
+
 void deadline_socket::reset()
 {
     reset_on_close();
@@ -139,10 +160,9 @@
 
 void set_connection_options(tcp_socket& socket, duration limit)
 {
-    auto const limit_ms = std::chrono::duration_cast<std::chrono::milliseconds>(limit);
     auto const handle = socket.native_handle();
     set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit_ms.count()));
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, to_timeout_option(limit));
     set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_s);
     set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_s);
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -70,6 +70,11 @@
     /// Reverts reset_on_close().
     void clear_reset_on_close();
     void reset();
+    /// Keeps the connection while the peer acknowledges bytes but does not read them,
+    /// which the limit for unacknowledged bytes would end.
+    void allow_unread_bytes();
+    /// Reverts allow_unread_bytes(), unless the peer has not read everything.
+    void limit_unread_bytes();
 
 private:
     friend class deadline_monitor;
@@ -81,6 +86,7 @@
     time_point deadline_ = time_point::max();
     time_point hard_deadline_ = time_point::max();
     bool expired_ = false;
+    bool unread_bytes_allowed_ = false;
 };
 
 /// Enforces the deadlines of all sockets with one periodic check instead of a timer for
@@ -109,7 +115,8 @@
 /// Whether a connection is open and has no unread input, so that it can be reused.
 [[nodiscard]] bool open_and_idle(tcp_socket& socket);
 
-/// A connection ends if written bytes stay unacknowledged for this long.
+/// A connection ends if written bytes stay unacknowledged, or unread by a peer whose
+/// buffer is full, for this long.
 inline constexpr duration unacknowledged_timeout = std::chrono::seconds(4);
 
 /// Sets the options that every connection has: TCP_NODELAY, and timeouts that end the
--- a/tests/entry/answer_deadlines_test.py
+++ b/tests/entry/answer_deadlines_test.py
@@ -8,7 +8,9 @@
 
 import re
 import signal
+import socket
 import sys
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -48,6 +50,7 @@
         for route in config["routes"]:
             route["timeout_ms"] = 35_000
         config["routes"][2].update(resumable=self.resumable, gap_target_ms=100)
+        config["limits"]["max_body_bytes"] = 20_000_000
         self.store.put("op", "config", config)
         self.plain = BackendServer(self.store, "p0", "plain")
         self.runner = BackendServer(self.store, "r0", "llm", ["m1"])
@@ -155,5 +158,52 @@
         self.assertEqual(event_ids(received + caller.answer()), WHOLE_STREAM)
 
 
+class LateReader:
+    """A server of a plain service that reads the body of a request `delay_s` after its head."""
+
+    def __init__(self, delay_s: float) -> None:
+        self.delay_s = delay_s
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        connection, _ = self.listener.accept()
+        connection.settimeout(HANG_LIMIT_S)
+        stream = connection.makefile("rb")
+        fields = {}
+        for line in iter(stream.readline, b"\r\n"):
+            name, _, value = line.partition(b":")
+            fields[name.lower()] = value.strip()
+        time.sleep(self.delay_s)
+        length = int(fields[b"content-length"])
+        body = stream.read(length)
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: %s\r\nContent-Length: 2\r\n\r\n%s"
+            % (fields[b"x-request-id"], b"ok" if len(body) == length else b"no"))
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+class LateReaderTest(AnswerDeadlinesCase):
+    """The only plain server reads long bodies late."""
+
+    def test_server_that_reads_a_long_body_late_is_waited_for(self) -> None:
+        """Guards against the limit for unacknowledged bytes, which also ends a connection whose
+        peer acknowledges but does not read."""
+        self.store.remove("servers", "p0")
+        server = LateReader(6.0)
+        self.addCleanup(server.close)
+        self.store.put("servers", "p1", {
+            "service": "plain", "address": server.address, "zone": "a", "slots": 4,
+            "state": "ready", "seq": 1, "born": 1, "models": []})
+        wait_until(lambda: [entry for entry in self.instance.state()["backend_servers"]
+                            if "p1" in str(entry)], "the instance knows the server")
+        status, body, _ = self.instance.request("/book/a", body=b"b" * 12_000_000,
+                                                headers={"X-Deadline-Ms": "30000"})
+        self.assertEqual((status, body), (200, b"ok"))
+
+
 if __name__ == "__main__":
     unittest.main()
