Take a success that denies the run for an unknown outcome

A caller was answered 503, "not run", for a request that its server had answered 200 with X-Not-Executed, and the request was sent again, up to four times, whether it may run twice or not.

Cause: X-Not-Executed counted in an answer of any status. Servers state it in failures alone (400, 421, 429, 503).

contradictory_answer_test before, on the parent of this commit: "503 != 502" on the plain and the streaming route.

A success or a redirect that denies the run contradicts itself, so the request may have run: it runs again only where a second run is allowed, and otherwise its caller is answered 502.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -185,7 +185,8 @@
 {
     auto const status = exchange_->head().result_int();
     bool const success = status >= 200 && status < 300;
-    if (success && (!metadata.signed_by_server || metadata.encoded))
+    if (metadata.contradictory ||
+        (success && (!metadata.signed_by_server || metadata.encoded)))
     {
         services_.backends.note_failure(server_.id, boot_now());
         co_return failure_outcome();
--- a/tests/entry/contradictory_answer_test.py
+++ b/tests/entry/contradictory_answer_test.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
 from entry_fleet import Instance, configuration  # noqa: E402
 from misbehaving_server import (  # noqa: E402
-    CHUNKED, STREAM, Connection, MisbehavingServer, Request, chunk, event, good, head,
+    CHUNKED, END, STREAM, Connection, MisbehavingServer, Request, chunk, event, good, head,
     own_body)
 from platform_fleet import Store  # noqa: E402
 
@@ -44,6 +44,14 @@
     good(connection, request)
 
 
+def success_that_denies_the_run(connection: Connection, request: Request) -> None:
+    connection.send(head(request.id, REFUSAL))
+
+
+def stream_that_denies_the_run(connection: Connection, request: Request) -> None:
+    connection.send(head(request.id, STREAM + "X-Not-Executed: 1\r\n") + chunk(event(1)) + END)
+
+
 def refusal_in_chunked_answer(connection: Connection, request: Request) -> None:
     """Writes a refusal where the next chunk of an answer is due."""
     connection.send(head(request.id, CHUNKED) + chunk(own_body(request)) +
@@ -95,6 +103,12 @@
         self.assertEqual(status, 502)
         self.assertEqual(len(self.plain.ran), 1)
 
+    def check_stream_failure(self, way) -> None:
+        self.runner.play(way)
+        status, _, _ = self.instance.request("/draft/a", headers={"X-Model": "m1"})
+        self.assertEqual(status, 502)
+        self.assertEqual(len(self.runner.ran), 1)
+
     def test_refusal_that_names_two_requests_is_not_taken_for_this_one(self) -> None:
         """Guards against a request that runs and is refused: the first id counted alone."""
         self.check_own_answer(refusal_with_two_ids)
@@ -111,16 +125,21 @@
         """Guards against a refusal that belongs to no request."""
         self.check_own_answer(refusal_without_id)
 
+    def test_success_that_denies_the_run_is_a_failure(self) -> None:
+        """Guards against a request that runs again, or is refused, after it has run."""
+        self.check_failure(success_that_denies_the_run)
+
+    def test_stream_that_denies_the_run_is_a_failure(self) -> None:
+        """Guards against the same on a streaming route."""
+        self.check_stream_failure(stream_that_denies_the_run)
+
     def test_refusal_in_the_body_of_a_success_is_a_failure(self) -> None:
         """Guards against a refusal that is believed after the head of a success."""
         self.check_failure(refusal_in_chunked_answer)
 
     def test_refusal_in_a_stream_is_a_failure(self) -> None:
         """Guards against the same in a stream without an event."""
-        self.runner.play(refusal_in_stream)
-        status, _, _ = self.instance.request("/draft/a", headers={"X-Model": "m1"})
-        self.assertEqual(status, 502)
-        self.assertEqual(len(self.runner.ran), 1)
+        self.check_stream_failure(refusal_in_stream)
 
     def test_refusal_after_an_event_cuts_the_stream(self) -> None:
         """Guards against a refusal's bytes in a stream that looks complete."""
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -206,6 +206,26 @@
     EXPECT_TRUE(decode_answer_metadata(other).not_run);
 }
 
+// Guards against a request that runs again although a server has answered it with a
+// success.
+TEST(answer_codec_test, success_that_denies_the_run_is_contradictory)
+{
+    http::response_header<> answer;
+    answer.set("X-Not-Executed", "1");
+    for (unsigned const status : {200U, 204U, 302U})
+    {
+        answer.result(status);
+        EXPECT_FALSE(decode_answer_metadata(answer).not_run) << status;
+        EXPECT_TRUE(decode_answer_metadata(answer).contradictory) << status;
+    }
+    for (unsigned const status : {400U, 429U, 503U})
+    {
+        answer.result(status);
+        EXPECT_TRUE(decode_answer_metadata(answer).not_run) << status;
+        EXPECT_FALSE(decode_answer_metadata(answer).contradictory) << status;
+    }
+}
+
 // Guards against an answer to another request that is taken for this one's, because its
 // first id is this one's.
 TEST(answer_codec_test, answer_with_two_ids_is_reported)
