--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -161,7 +161,8 @@
             services_.backends.note_failure(server_.id, boot_now());
         co_return attempt_outcome::broken_off;
     }
-    if (success && (!metadata.signed_by_server || metadata.encoded))
+    if (metadata.contradictory ||
+        (success && (!metadata.signed_by_server || metadata.encoded)))
     {
         services_.backends.note_failure(server_.id, boot_now());
         co_return failure_outcome();
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -144,10 +144,12 @@
 
 bool request_flow::accepts_stream() const
 {
+    auto const& metadata = exchange_->metadata();
+    if (metadata.contradictory)
+        return false;
     if (stream_begun_)
         return continues_stream();
     auto const status = exchange_->head().result_int();
-    auto const& metadata = exchange_->metadata();
     return status >= 200 && status < 300 && metadata.signed_by_server &&
            !metadata.encoded;
 }
