--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -263,17 +263,19 @@
         // that happens while the later pages are read.
         if (version == 0)
             version = reply->answer.version;
-        if (!reply->answer.truncated || reply->answer.rows.empty() ||
-            reply->answer.rows.back().key == from)
+        if (!reply->answer.truncated)
             break;
-        // The keys of the pages are not in ascending order, so the list might never end.
-        if (reply->answer.rows.back().key < from)
-            co_return false;
-        if (listed_bytes > max_directory_bytes)
+        // More rows exist, but the page does not lead to them.
+        bool const at_last_key =
+            reply->answer.rows.empty() || reply->answer.rows.back().key == from;
+        if (at_last_key || listed_bytes > max_directory_bytes)
         {
             complete = false;
             break;
         }
+        // The keys of the pages are not in ascending order, so the list might never end.
+        if (reply->answer.rows.back().key < from)
+            co_return false;
         from = reply->answer.rows.back().key;
     }
     servers_version_ = version;
--- /dev/null
+++ b/tests/entry/odd_entries_test.py
@@ -0,0 +1,180 @@
+"""Runs two real instances against tables and documents with entries of another writer.
+
+For each odd entry: the processes keep running, no task fails, both instances follow a new server and
+a new configuration, none of the sound servers is lost, and the calls to the store are paced.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from entry_fleet import Instance, configuration, wait_until  # noqa: E402
+from paged_store import PAGE_ROWS, PagedStore  # noqa: E402
+from platform_fleet import BackendServer  # noqa: E402
+
+FOLLOW_LIMIT_S = 15
+TASK_FAILED_EVENT = 1180
+# Upper limit for the calls of an instance per second, with a wide margin.
+CALLS_PER_S = 40
+# Upper limit for the writes of an instance per second: a holder renews every 0.8 s.
+WRITES_PER_S = 4
+# Longer than the lease (2.4 s), the time after it and the delay before a claim.
+CLAIM_LIMIT_S = 12
+
+# Keys that another writer may choose. A page that ends with one of them continues from it.
+ODD_KEYS = {
+    "blanks": "a9 b  c ", "ampersand": "a9&table=op&from=z", "percent": "a9%41%zz%",
+    "plus and fragment": "a9+b#c?d", "line end": "a9\r\nX-A: b\r\n\r\nGET / HTTP/1.1\r\n",
+    "controls": "a9\x00\x01\x7f", "slashes": "a9/../..//b", "quotes": "a9\"\\'<>{}",
+    "other scripts": "a9\u00e9\u4e2d\U0001f600",
+    "200 bytes": "a9" + "& %\r\n/" * 33}
+
+
+class OddEntriesTest(unittest.TestCase):
+    """One store, one plain server, one runner and two instances, of which one is the hub."""
+
+    def setUp(self) -> None:
+        self.store = PagedStore()
+        self.version = 1
+        self.requests = 0
+        self.store.put("op", "config", configuration(1, ["k1"]))
+        self.server = BackendServer(self.store, "p0", "plain")
+        self.runner = BackendServer(self.store, "r0", "llm", models=[])
+        self.instances = [Instance(self.store, name) for name in ("n1", "n2")]
+        self.started_at = time.monotonic()
+        for instance in self.instances:
+            instance.wait_until_serving(servers=2)
+        self.wait_for_hub()
+
+    def tearDown(self) -> None:
+        for instance in self.instances:
+            instance.close()
+        for service in (self.server, self.runner, self.store):
+            service.close()
+
+    def hubs(self) -> list[Instance]:
+        """Returns the instances that hold the lease with time left."""
+        found = []
+        for instance in self.instances:
+            hub = instance.state().get("hub", {})
+            if hub.get("this_instance") and hub["lease_remaining_ms"] > 0:
+                found.append(instance)
+        return found
+
+    def wait_for_hub(self) -> None:
+        wait_until(lambda: len(self.hubs()) == 1, "one instance is the hub", CLAIM_LIMIT_S)
+
+    def assert_unharmed(self) -> None:
+        for instance in self.instances:
+            self.assertIsNone(instance.process.poll(), f"{instance.name} lives")
+            self.assertEqual(instance.events(TASK_FAILED_EVENT), [])
+            calls = len(instance.store_endpoint.calls)
+            elapsed_s = time.monotonic() - self.started_at
+            self.assertLess(calls, CALLS_PER_S * (elapsed_s + 1), f"{instance.name} is paced")
+
+    def knows(self, instance: Instance, server: str) -> bool:
+        return server in [known["id"] for known in instance.state().get("backend_servers", [])]
+
+    def assert_follows(self) -> None:
+        """Checks that both instances follow, serve, and still know the servers they had."""
+        self.version += 1
+        self.store.put("op", "config", configuration(self.version, ["k1"]))
+        name = f"s{self.version}"
+        new = BackendServer(self.store, name, "plain")
+        for instance in self.instances:
+            wait_until(lambda at=instance: self.knows(at, name),
+                       f"{instance.name} knows a new server", FOLLOW_LIMIT_S)
+            wait_until(lambda at=instance: at.state().get("configuration", {}).get("version") ==
+                       self.version, f"{instance.name} has the new configuration", FOLLOW_LIMIT_S)
+            wait_until(instance.ready, f"{instance.name} is ready", FOLLOW_LIMIT_S)
+        self.store.remove("servers", name)
+        for instance in self.instances:
+            wait_until(lambda at=instance: not self.knows(at, name),
+                       f"{instance.name} knows that it left", FOLLOW_LIMIT_S)
+            for kept in ("p0", "r0"):
+                self.assertTrue(self.knows(instance, kept), f"{instance.name} knows {kept}")
+            self.requests += 1
+            self.assertEqual(instance.request("/book/a", id=f"q{self.requests}")[0], 200)
+        new.close()
+        self.assert_unharmed()
+
+    def assert_start_among_them(self) -> None:
+        """Checks that an instance that starts now follows and serves."""
+        late = Instance(self.store, f"late{self.version}")
+        try:
+            for kept in ("p0", "r0"):
+                wait_until(lambda known=kept: self.knows(late, known),
+                           f"a new instance knows {kept}", FOLLOW_LIMIT_S)
+            wait_until(late.ready, "a new instance is ready", FOLLOW_LIMIT_S)
+            self.requests += 1
+            self.assertEqual(late.request("/book/a", id=f"q{self.requests}")[0], 200)
+            self.assertEqual(late.events(TASK_FAILED_EVENT), [])
+        finally:
+            late.close()
+
+    def assert_orders_are_sent(self) -> None:
+        """Checks that the hub loads a model, with a fence that no order undercuts."""
+        self.requests += 1
+        status = self.instances[0].request("/draft/a", id=f"q{self.requests}",
+                                           headers={"X-Model": "m1"})[0]
+        self.assertEqual(status, 200)
+        fences = [order["fencing_token"] for order in self.runner.orders]
+        self.assertTrue(fences)
+        self.assertEqual(fences, sorted(fences))
+
+
+class ServerListTest(OddEntriesTest):
+    """Entries in the list of servers."""
+
+    def fill_first_page(self, last_key: str) -> list[str]:
+        """Adds rows so that the first page of servers ends with this key. Returns their keys."""
+        keys = [f"a{i:04}" for i in range(PAGE_ROWS - 1)]
+        keys = [key for key in keys if key < "a9"]
+        for key in keys:
+            self.store.put_bytes("servers", key, b"{}")
+        self.store.put_bytes("servers", last_key, b"{}")
+        return [*keys, last_key]
+
+    def test_page_that_ends_with_an_odd_key_is_continued(self) -> None:
+        """Guards against a key that changes the call for the next page: the list was never
+        complete, or the servers after it were taken for gone."""
+        for name, key in ODD_KEYS.items():
+            with self.subTest(key=name):
+                keys = self.fill_first_page(key)
+                try:
+                    self.store.forget_history()
+                    self.assert_follows()
+                    time.sleep(0.6)
+                    self.assert_follows()
+                    self.assert_start_among_them()
+                finally:
+                    self.store.delete("servers", keys)
+
+    def test_page_that_leads_nowhere_removes_no_server(self) -> None:
+        """Guards against taking a list that ended early for a complete one: the servers after it
+        were removed."""
+        self.fill_first_page("a9")
+        self.store.repeats_first_page = True
+        self.store.forget_history()
+        time.sleep(4)
+        self.assert_follows()
+
+    def test_odd_keys_all_together(self) -> None:
+        """Guards against entries that are harmless alone only."""
+        for key in ODD_KEYS.values():
+            self.store.put_bytes("servers", key, b"{}")
+        for i in range(3 * PAGE_ROWS):
+            self.store.put_bytes("servers", f"a{i:04}" + "& %\r\n", b'{"a":' * 20)
+        self.assert_follows()
+        self.store.forget_history()
+        self.assert_follows()
+        self.assert_start_among_them()
+
+
+if __name__ == "__main__":
+    unittest.main()
