--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -164,6 +164,23 @@
         time.sleep(4)
         self.assert_follows()
 
+    def test_entries_of_another_part_are_ignored(self) -> None:
+        """Guards against taking a row of another part, which the feed of changes contains, for the
+        row with the same key: a server was removed, and another configuration put in force."""
+        server = {"service": "plain", "address": "127.0.0.1:9", "zone": "a", "slots": 4,
+                  "state": "ready", "seq": 1, "born": 1, "models": []}
+        self.store.put_bytes("servers", "p0", json.dumps(server).encode(), "x")
+        self.store.put_bytes("servers", "p9", json.dumps(server).encode(), "x")
+        self.store.put_bytes("op", "config", json.dumps(configuration(99, ["other"])).encode(), "x")
+        self.store.put_bytes("carawayturn", "hub", json.dumps(
+            {"address": "127.0.0.1:9", "name": "x", "incarnation": 1, "fence": 9}).encode(), "x")
+        self.store.remove_from_part("servers", "p0", "x")
+        self.store.remove_from_part("op", "config", "x")
+        time.sleep(4)
+        self.assertFalse(self.knows(self.instances[0], "p9"))
+        self.wait_for_hub()
+        self.assert_follows()
+
     def test_odd_keys_all_together(self) -> None:
         """Guards against entries that are harmless alone only."""
         for key in ODD_KEYS.values():
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -23,5 +23,28 @@
     EXPECT_EQ(target_from(std::string_view("\0x", 2)), begin + "&from=%00x");
 }
 
+std::vector<std::string> decoded_keys(std::string const& rows)
+{
+    auto const read =
+        decode_store_answer(R"({"rows":[)" + rows + R"(],"row_version":9})");
+    std::vector<std::string> keys;
+    if (succeeded(read))
+        for (auto const& row : std::get<store_answer>(read).rows)
+            keys.push_back(row.key);
+    return keys;
+}
+
+// Guards against using a row of another part of the table, which the feed of changes
+// contains as well.
+TEST(odd_rows_test, row_of_another_part_is_skipped)
+{
+    EXPECT_EQ(decoded_keys(R"({"part":"x","key":"a","row_version":1},
+                              {"part":7,"key":"b","row_version":1},
+                              {"part":"x","key":"c","row_version":1,"tombstone":true},
+                              {"part":"","key":"d","row_version":1},
+                              {"key":"e","row_version":1})"),
+              (std::vector<std::string>{"d", "e"}));
+}
+
 } // namespace
 } // namespace carawayturn::platform
