--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -181,6 +181,23 @@
         self.wait_for_hub()
         self.assert_follows()
 
+    def test_rows_whose_fields_have_other_types(self) -> None:
+        """Guards against rows with fields of another type that stop a reader or name a server."""
+        value = self.store.rows[("servers", "p0")]["value"]
+        odd: list = [None, 7, -1, 1.5, 1e300, 10**400, True, [], {}]
+        rows = [{"table": "servers", "part": "", "key": "zz", "row_version": 1, "value": "",
+                 field: other}
+                for other in odd for field in ("key", "row_version", "value", "tombstone", "table")]
+        rows += [{"key": other, "row_version": 1, "value": value} for other in odd]
+        self.store.unchecked_rows = {"servers": rows, "op": rows, "carawayturn": rows}
+        self.store.forget_history()
+        self.assert_follows()
+        self.store.put_bytes("servers", "a", b"")
+        self.assert_follows()
+        self.assert_start_among_them()
+        for instance in self.instances:
+            self.assertFalse(self.knows(instance, ""))
+
     def test_odd_keys_all_together(self) -> None:
         """Guards against entries that are harmless alone only."""
         for key in ODD_KEYS.values():
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -46,5 +46,13 @@
               (std::vector<std::string>{"d", "e"}));
 }
 
+// Guards against a row with an empty key, from which no page can continue.
+TEST(odd_rows_test, row_whose_key_is_no_text_is_skipped)
+{
+    EXPECT_EQ(decoded_keys(R"({"key":7},{"key":null},{"key":["a"]},{"key":{}},
+                              {"key":"a"})"),
+              (std::vector<std::string>{"a"}));
+}
+
 } // namespace
 } // namespace carawayturn::platform
