Claim a lease whose row cannot be decoded

What callers saw: an entry of another writer in place of the lease row (carawayturn/hub) left the fleet without a hub for good: no orders to runners, no quotas of the fleet, and each instance tried to write the row again and again. A negative fence became 2^64 - 1 and the next claim's fence 0; after a fence of 2^63 - 1 the claim itself could not be read. A row with a lower fence made the next claim use an old fence once more.

Cause: a row that cannot be decoded was skipped, so its version was never known and no write met the condition of the store. Numbers were read as signed and cast.

Such a row now counts as one without a holder that can be claimed a term after it was seen, since the holder whose row it replaced may act that long. The next fence is above the highest known one and above the version of the row, which no fence of an earlier holder exceeds. Fences are below 2^62.

--- a/src/coordination/entry/hub_lease.cpp
+++ b/src/coordination/entry/hub_lease.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+lease_row substitute_for_unreadable(std::uint64_t row_version, std::uint64_t known_fence)
+{
+    // The claim that follows has to stay below the limit.
+    auto const version = std::min(row_version, fence_limit - 2);
+    return {"", "", 0, std::max(known_fence, version)};
+}
+
 hub_lease::hub_lease(std::string own_address, std::string own_name,
                      std::uint64_t incarnation, duration term, duration reclaim_delay)
     : address_(std::move(own_address)), name_(std::move(own_name)),
@@ -38,15 +45,19 @@
     bool const same_fence = row.fence == row_.fence;
     if (was_own && !same_fence)
         earliest_reclaim_ = end_ + reclaim_delay_;
-    row_ = row;
-    row_version_ = row_version;
+    set_row(row, row_version);
     // This instance's own renewal, whose answer was lost. No other instance claimed the
     // lease in between, so the lease continues until the end set by the previous renewal.
     // Orders sent under it may be in flight.
     if (was_own && same_fence && own_row())
         return holder_changed;
     bool const released = row.holder_address.empty();
-    end_ = released ? seen_at : seen_at + std::min(remaining, term_) + safety_margin;
+    if (!released)
+        end_ = seen_at + std::min(remaining, term_) + safety_margin;
+    else
+        end_ = remaining == duration::max()
+                   ? seen_at
+                   : seen_at + std::min(remaining, term_ + safety_margin);
     // The row belongs to a previous process of this instance, which must have ended
     // because this process is running.
     if (own_row() || row.holder_name == name_)
@@ -54,6 +65,17 @@
     return holder_changed;
 }
 
+bool hub_lease::observe_unreadable(std::uint64_t row_version, time_point seen_at)
+{
+    if (row_known_ && row_version <= row_version_)
+        return false;
+    bool const holder_changed =
+        observe(substitute_for_unreadable(row_version, row_.fence), row_version, seen_at,
+                duration::max());
+    end_ = seen_at + term_ + safety_margin;
+    return holder_changed;
+}
+
 void hub_lease::observe_absent()
 {
     if (!row_known_)
@@ -73,10 +95,24 @@
 {
     lease_row next{address_, name_, incarnation_, row_.fence};
     if (!held(now) && !own_row())
-        next.fence = row_.fence + 1;
+        next.fence = next_fence();
     return next;
 }
 
+void hub_lease::set_row(lease_row const& row, std::uint64_t row_version)
+{
+    row_ = row;
+    row_version_ = row_version;
+    highest_fence_ = std::max(highest_fence_, row.fence);
+}
+
+std::uint64_t hub_lease::next_fence() const
+{
+    // Beyond the limit, other instances could not read the row of the claim.
+    auto const last = std::max(row_.fence, highest_fence_);
+    return (last + 1 < fence_limit ? last : row_version_ % (fence_limit - 1)) + 1;
+}
+
 lease_row hub_lease::released_row() const
 {
     return {"", name_, incarnation_, row_.fence};
@@ -86,8 +122,7 @@
                              time_point sent_at)
 {
     row_known_ = true;
-    row_ = row;
-    row_version_ = row_version;
+    set_row(row, row_version);
     end_ = row.holder_address.empty() ? sent_at : sent_at + term_ - safety_margin;
 }
 
--- a/src/coordination/entry/hub_lease.hpp
+++ b/src/coordination/entry/hub_lease.hpp
@@ -25,12 +25,17 @@
 
     /// Processes a row that was read from the store or received from another instance.
     /// `seen_at` is the time of receipt. `remaining` is the validity that the sender
-    /// stated, or the maximum if it stated none; at most one term counts.
+    /// stated, or the maximum if it stated none; at most one term counts. A row without a
+    /// holder is valid only as long as a sender states.
     ///
     /// Returns whether the holder's address differs from the one in the previous row. A
     /// connection to the previous holder is then useless.
     bool observe(lease_row const& row, std::uint64_t row_version, time_point seen_at,
                  duration remaining);
+    /// Processes a row that was read from the store and cannot be decoded. It may have
+    /// replaced the row of a holder, which holds the lease for the rest of its term, so
+    /// the lease can be claimed one term later. Returns the same as observe().
+    bool observe_unreadable(std::uint64_t row_version, time_point seen_at);
     /// Records that the store contains no lease row.
     void observe_absent();
 
@@ -67,6 +72,10 @@
     [[nodiscard]] std::uint64_t fence() const { return row_.fence; }
 
 private:
+    void set_row(lease_row const& row, std::uint64_t row_version);
+    /// Returns a fence above all known ones.
+    [[nodiscard]] std::uint64_t next_fence() const;
+
     std::string address_;
     std::string name_;
     std::uint64_t incarnation_;
@@ -74,9 +83,19 @@
     duration reclaim_delay_;
     lease_row row_;
     std::uint64_t row_version_ = 0;
+    /// Another writer may have lowered the fence of the row.
+    std::uint64_t highest_fence_ = 0;
     bool row_known_ = false;
     time_point end_{};
     time_point earliest_reclaim_{};
 };
 
+/// Returns what to assume of a row of this version that cannot be decoded: no holder, and
+/// a fence that no earlier holder can have had. Each fence was first written in a
+/// transaction of its own, so it is at most the version of the row, unless the store was
+/// restored to an earlier state; then `known_fence`, the highest known one, may be
+/// higher.
+[[nodiscard]] lease_row substitute_for_unreadable(std::uint64_t row_version,
+                                                  std::uint64_t known_fence);
+
 } // namespace carawayturn::entry
--- a/src/state/entry/lease_row.hpp
+++ b/src/state/entry/lease_row.hpp
@@ -6,6 +6,10 @@
 namespace carawayturn::entry
 {
 
+/// Upper bound of the fencing numbers, which are below it. Readers of JSON take integers
+/// up to 2^63 - 1, and the rest leaves room for claims.
+inline constexpr std::uint64_t fence_limit = std::uint64_t{1} << 62U;
+
 /// Contents of the lease row in the store. The holder of the lease sends orders to
 /// runners and acts as hub.
 struct lease_row
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -72,14 +72,17 @@
     {
         if (row.key != platform::lease_key || row.removed || row.version == 0)
             continue;
+        row_absent_ = false;
         auto const decoded = platform::decode_lease(row.value);
         if (!succeeded(decoded))
         {
             services_.log.write(entry_event::lease_row_unreadable,
-                                {{"detail", std::get<error>(decoded).detail}});
+                                {{"row_version", row.version},
+                                 {"detail", std::get<error>(decoded).detail}});
+            if (lease_.observe_unreadable(row.version, boot_now()))
+                services_.hub.send_status_soon();
             continue;
         }
-        row_absent_ = false;
         auto const& lease = std::get<lease_row>(decoded);
         if (lease_.observe(lease, row.version, boot_now(), duration::max()))
             services_.hub.send_status_soon();
@@ -109,7 +112,13 @@
             continue;
         auto const decoded = platform::decode_lease(row.value);
         if (!succeeded(decoded))
+        {
+            // The row may hide the claim of another instance, so its time keeps this one
+            // from claiming the lease for one term.
+            lease_.record_write(substitute_for_unreadable(row.version, fence),
+                                row.version, now + services_.settings.bounds.order_lease);
             continue;
+        }
         auto present = std::get<lease_row>(decoded);
         // A fence must not be used twice.
         present.fence = std::max(present.fence, fence);
--- a/tests/entry/hub_lease_test.cpp
+++ b/tests/entry/hub_lease_test.cpp
@@ -171,5 +171,57 @@
     EXPECT_EQ(first_.next_row(at(100)).fence, first_.fence());
 }
 
+// Guards against a lease that is never claimed again once its row cannot be decoded, and
+// against a claim while the holder of the row that was replaced may still send orders.
+TEST_F(hub_lease_test, unreadable_row_is_claimed_after_a_term)
+{
+    first_.observe_absent();
+    first_.record_write(first_.next_row(at(0)), 7, at(0));
+    second_.observe(first_.row(), 7, at(5), duration::max());
+    EXPECT_TRUE(second_.observe_unreadable(90, at(100)));
+    EXPECT_FALSE(second_.observe_unreadable(90, at(2000)));
+    EXPECT_FALSE(second_.may_claim(at(2799)));
+    EXPECT_TRUE(second_.may_claim(at(2800)));
+    EXPECT_EQ(second_.row_version(), 90U);
+}
+
+// Guards against a fence that an earlier holder, whose row is lost, has used.
+TEST_F(hub_lease_test, claim_after_unreadable_row_has_a_fence_above_its_version)
+{
+    first_.observe_unreadable(90, at(0));
+    EXPECT_EQ(first_.next_row(at(3000)).fence, 91U);
+    second_.observe({"10.0.0.1:7600", "first", 11, 500}, 91, at(0), duration::max());
+    second_.observe_unreadable(92, at(0));
+    EXPECT_EQ(second_.next_row(at(3000)).fence, 501U);
+}
+
+// Guards against an early claim by an instance that learns of an unreadable row from
+// another one, for which the row has no holder, like a released one.
+TEST_F(hub_lease_test, unreadable_row_from_another_instance_is_claimed_after_its_time)
+{
+    first_.observe_unreadable(90, at(0));
+    second_.observe(first_.row(), 90, at(10), first_.remaining(at(10)));
+    EXPECT_FALSE(second_.may_claim(at(2699)));
+    EXPECT_TRUE(second_.may_claim(at(2700)));
+}
+
+// Guards against a fence that is used twice after another writer lowered it in the row.
+TEST_F(hub_lease_test, claim_after_lowered_fence_is_above_the_highest_known_one)
+{
+    first_.observe({"10.0.0.2:7600", "second", 22, 52}, 90, at(0), duration::max());
+    first_.observe({"127.0.0.1:9", "x", 1, 7}, 91, at(100), duration::max());
+    EXPECT_EQ(first_.next_row(at(3000)).fence, 53U);
+}
+
+// Guards against a fence that wraps around or that other instances cannot read.
+TEST_F(hub_lease_test, claim_stays_below_the_fence_limit)
+{
+    first_.observe({"10.0.0.2:7600", "second", 22, fence_limit - 1}, 90, at(0),
+                   duration::max());
+    EXPECT_EQ(first_.next_row(at(3000)).fence, 91U);
+    second_.observe_unreadable(~std::uint64_t{0}, at(0));
+    EXPECT_EQ(second_.next_row(at(3000)).fence, fence_limit - 1);
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -210,5 +210,65 @@
         self.assert_start_among_them()
 
 
+def lease_value(**fields: object) -> bytes:
+    """Encodes a lease row; `fields` replace or add fields."""
+    return json.dumps({"address": "127.0.0.1:9", "name": "x", "incarnation": 1, "fence": 50,
+                       **fields}).encode()
+
+
+ODD_LEASES = {
+    "no JSON": b"{", "no object": b"[]", "empty": b"", "not text": bytes(range(256)),
+    "deep": b'{"a":' * 10_000, "fence of 2^62": lease_value(fence=2**62),
+    "fence of 2^63 - 1": lease_value(fence=2**63 - 1), "fence of 2^63": lease_value(fence=2**63),
+    "fence of 2^64 - 1": lease_value(fence=2**64 - 1), "fence of 400 digits":
+    lease_value(fence=10**399), "negative fence": lease_value(fence=-1), "fractional fence":
+    lease_value(fence=1.5), "fence as text": lease_value(fence="7"),
+    "negative incarnation": lease_value(incarnation=-1), "incarnation of 2^64 - 1":
+    lease_value(incarnation=2**64 - 1), "incarnation of 2^64": lease_value(incarnation=2**64),
+    "port out of range": lease_value(address="127.0.0.1:99999"), "address of 200 odd bytes":
+    lease_value(address="& %\r\n\u0000:" * 25), "address as number": lease_value(address=7),
+    "no holder": lease_value(address="")}
+
+
+class LeaseRowTest(OddEntriesTest):
+    """Entries in place of the lease row."""
+
+    def writes(self) -> int:
+        return sum(instance.store_endpoint.calls.count("/rows-tx") for instance in self.instances)
+
+    def fence(self) -> int:
+        return self.store.get("carawayturn", "hub")["fence"]
+
+    def test_odd_lease_row_is_claimed_with_a_higher_fence(self) -> None:
+        """Guards against a lease row that nobody can claim: without a hub no orders were sent, and
+        each instance wrote to the store again and again."""
+        for name, value in ODD_LEASES.items():
+            with self.subTest(lease=name):
+                before, writes, started = self.fence(), self.writes(), time.monotonic()
+                self.store.put_bytes("carawayturn", "hub", value)
+                odd = self.store.rows[("carawayturn", "hub")]
+                wait_until(lambda row=odd: self.store.rows[("carawayturn", "hub")] != row,
+                           "the lease is claimed", CLAIM_LIMIT_S)
+                self.wait_for_hub()
+                self.assertGreater(self.fence(), before)
+                self.assertLess(self.fence(), 2**62)
+                elapsed_s = time.monotonic() - started
+                self.assertLess(self.writes() - writes,
+                                len(self.instances) * WRITES_PER_S * (elapsed_s + 1))
+        self.assert_orders_are_sent()
+        self.assert_follows()
+
+    def test_start_with_an_odd_lease_row(self) -> None:
+        """Guards against a fleet that starts with a row that nobody can claim."""
+        for instance in self.instances:
+            instance.stop()
+        self.store.put_bytes("carawayturn", "hub", b"\xff" * 200)
+        for instance in self.instances:
+            instance.start()
+        self.wait_for_hub()
+        self.assert_orders_are_sent()
+        self.assert_follows()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -54,5 +54,25 @@
               (std::vector<std::string>{"a"}));
 }
 
+// Guards against a fence or an incarnation that wraps around as it is read.
+TEST(odd_rows_test, lease_with_numbers_out_of_range_is_unreadable)
+{
+    auto const readable = [](std::string const& incarnation, std::string const& fence)
+    {
+        return succeeded(decode_lease(R"({"address":"","incarnation":)" + incarnation +
+                                      R"(,"fence":)" + fence + "}"));
+    };
+    EXPECT_TRUE(readable("1", "4611686018427387903"));
+    EXPECT_TRUE(readable("18446744073709551615", "0"));
+    for (auto const* const number : {"-1", "1.5", "1e300", "1e999", "\"7\"", "null", "{}",
+                                     "18446744073709551616", "-9223372036854775808"})
+    {
+        EXPECT_FALSE(readable("1", number)) << number;
+        EXPECT_FALSE(readable(number, "1")) << number;
+    }
+    EXPECT_FALSE(readable("1", "4611686018427387904"));
+    EXPECT_FALSE(readable("1", "18446744073709551615"));
+}
+
 } // namespace
 } // namespace carawayturn::platform
