Read the store's answers although a key is no Unicode text

What callers saw: one entry whose key is cut inside a character (half of a surrogate pair) made the instances stop following servers; one that started among such entries did not become ready.

Cause: the JSON parser refuses the whole answer because of one such text, and with it the rows of all other writers. If an answer cannot be parsed, texts that are no Unicode are now replaced by U+FFFD and it is parsed again.

--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -31,7 +31,7 @@
     "blanks": "a9 b  c ", "ampersand": "a9&table=op&from=z", "percent": "a9%41%zz%",
     "plus and fragment": "a9+b#c?d", "line end": "a9\r\nX-A: b\r\n\r\nGET / HTTP/1.1\r\n",
     "controls": "a9\x00\x01\x7f", "slashes": "a9/../..//b", "quotes": "a9\"\\'<>{}",
-    "other scripts": "a9\u00e9\u4e2d\U0001f600",
+    "other scripts": "a9\u00e9\u4e2d\U0001f600", "half a character": "a9\ud83d",
     "200 bytes": "a9" + "& %\r\n/" * 33}
 
 
@@ -203,7 +203,7 @@
         for key in ODD_KEYS.values():
             self.store.put_bytes("servers", key, b"{}")
         for i in range(3 * PAGE_ROWS):
-            self.store.put_bytes("servers", f"a{i:04}" + "& %\r\n", b'{"a":' * 20)
+            self.store.put_bytes("servers", f"a{i:04}" + "& %\r\n\ud83d", b'{"a":' * 20)
         self.assert_follows()
         self.store.forget_history()
         self.assert_follows()
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -54,6 +54,26 @@
               (std::vector<std::string>{"a"}));
 }
 
+// Guards against one key that is no Unicode text and makes all rows unreadable.
+TEST(odd_rows_test, row_whose_key_is_no_unicode_text_leaves_the_others_readable)
+{
+    std::string const mark = "\xef\xbf\xbd";
+    for (auto const& [key, expected] : std::vector<std::pair<std::string, std::string>>{
+             {"a\xff", "a" + mark},
+             {"\xed\xa0\x80", mark + mark + mark},
+             {"\xc3", mark},
+             {R"(\ud83d)", mark},
+             {R"(\ude00x)", mark + "x"},
+             {R"(\ud83d\u0041)", mark + "A"},
+             {R"(\ud83d\ud83d\ude00)", mark + "\xf0\x9f\x98\x80"},
+             {R"(\\ud83d)" + std::string("\xff"), R"(\ud83d)" + mark}})
+        EXPECT_EQ(decoded_keys(R"({"key":"a","row_version":1},{"key":")" + key +
+                               R"(","row_version":1})"),
+                  (std::vector<std::string>{"a", expected}))
+            << key;
+    EXPECT_TRUE(decoded_keys("{\"key\":\"\xff\\").empty());
+}
+
 // Guards against a fence or an incarnation that wraps around as it is read.
 TEST(odd_rows_test, lease_with_numbers_out_of_range_is_unreadable)
 {
