Read the whole table if its changes do not fit into one answer

What callers saw: 100 long entries that were written between two polls stopped the instances from following servers for good.

Cause: the feed returns all rows since a version. An answer above 4 MB or one that cannot be decoded was given up, and the same changes were asked for again. Such an answer now has the effect of a lost history: the table is read in pages, and changes are followed from there. The store counts as answering.

Evidence: test_changes_that_are_too_long_for_one_answer, before: "not within 15 s: n1 knows a new server"; after: passed.

--- a/src/transport/entry/http_call.cpp
+++ b/src/transport/entry/http_call.cpp
@@ -51,7 +51,10 @@
         if (read == read_outcome::more)
             answer.body.append(exchange.body());
         if (answer.body.size() > max_call_answer)
-            co_return std::nullopt;
+        {
+            answer.body.clear();
+            co_return answer;
+        }
     }
     if (read == read_outcome::failed)
         co_return std::nullopt;
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -41,7 +41,8 @@
     server_notice notice;
 };
 
-/// Makes one call. Returns nothing if no complete answer arrived in time. The peer may
+/// Makes one call. Returns nothing if no complete answer arrived in time. The body of an
+/// answer that is too long is left out. The peer may
 /// then have performed the call, or may still perform it.
 [[nodiscard]] task<std::optional<call_answer>> http_call(backend_connections& connections,
                                                          call_request request);
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -153,7 +153,7 @@
     auto const reply = co_await store_.call(
         platform::encode_table_watch(platform::store_table::lease, after, timeout),
         timeout + call_timeout);
-    if (reply && reply->history_gone())
+    if (reply && reply->changes_unavailable())
         co_return co_await read();
     if (!reply || !reply->done())
         co_return false;
--- a/src/transport/entry/store_client.cpp
+++ b/src/transport/entry/store_client.cpp
@@ -41,7 +41,7 @@
     record_call_result(answer && !refused, answer ? answer->status : 0);
     if (!answer)
         co_return std::nullopt;
-    store_reply reply{answer->status, {}};
+    store_reply reply{answer->status, {}, false};
     if (reply.done() || reply.conflict())
     {
         auto decoded = platform::decode_store_answer(answer->body);
@@ -50,7 +50,8 @@
             services_.log.write(entry_event::store_answer_unreadable,
                                 {{"peer", services_.settings.store_address},
                                  {"detail", std::get<error>(decoded).detail}});
-            co_return std::nullopt;
+            reply.unreadable = true;
+            co_return reply;
         }
         reply.answer = std::get<platform::store_answer>(std::move(decoded));
     }
--- a/src/transport/entry/store_client.hpp
+++ b/src/transport/entry/store_client.hpp
@@ -13,15 +13,20 @@
 {
     unsigned status = 0;
     platform::store_answer answer;
+    /// The answer is too long or cannot be decoded, so `answer` is empty.
+    bool unreadable = false;
 
     /// Whether the store performed the call.
-    [[nodiscard]] bool done() const { return status == 200; }
+    [[nodiscard]] bool done() const { return status == 200 && !unreadable; }
     /// Whether a write was refused because a row did not have the expected version. The
     /// answer contains the current row.
-    [[nodiscard]] bool conflict() const { return status == 412; }
-    /// Whether the store no longer keeps the requested changes, so that the whole table
-    /// has to be read.
-    [[nodiscard]] bool history_gone() const { return status == 410; }
+    [[nodiscard]] bool conflict() const { return status == 412 && !unreadable; }
+    /// Whether the requested changes cannot be had, so that the whole table has to be
+    /// read: the store no longer keeps them, or their rows are too long for one answer.
+    [[nodiscard]] bool changes_unavailable() const
+    {
+        return status == 410 || (status == 200 && unreadable);
+    }
 };
 
 /// The only client of the platform's store. Tracks whether the store answers.
@@ -30,7 +35,7 @@
 public:
     explicit store_client(entry_services& services) : services_(services) {}
 
-    /// Makes one call. Returns nothing if no readable answer arrived in time; the store
+    /// Makes one call. Returns nothing if no answer arrived in time; the store
     /// may have performed the call, or may still perform it.
     [[nodiscard]] task<std::optional<store_reply>> call(platform::store_call request,
                                                         duration timeout);
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -150,7 +150,7 @@
         platform::encode_table_watch(platform::store_table::configuration,
                                      config_version_, config_watch_timeout),
         config_watch_timeout + call_timeout);
-    if (reply && reply->history_gone())
+    if (reply && reply->changes_unavailable())
         co_return co_await read_config();
     if (!reply || !reply->done())
         co_return false;
@@ -304,7 +304,7 @@
             platform::encode_table_watch(platform::store_table::backend_servers,
                                          servers_version_, duration::zero()),
             call_timeout);
-        if (reply && reply->history_gone())
+        if (reply && reply->changes_unavailable())
         {
             servers_version_ = 0;
             co_return co_await list_servers();
--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -198,6 +198,14 @@
         for instance in self.instances:
             self.assertFalse(self.knows(instance, ""))
 
+    def test_changes_that_are_too_long_for_one_answer(self) -> None:
+        """Guards against asking again and again for changes that do not fit into one answer."""
+        with self.store.lock:
+            for i in range(100):
+                self.store.put_bytes("servers", f"long{i}", b"[" * 60_000)
+        self.assert_follows()
+        self.assert_start_among_them()
+
     def test_odd_keys_all_together(self) -> None:
         """Guards against entries that are harmless alone only."""
         for key in ODD_KEYS.values():
