--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -206,6 +206,17 @@
         self.assert_follows()
         self.assert_start_among_them()
 
+    def test_id_that_adds_lines_to_a_head_names_no_server(self) -> None:
+        """Guards against a key that becomes a header line of a request to the server."""
+        value = json.dumps(self.store.get("servers", "p0")).encode()
+        for key in ("p1\r\nX-Injected: 1", "p1 ", "", "p1\x00", "p1\u00e9"):
+            self.store.put_bytes("servers", key, value)
+        time.sleep(1.5)
+        for instance in self.instances:
+            known = [server["id"] for server in instance.state()["backend_servers"]]
+            self.assertEqual(sorted(known), ["p0", "r0"])
+        self.assert_follows()
+
     def test_odd_keys_all_together(self) -> None:
         """Guards against entries that are harmless alone only."""
         for key in ODD_KEYS.values():
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -74,6 +74,21 @@
     EXPECT_TRUE(decoded_keys("{\"key\":\"\xff\\").empty());
 }
 
+constexpr std::string_view sound_server =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready",)"
+    R"("born":17,"models":[]})";
+
+// Guards against an id that adds a line to the head of each request to the server.
+TEST(odd_rows_test, server_whose_id_does_not_fit_into_a_head_is_refused)
+{
+    EXPECT_TRUE(succeeded(decode_server("i-1_a.b:c/d", sound_server)));
+    for (std::string_view const id :
+         {std::string_view(""), std::string_view(" "), std::string_view("a b"),
+          std::string_view("a\r\nX: b"), std::string_view("a\0b", 3),
+          std::string_view("a\x7f"), std::string_view("a\xff")})
+        EXPECT_FALSE(succeeded(decode_server(std::string(id), sound_server))) << id;
+}
+
 // Guards against a fence or an incarnation that wraps around as it is read.
 TEST(odd_rows_test, lease_with_numbers_out_of_range_is_unreadable)
 {
