--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -217,6 +217,18 @@
             self.assertEqual(sorted(known), ["p0", "r0"])
         self.assert_follows()
 
+    def test_fields_of_another_type_name_no_server(self) -> None:
+        """Guards against requests to a server that an entry of another writer names."""
+        sound = self.store.get("servers", "p0")
+        for i, fields in enumerate(({"born": "x"}, {"born": 1.5}, {"born": 2**63}, {"models": 7},
+                                    {"slots": "4"}, {"address": "127.0.0.1:65536"})):
+            self.store.put("servers", f"p{i + 1}", {**sound, **fields})
+        time.sleep(1.5)
+        for instance in self.instances:
+            known = [server["id"] for server in instance.state()["backend_servers"]]
+            self.assertEqual(sorted(known), ["p0", "r0"])
+        self.assert_follows()
+
     def test_odd_keys_all_together(self) -> None:
         """Guards against entries that are harmless alone only."""
         for key in ODD_KEYS.values():
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -89,6 +89,26 @@
         EXPECT_FALSE(succeeded(decode_server(std::string(id), sound_server))) << id;
 }
 
+// Guards against using an entry of another writer, whose fields are of another type, and
+// against a runner that seems to restart with each heartbeat because its start time is
+// read as 0.
+TEST(odd_rows_test, server_with_fields_of_another_type_is_refused)
+{
+    auto const with = [](std::string const& born, std::string const& models)
+    {
+        return succeeded(decode_server(
+            "i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":4,)"
+                   R"("state":"ready","born":)" +
+                       born + R"(,"models":)" + models + "}"));
+    };
+    EXPECT_TRUE(with("17", "[]"));
+    for (auto const* const born : {"\"17\"", "1.5", "1e300", "null", "[]",
+                                   "18446744073709551615", "9223372036854775808"})
+        EXPECT_FALSE(with(born, "[]")) << born;
+    for (auto const* const models : {"7", "\"m\"", "null", "{}"})
+        EXPECT_FALSE(with("17", models)) << models;
+}
+
 // Guards against a fence or an incarnation that wraps around as it is read.
 TEST(odd_rows_test, lease_with_numbers_out_of_range_is_unreadable)
 {
