Read the rows of the configuration and the lease by their keys

What callers saw: with more than 500 other entries before `config` in the table `op`, an instance that read the table did not find the configuration: one that lost the change feed's history kept the old version although a newer one existed.

Cause: the whole table was read, but only its first page was looked at. The read now begins at the key and asks for one row.

Evidence: test_row_after_the_first_page_is_found, before: "not within 15 s: n1 has the new configuration"; after: passed.

--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -134,7 +134,8 @@
 {
     search_.searched(boot_now());
     auto const reply = co_await store_.call(
-        platform::encode_table_read(platform::store_table::lease, {}), call_timeout);
+        platform::encode_row_read(platform::store_table::lease, platform::lease_key),
+        call_timeout);
     if (!reply || !reply->done())
         co_return false;
     row_absent_ = true;
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -126,7 +126,8 @@
 {
     auto const asked_at = boot_now();
     auto const reply = co_await store_.call(
-        platform::encode_table_read(platform::store_table::configuration, {}),
+        platform::encode_row_read(platform::store_table::configuration,
+                                  platform::configuration_key),
         call_timeout);
     if (!reply || !reply->done())
         co_return false;
--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -261,6 +261,22 @@
     "no holder": lease_value(address="")}
 
 
+class OtherKeysTest(OddEntriesTest):
+    """Many other keys in the tables of which carawayturn reads one row."""
+
+    def test_row_after_the_first_page_is_found(self) -> None:
+        """Guards against a configuration that is not found among other keys: an instance that
+        started never became ready, and one that read the table again confirmed the old one."""
+        for i in range(PAGE_ROWS + 100):
+            for table in ("op", "carawayturn"):
+                self.store.put_bytes(table, f"a{i:04}", b"{")
+                self.store.put_bytes(table, f"z{i:04} & %\r\n\ud83d", b"{")
+        self.assert_start_among_them()
+        self.store.forget_history()
+        self.assert_follows()
+        self.wait_for_hub()
+
+
 class LeaseRowTest(OddEntriesTest):
     """Entries in place of the lease row."""
 
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -109,6 +109,13 @@
         EXPECT_FALSE(with("17", models)) << models;
 }
 
+// Guards against a read of a whole table, of which the first page may lack the row.
+TEST(odd_rows_test, read_of_one_row_begins_at_its_key)
+{
+    EXPECT_EQ(encode_row_read(store_table::configuration, configuration_key).target,
+              "/rows-get?table=op&part=&from=config&limit=1");
+}
+
 // Guards against a fence or an incarnation that wraps around as it is read.
 TEST(odd_rows_test, lease_with_numbers_out_of_range_is_unreadable)
 {
