Test odd reports, contents and settings

These paths had no test, and no fault was found on them: reports of a runner and answers to its orders (10 documents, another runner still gets its orders), odd contents of sound rows on their way through the hub to its members, and numbers out of range in the settings file.

--- a/tests/entry/odd_entries_test.py
+++ b/tests/entry/odd_entries_test.py
@@ -19,6 +19,7 @@
 
 FOLLOW_LIMIT_S = 15
 TASK_FAILED_EVENT = 1180
+PEER_MESSAGE_UNREADABLE_EVENT = 1141
 # Upper limit for the calls of an instance per second, with a wide margin.
 CALLS_PER_S = 40
 # Upper limit for the writes of an instance per second: a holder renews every 0.8 s.
@@ -229,6 +230,27 @@
             self.assertEqual(sorted(known), ["p0", "r0"])
         self.assert_follows()
 
+    def test_odd_contents_pass_through_the_hub(self) -> None:
+        """Guards against contents of a sound row that a member of the hub cannot read."""
+        sound = {"service": "other", "address": "127.0.0.1:9", "zone": "a", "slots": 4,
+                 "state": "ready", "seq": 1, "born": 1, "models": []}
+        contents: list[dict] = [
+            {"born": 2**63 - 1}, {"born": -2**63}, {"slots": 1e300}, {"seq": 10**400},
+            {"service": "s" * 60_000}, {"zone": "\x00\r\n\u2028" * 1000}, {"service": "llm",
+             "models": [{"name": "m\x00/@", "version": -1, "adapters": ["", "/", "@"]}]},
+            {"models": [{"name": "a"}] * 2500}, {"models": [{"name": "", "adapters": [""] * 9000}]},
+            {"resident": {"in_memory": ["x"] * 9000, "on_disk": [7, None, "y"]}}]
+        for i, fields in enumerate(contents):
+            self.store.put_bytes("servers", f"t{i}", json.dumps({**sound, **fields}).encode())
+        for instance in self.instances:
+            for i in range(len(contents)):
+                wait_until(lambda at=instance, name=f"t{i}": self.knows(at, name),
+                           f"{instance.name} knows t{i}", FOLLOW_LIMIT_S)
+            self.assertEqual(instance.events(PEER_MESSAGE_UNREADABLE_EVENT), [])
+        self.assert_follows()
+        self.assert_start_among_them()
+        self.assert_orders_are_sent()
+
     def test_odd_keys_all_together(self) -> None:
         """Guards against entries that are harmless alone only."""
         for key in ODD_KEYS.values():
@@ -261,6 +283,55 @@
     "no holder": lease_value(address="")}
 
 
+class OddReporter(BackendServer):
+    """A runner that answers reports and orders with the same odd document."""
+
+    def __init__(self, *arguments, **options) -> None:
+        self.document = b""
+        self.odd_answers = 0
+        super().__init__(*arguments, **options)
+
+    def handle(self, call, body: bytes) -> None:
+        if call.path in ("/report", "/order"):
+            self.odd_answers += 1
+            call.answer(200 if call.path == "/report" else 202, self.document)
+        else:
+            super().handle(call, body)
+
+
+def report(**fields: object) -> bytes:
+    return json.dumps({"models": [], "busy": False, "seq": 0, "born": 1, **fields}).encode()
+
+
+ODD_REPORTS = {
+    "no JSON": b"{", "deep": b'{"a":' * 100_000, "not text": bytes(range(256)),
+    "long": b"[" * 5_000_000, "numbers of 400 digits": report(seq=10**400, born=10**400),
+    "negative": report(seq=-2**63, born=-2**63), "greatest": report(seq=2**63 - 1, born=2**63 - 1),
+    "other types": report(seq="0", busy=1, models={}, born=[]),
+    "many models": report(models=[{"name": "a", "version": -1, "adapters": [""] * 9}] * 50_000),
+    "odd names": report(models=[{"name": "m1/@\x00\r\n", "adapters": ["/", "@"]}],
+                        pending=["", "/", "@", "m1/@@"], resident={"in_memory": [""]})}
+
+
+class RunnerReportTest(OddEntriesTest):
+    """Odd reports of one runner and odd answers to its orders."""
+
+    def test_odd_report_leaves_the_other_runner_its_orders(self) -> None:
+        """Guards against a report that ends the hub or stops the orders to all runners."""
+        odd = OddReporter(self.store, "a0", "llm", models=[])
+        self.addCleanup(odd.close)
+        for name, document in ODD_REPORTS.items():
+            with self.subTest(report=name):
+                odd.document, odd.odd_answers = document, 0
+                # A new start time makes the hub ask for a report.
+                odd.restart()
+                wait_until(lambda: odd.odd_answers, "the hub asks the runner", FOLLOW_LIMIT_S)
+                time.sleep(0.5)
+                self.assert_follows()
+        self.assert_orders_are_sent()
+        self.assert_start_among_them()
+
+
 class OtherKeysTest(OddEntriesTest):
     """Many other keys in the tables of which carawayturn reads one row."""
 
--- a/tests/entry/odd_rows_test.cpp
+++ b/tests/entry/odd_rows_test.cpp
@@ -1,4 +1,5 @@
 #include "platform/server_codec.hpp"
+#include "platform/settings_file.hpp"
 #include "platform/store_codec.hpp"
 
 #include <gtest/gtest.h>
@@ -116,6 +117,27 @@
               "/rows-get?table=op&part=&from=config&limit=1");
 }
 
+// Guards against a settings file whose numbers overflow or whose lines stop the reader.
+TEST(odd_rows_test, settings_out_of_range_are_refused)
+{
+    std::string const sound =
+        "node_name=n\nip=10.0.0.1\nzone=a\nlisten.front=10.0.0.1:1\n"
+        "listen.ready=10.0.0.1:2\nplatform.address=10.0.0.9:3\n";
+    std::string const ports = "internal_ports=7600,7601\n";
+    EXPECT_TRUE(succeeded(decode_settings(sound + ports)));
+    EXPECT_TRUE(succeeded(decode_settings(sound + ports + std::string(200'000, '=') +
+                                          "\n" + std::string("\0\xff=\r\n#", 6))));
+    for (auto const* const line :
+         {"bounds.lease_ms=-1", "bounds.lease_ms=1e999", "bounds.grace_s=nan",
+          "limits.memory_mb=-5", "bounds.revoke_ms=99999999999999999999",
+          "bounds.retry_budget_ratio=inf"})
+        EXPECT_FALSE(succeeded(decode_settings(sound + ports + line + "\n"))) << line;
+    for (auto const* const odd : {"0,1", "65535,65536", "-1,5", "7600", "7601,7600", ",",
+                                  "99999999999999999999,5", "a,b"})
+        EXPECT_FALSE(succeeded(decode_settings(sound + "internal_ports=" + odd + "\n")))
+            << odd;
+}
+
 // Guards against a fence or an incarnation that wraps around as it is read.
 TEST(odd_rows_test, lease_with_numbers_out_of_range_is_unreadable)
 {
