--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -126,7 +126,8 @@
 {
     auto const asked_at = boot_now();
     auto const reply = co_await store_.call(
-        platform::encode_table_read(platform::store_table::configuration, {}),
+        platform::encode_row_read(platform::store_table::configuration,
+                                  platform::configuration_key),
         call_timeout);
     if (!reply || !reply->done())
         co_return false;
@@ -150,7 +151,7 @@
         platform::encode_table_watch(platform::store_table::configuration,
                                      config_version_, config_watch_timeout),
         config_watch_timeout + call_timeout);
-    if (reply && reply->history_gone())
+    if (reply && reply->changes_unavailable())
         co_return co_await read_config();
     if (!reply || !reply->done())
         co_return false;
@@ -263,17 +264,19 @@
         // that happens while the later pages are read.
         if (version == 0)
             version = reply->answer.version;
-        if (!reply->answer.truncated || reply->answer.rows.empty() ||
-            reply->answer.rows.back().key == from)
+        if (!reply->answer.truncated)
             break;
-        // The keys of the pages are not in ascending order, so the list might never end.
-        if (reply->answer.rows.back().key < from)
-            co_return false;
-        if (listed_bytes > max_directory_bytes)
+        // More rows exist, but the page does not lead to them.
+        bool const at_last_key =
+            reply->answer.rows.empty() || reply->answer.rows.back().key == from;
+        if (at_last_key || listed_bytes > max_directory_bytes)
         {
             complete = false;
             break;
         }
+        // The keys of the pages are not in ascending order, so the list might never end.
+        if (reply->answer.rows.back().key < from)
+            co_return false;
         from = reply->answer.rows.back().key;
     }
     servers_version_ = version;
@@ -302,7 +305,7 @@
             platform::encode_table_watch(platform::store_table::backend_servers,
                                          servers_version_, duration::zero()),
             call_timeout);
-        if (reply && reply->history_gone())
+        if (reply && reply->changes_unavailable())
         {
             servers_version_ = 0;
             co_return co_await list_servers();
