Serve new callers after a pause until the platform knows of the shutdown

Callers were refused a connection right after SIGTERM when the instance had not run for a while before it saw the signal.

New connections are served for 2.6 s, until the platform has noticed that the instance is not ready. This time was counted from the begin of the pause, in which the signal may have come, so that after a pause of 2.6 s the port was closed at once.

The new test stops the process for 3 s, sends SIGTERM at the end of that, and connects a second later.

The time now counts from when the signal was seen, as only then the instance says that it is not ready. It still ends with the cut of unanswered requests, which counts from the earliest possible time of the signal.

--- a/src/coordination/entry/shutdown_plan.cpp
+++ b/src/coordination/entry/shutdown_plan.cpp
@@ -25,7 +25,7 @@
     : cut_unanswered_at_(began.earliest + std::max(grace - cut_margin, duration::zero())),
       cut_at_(began.latest + std::max(grace - cut_margin, duration::zero())),
       end_at_(began.latest + std::max(grace - end_margin, duration::zero())),
-      intake_end_(std::min(began.earliest + notice_time, cut_unanswered_at_)),
+      intake_end_(std::min(began.latest + notice_time, cut_unanswered_at_)),
       last_first_byte_(std::min(intake_end_ + idle_close_delay, cut_unanswered_at_))
 {
 }
--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -56,7 +56,9 @@
 ///
 /// The time of the signal is uncertain if the process was paused. Callers without an
 /// answer are told before the earliest end of the grace time. Answers that have begun may
-/// go on until its latest end, because being cut is as bad for them as the kill.
+/// go on until its latest end, because being cut is as bad for them as the kill. New
+/// connections are served from the latest time on, because a paused process has not told
+/// the platform that it is not ready.
 class shutdown_plan
 {
 public:
--- a/tests/entry/planned_stop_faults_test.py
+++ b/tests/entry/planned_stop_faults_test.py
@@ -285,6 +285,15 @@
         self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
         self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
 
+    def test_new_callers_are_served_until_the_platform_knows(self) -> None:
+        """Guards against a port that is closed as the pause ends, because the time for which
+        new connections are served was counted from the pause's begin."""
+        self.terminate_after_pause(3.0)
+        time.sleep(1.0)
+        caller = self.caller()
+        caller.send(head() + "x")
+        self.assertTrue(caller.answer().startswith(b"HTTP/1.1 200 "))
+
 
 class PlannedStopUploadTest(PlannedStopCase):
     """Tests stops while callers send long bodies."""
--- a/tests/entry/shutdown_plan_test.cpp
+++ b/tests/entry/shutdown_plan_test.cpp
@@ -128,6 +128,7 @@
     auto const step_at = [&uncertain](int ms, std::size_t unfinished, bool cut) {
         return uncertain.step(begin + milliseconds(ms), {unfinished, true, true, cut});
     };
+    EXPECT_EQ(step_at(2599, 0, false), shutdown_step::serve);
     EXPECT_EQ(step_at(4899, 1, false), shutdown_step::finish);
     EXPECT_EQ(step_at(4900, 1, false), shutdown_step::cut_unanswered);
     EXPECT_EQ(step_at(7399, 1, false), shutdown_step::cut_unanswered);
