Soak: stop instances again and again under streams with silent runners

Seeds from 5000 on stop and start every instance again and again, under callers that use a connection until it is closed.

The new check streams_without_end finds a stream that has begun and ends without its end, at any time. It excuses a runner that broke off, the request's deadline, a killed instance, and the end of the grace time with a runner at work; a silence or a suspended instance is no excuse. It runs for all seeds. Seeds below 5000 keep their schedules.

A probe after the last fault that gets a broken answer counts as not served; before, the exception ended the soak without a finding.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -403,9 +403,13 @@
         except Closed:
             call.close_connection = True
 
+    def silences_of(self, _request_id: str, first: int) -> dict[int, float]:
+        """Returns the seconds of silence before the events of a run, by the events' numbers."""
+        return self.silences_s if first == 1 else {}
+
     def _stream(self, call: _Handler, headers: dict[str, str]) -> None:
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
-        silences = self.silences_s if first == 1 else {}
+        silences = self.silences_of(headers["X-Request-Id"], first)
         time.sleep(self.resume_delay_s if first > 1 else 0.0)
         call.send_response(200)
         for name, value in {**headers, "X-Server-Seal": "s",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import random
 import threading
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from entry_fleet import Instance
 
 CALLER_TIMEOUT_S = 12
+# The time that each request allows for its answer.
+DEADLINE_S = 6.0
 # Caller styles: maximum pause within a request and maximum pause between requests, in seconds.
-STYLES = {"brisk": (0.0, 0.04), "halves": (1.2, 0.04), "idle": (0.0, 5.0)}
+STYLES = {"brisk": (0.0, 0.04), "halves": (1.2, 0.04), "idle": (0.0, 5.0), "streams": (0.0, 0.2)}
+KINDS = ("book", "book", "status", "draft", "draft", "open")
+MAX_REQUESTS_ON_A_CONNECTION = 40
 EXPECTED_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
 
@@ -74,6 +80,8 @@
         self._instances = instances
         self._keys = keys
         self._pause_within, self._pause_between = STYLES[style]
+        # A caller of streams uses each connection until the instance closes it.
+        self._only_streams = style == "streams"
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -92,7 +100,7 @@
                     # Keeps the connection idle before its first request.
                     connection.connect()
                     self._stop.wait(self._random.uniform(0.0, self._pause_between))
-                for _ in range(self._random.randint(1, 40)):
+                for _ in self._request_numbers():
                     if self._stop.is_set() or not self._call(connection, instance):
                         break
                     self._stop.wait(self._random.uniform(0.005, self._pause_between))
@@ -102,14 +110,20 @@
                 connection.close()
             time.sleep(0.01)
 
+    def _request_numbers(self) -> Iterable[int]:
+        if self._only_streams:
+            return itertools.count()
+        return range(self._random.randint(1, MAX_REQUESTS_ON_A_CONNECTION))
+
     def _call(self, connection: Connection, instance: Instance) -> bool:
         """Sends a request; returns whether the connection can be used for another one."""
-        kind = self._random.choice(["book", "book", "status", "draft", "draft", "open"])
+        kind = "draft" if self._only_streams else self._random.choice(KINDS)
         call = Call(f"{self._name}-{len(self.calls)}", kind, self._random.choice(self._keys()),
                     instance.name, time.monotonic())
         self.calls.append(call)
         headers = {"Host": "h.example", "X-Request-Id": call.request_id,
-                   "X-Deadline-Ms": "6000", "Authorization": f"Token {call.key}"}
+                   "X-Deadline-Ms": str(round(1000 * DEADLINE_S)),
+                   "Authorization": f"Token {call.key}"}
         if kind == "draft":
             headers["X-Model"] = self._random.choice(["m1", "m1", "m2", "m3"])
             headers["X-Token-Count"] = "300,20"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,7 +8,9 @@
 import subprocess
 import threading
 import time
+from collections.abc import Callable
 
+import stop_load
 from entry_fleet import HANG_LIMIT_S, Instance, wait_until
 from fault_proxy import FaultProxy
 from misbehaving_server import WAYS
@@ -33,6 +35,10 @@
     "no_end_of_other_answers", "no_end_of_other_body", "other_answer", "trickled_head"]
 # Time that a process needs after opening its ports to install its signal handlers.
 SIGNAL_HANDLER_DELAY_S = 0.1
+# Time before SIGTERM in which a starved instance may already be suspended.
+STARVED_LEAD_S = 2.0
+
+FaultAction = Callable[[random.Random, float], "str | None"]
 
 
 class FaultPlayer:
@@ -62,6 +68,9 @@
 
     def play(self) -> None:
         """Plays the schedule and returns when the last fault has ended."""
+        if self.fleet.stop_load:
+            self._play_stop_load(self.fleet.stop_load)
+            return
         threads = []
         begin = time.monotonic()
         at = 0.0
@@ -70,15 +79,62 @@
             kind = self.random.choice(self.names)
             choice = random.Random(self.random.random())
             time.sleep(max(0.0, begin + at - time.monotonic()))
-            threads.append(threading.Thread(target=self._play_fault, args=(kind, choice)))
+            threads.append(threading.Thread(target=self._play_fault,
+                                            args=(self.kinds[kind], kind, choice)))
             threads[-1].start()
         for thread in threads:
             thread.join()
 
-    def _play_fault(self, kind: str, choice: random.Random) -> None:
+    def _play_stop_load(self, profile: stop_load.Profile) -> None:
+        """Stops and starts each instance again and again, beside faults of servers."""
+        end = time.monotonic() + stop_load.SCHEDULE_S
+        threads = [threading.Thread(target=self._stop_repeatedly,
+                                    args=(instance, profile, self.random.random(), end))
+                   for instance in self.fleet.instances]
+        for thread in threads:
+            thread.start()
+        while profile.server_kinds and time.monotonic() < end:
+            time.sleep(self.random.uniform(0.5, 2.0))
+            kind = self.random.choice(profile.server_kinds)
+            self._play_fault(getattr(self, kind), kind, random.Random(self.random.random()))
+        for thread in threads:
+            thread.join()
+
+    def _stop_repeatedly(self, instance: Instance, profile: stop_load.Profile, seed: float,
+                         end: float) -> None:
+        choice = random.Random(seed)
+        while time.monotonic() < end:
+            time.sleep(choice.uniform(0.0, 3.0))
+            if profile.starved:
+                self._starved_stop(instance, choice)
+            else:
+                self._stop(instance, [])
+            wait_until(instance.ready, f"{instance.name} is ready")
+
+    def _starved_stop(self, instance: Instance, choice: random.Random) -> None:
+        """Stops an instance that is suspended before, while or after SIGTERM arrives."""
+        process = self._wait_until_started(instance)
+        begin = time.monotonic()
+        stopping = threading.Timer(STARVED_LEAD_S, self._stop, args=(instance, []))
+        stopping.start()
+        for at in sorted(choice.uniform(0.0, 2.5 * STARVED_LEAD_S)
+                         for _ in range(choice.randint(1, 3))):
+            time.sleep(max(0.0, begin + at - time.monotonic()))
+            pause = Fault("pause", str(process.pid), time.monotonic())
+            self.fleet.faults.append(pause)
+            self._suspend(process, choice.uniform(0.3, 2.0))
+            pause.end = time.monotonic()
+        stopping.join()
+
+    def _suspend(self, process: subprocess.Popen, span: float) -> None:
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(span)
+        process.send_signal(signal.SIGCONT)
+
+    def _play_fault(self, action: FaultAction, kind: str, choice: random.Random) -> None:
         fault = Fault(kind, "", time.monotonic())
         self.fleet.faults.append(fault)
-        fault.target = self.kinds[kind](choice, choice.uniform(0.2, 3.0)) or ""
+        fault.target = action(choice, choice.uniform(0.2, 3.0)) or ""
         fault.end = time.monotonic()
 
     def kill(self, choice: random.Random, span: float) -> str:
@@ -159,9 +215,7 @@
 
     def pause(self, choice: random.Random, span: float) -> str:
         process = choice.choice(self.fleet.instances).process
-        process.send_signal(signal.SIGSTOP)
-        time.sleep(span)
-        process.send_signal(signal.SIGCONT)
+        self._suspend(process, span)
         return str(process.pid)
 
     def _set_for(self, owner: object, name: str, value: object, span: float) -> None:
@@ -270,6 +324,14 @@
         self._set_for(server, "pausing", f"{choice.uniform(0.7, 4.0):.2f}", span)
         return server.name
 
+    def server_refuses(self, choice: random.Random, span: float) -> str:
+        """A server refuses new requests and continues those that it runs."""
+        server = choice.choice(self.fleet.servers)
+        server.mode = "full"
+        time.sleep(span)
+        server.mode = "good"
+        return server.name
+
     def server_slow(self, choice: random.Random, span: float) -> str:
         """A service answers more slowly than a stopping process waits for its next request."""
         service = choice.choice(["plain", "llm"])
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,7 +7,7 @@
 
 from collections import Counter, defaultdict
 
-from callers import EXPECTED_STREAM, Call
+from callers import DEADLINE_S, EXPECTED_STREAM, Call
 from misbehaving_server import COMMENT
 
 REVOKE_S = 5.0
@@ -19,12 +19,14 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 # Equals `bounds.grace_s` in the settings of the instances.
 GRACE_S = 8.0
+# Requests sent later than this after SIGTERM must not be cut at the end of the grace time.
+SERVED_AFTER_SIGTERM_S = 3.0
 # Requests that are in flight when a server announces a pause may still reach it.
 PAUSE_PROPAGATION_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
 # Kinds of fault that neither end or stall a connection nor stop or suspend a process.
 NON_DISRUPTIVE_KINDS = {"rotate_key", "leave", "leave_by_word", "reload", "server_pauses",
-                        "server_slow"}
+                        "server_refuses", "server_slow"}
 # Kinds of fault that end or suspend a process; the target is an instance name or a process id.
 PROCESS_FAULT_KINDS = {"kill", "terminate", "pause"}
 
@@ -183,6 +185,41 @@
     return found
 
 
+def streams_without_end(calls: list[Call], runs: list[dict], run_ends: dict[str, float], stops,
+                        faults) -> list[str]:
+    """A stream that has begun ends whole or at its deadline, whether its instance stops or not.
+
+    `run_ends` is when the last run of each request ended. Excused are a runner that broke off, an
+    instance that was killed, and the end of the grace time while the runner was still at work.
+    A runner's silence and a suspended instance are no excuses."""
+    servers = defaultdict(set)
+    for run in runs:
+        servers[run["id"]].add(run["server"])
+    killed = [fault for fault in faults if fault.kind in ("kill", "terminate")]
+    found = []
+    for call in calls:
+        if (call.kind != "draft" or call.status != 200 or call.whole
+                or call.ended_at >= call.sent_at + DEADLINE_S
+                or fault_overlaps(killed, call.instance, call.sent_at, call.ended_at)
+                or any(fault_overlaps(faults, server, call.sent_at, call.ended_at)
+                       for server in servers[call.request_id])):
+            continue
+        (stop,) = [stop for stop in stops if stop.process == call.process][:1] or [None]
+        if stop and may_cut_at_the_end(call, run_ends.get(call.request_id, 0.0), stop):
+            continue
+        when = f"{call.ended_at - stop.begin:.2f} s after SIGTERM" if stop else "without a stop"
+        found.append(f"CUT {call.request_id} {len(call.body)} bytes, ended "
+                     f"{call.ended_at - call.sent_at:.2f} s after it was sent, {when}")
+    return found
+
+
+def may_cut_at_the_end(call: Call, run_end: float, stop) -> bool:
+    """Whether a call may be cut because its runner was at work as the grace time ran out."""
+    last_sixth = stop.begin + GRACE_S * 5 / 6
+    return call.sent_at <= stop.begin + SERVED_AFTER_SIGTERM_S and (
+        min(call.ended_at, run_end) >= last_sixth)
+
+
 def leaving_servers(calls: list[Call], servers) -> list[str]:
     """A process sends no later request to a server whose answer said that it is leaving."""
     sender = {call.request_id: call for call in calls}
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -109,6 +109,26 @@
         self.assertIn("STOP", self.planned_stop_findings([], end=8.1)[0])
         self.assertEqual(self.planned_stop_findings([], code=-9, kind="kill", target="n0"), [])
 
+    def test_stream_that_ends_without_its_end_is_found(self) -> None:
+        """Guards against a check that takes a runner's silence for a reason to end an answer."""
+        def findings(run_end: float = 9.0, fault: dict | None = None, **fields) -> list[str]:
+            stop = SimpleNamespace(process=7, begin=0.0)
+            faults = [SimpleNamespace(**{"begin": 0.5, "end": 0.9, **fault})] if fault else []
+            torn = call("draft", **{"body": EXPECTED_STREAM[:20], "whole": False, **fields})
+            return promises.streams_without_end([torn], [run()], {"r1": run_end}, [stop], faults)
+
+        for lost in ({}, {"process": 8}, {"ended_at": 5.9}, {"sent_at": 1.0, "ended_at": 6.6},
+                     {"sent_at": 3.1, "ended_at": 7.0},
+                     {"sent_at": 2.9, "ended_at": 7.0, "run_end": 6.6},
+                     {"fault": {"kind": "server_refuses", "target": "s1"}},
+                     {"fault": {"kind": "pause", "target": "7"}}):
+            self.assertIn("CUT r1", findings(**lost)[0], lost)
+        for allowed in ({"whole": True}, {"status": 502}, {"ended_at": 6.0},
+                        {"sent_at": 2.9, "ended_at": 7.0},
+                        {"fault": {"kind": "kill", "target": "n0"}},
+                        {"fault": {"kind": "link_cut", "target": "s1"}}):
+            self.assertEqual(findings(**allowed), [], allowed)
+
     def test_request_at_a_server_that_said_that_it_leaves_is_found(self) -> None:
         first = call("book", ended_at=1.0)
         server = SimpleNamespace(name="s1", leaving_request_ids=["r1"],
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,13 +1,15 @@
 """Randomized soak test: injects faults into real instances while callers send requests.
 
 Run `soak.py --seeds 1-50 --jobs 3` by hand; `--untimed` (for CI) leaves out the promises that
-a slow machine could break. A seed that fails is added to seeds.txt.
+a slow machine could break. Seeds from 5000 on stop instances again and again under streams whose
+runners are silent for a while. A seed that fails is added to seeds.txt.
 """
 
 from __future__ import annotations
 
 import argparse
 import contextlib
+import http.client
 import itertools
 import shutil
 import subprocess
@@ -22,6 +24,7 @@
 from entry_fleet import HANG_LIMIT_S, Instance, wait_until  # noqa: E402
 from faults import FaultPlayer  # noqa: E402
 from soak_fleet import QUOTA_BURST, QUOTA_RATE, SoakFleet  # noqa: E402
+from stop_load import last_run_ends  # noqa: E402
 
 RECOVERY_S = 12.0
 # Time after the callers stop within which the requests still running at servers end.
@@ -45,7 +48,7 @@
     headers = {"Authorization": f"Token {key}"}
     if kind == "draft":
         headers["X-Model"] = "m1"
-    with contextlib.suppress(OSError):
+    with contextlib.suppress(OSError, http.client.HTTPException):
         return instance.request(f"/{kind}/a", id=f"after-{instance.name}-{kind}-{number}",
                                 headers=headers)[0] == 200
     return False
@@ -88,6 +91,8 @@
         arrivals = [{"id": name, "server": server.name, "at": at}
                     for server in fleet.servers for at, name in server.arrivals]
         found += promises.planned_stops(calls, arrivals, fleet.stops, fleet.faults, not untimed)
+        found += promises.streams_without_end(calls, runs, last_run_ends(fleet.servers),
+                                              fleet.stops, fleet.faults)
         found += promises.leaving_servers(calls, fleet.servers)
         if not untimed:
             found += promises.paused_servers(calls, fleet.servers, fleet.faults)
@@ -95,8 +100,10 @@
                                                        fleet.is_undisturbed)
         served = sum(call.status == 200 and call.whole for call in calls)
         alone = promises.undisturbed_stops(fleet.stops, fleet.faults)
-        print(f"seed {seed}: {len(fleet.faults)} faults, {len(alone)} stops by SIGTERM alone, "
-              f"{len(calls)} requests, {served} served, {len(found)} broken", flush=True)
+        streams = sum(call.kind == "draft" and call.status == 200 for call in calls)
+        print(f"seed {seed}: {len(fleet.faults)} faults, {len(fleet.stops)} stops, "
+              f"{len(alone)} of them by SIGTERM alone, {len(calls)} requests, {served} served, "
+              f"{streams} streams begun, {len(found)} broken", flush=True)
         if found and keep:
             keep_logs(fleet, found, keep / f"seed-{seed}")
             keep_calls(calls, arrivals, keep / f"seed-{seed}")
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -13,11 +13,15 @@
 from fault_proxy import FaultProxy, ProxyLoop
 from platform_fleet import BackendServer, Store
 from promises import NON_DISRUPTIVE_KINDS
+from stop_load import SETTINGS, UnevenRunner, profile_of
 
 INSTANCE_COUNT = 3
+RUNNER_COUNT = 3
+STOP_LOAD_RUNNER_COUNT = 6
 # Styles of the callers, for seeds that play only the original kinds of fault and for all others.
 ORIGINAL_CALLER_STYLES = ("brisk",) * 6
 CALLER_STYLES = ("brisk",) * 6 + ("halves",) * 8 + ("idle",) * 4
+STOP_LOAD_CALLER_STYLES = ("streams",) * 14 + ("brisk",) * 2 + ("halves",) * 2
 # Smaller seeds draw only from the original kinds of fault, so that regression seeds keep the
 # schedule with which they failed.
 FIRST_SEED_WITH_ALL_KINDS = 3000
@@ -52,6 +56,8 @@
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
+        self.seed = seed
+        self.stop_load = profile_of(seed)
         self.plays_all_kinds = seed >= FIRST_SEED_WITH_ALL_KINDS
         self.proxies = ProxyLoop()
         self.store = Store()
@@ -68,13 +74,19 @@
         self.names = (f"s{number}" for number in itertools.count())
         self.write_configuration()
         self.servers = [self.add_server("plain") for _ in range(2)]
-        self.servers += [self.add_server("llm") for _ in range(3)]
+        runners = STOP_LOAD_RUNNER_COUNT if self.stop_load else RUNNER_COUNT
+        self.servers += [self.add_server("llm") for _ in range(runners)]
         self.instances = [self.add_instance(f"n{i}") for i in range(INSTANCE_COUNT)]
         for instance in self.instances:
-            instance.wait_until_serving(servers=5)
-        styles = CALLER_STYLES if self.plays_all_kinds else ORIGINAL_CALLER_STYLES
+            instance.wait_until_serving(servers=len(self.servers))
         self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances,
-                               self.sampled_keys, style) for i, style in enumerate(styles)]
+                               self.sampled_keys, style)
+                        for i, style in enumerate(self._caller_styles())]
+
+    def _caller_styles(self) -> tuple[str, ...]:
+        if self.stop_load:
+            return STOP_LOAD_CALLER_STYLES
+        return CALLER_STYLES if self.plays_all_kinds else ORIGINAL_CALLER_STYLES
 
     def sampled_keys(self) -> list[str]:
         """Returns the keys that callers choose from: valid ones twice, the key withdrawn last, and
@@ -89,12 +101,16 @@
     def add_server(self, service: str) -> BackendServer:
         name = next(self.names)
         models = ["m1"] if service == "llm" else None
-        return BackendServer(self.store, name, service, models,
-                             lambda address: self.link(name, address).address)
+        arguments = (self.store, name, service, models,
+                     lambda address: self.link(name, address).address)
+        if self.stop_load and service == "llm":
+            return UnevenRunner(*arguments, seed=self.seed, silent=self.stop_load.silent)
+        return BackendServer(*arguments)
 
     def add_instance(self, name: str) -> Instance:
         instance = Instance(self.store, name,
-                            lambda address: self.link(f"store-{name}", address).address)
+                            lambda address: self.link(f"store-{name}", address).address,
+                            SETTINGS if self.stop_load else "")
         instance.store_endpoint.rewrite_hub_address = lambda address: self.peer_link_address(
             instance, address)
         return instance
