Soak: let a stream end 20 ms before its deadline

The bound of streams_without_end was wrong: an instance gives the runner, and itself, 20 ms less than the request's deadline (answer_margin), so a stream that ends there has used its time. Traces, both with: c5017-12-17 and c5020-5-236 waited 2.9 and 3.0 s for their model, their runner was silent for 2.6 and 2.4 s, and 1101 says "deadline passed" at elapsed_ms 5985 and 5987 of 6000.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,6 +15,8 @@
 CALLER_TIMEOUT_S = 12
 # The time that each request allows for its answer.
 DEADLINE_S = 6.0
+# An instance ends its work on a request this long before the deadline (`answer_margin`).
+DEADLINE_MARGIN_S = 0.02
 # Caller styles: maximum pause within a request and maximum pause between requests, in seconds.
 STYLES = {"brisk": (0.0, 0.04), "halves": (1.2, 0.04), "idle": (0.0, 5.0), "streams": (0.0, 0.2)}
 KINDS = ("book", "book", "status", "draft", "draft", "open")
