Test trailers of streams that end before their first complete event

A head that is kept only when the first event or the end has arrived holds the trailers, too, since the parser adds them to the head.

--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -272,11 +272,13 @@
 
     def test_trailers_of_a_stream_do_not_reach_the_caller(self) -> None:
         """Guards against trailers that are taken for headers of the answer."""
-        trailers = sends(STREAM, *map(chunk, map(event, range(1, 6))),
-                         b"0\r\nX-Trailer: a\r\nContent-Type: text/plain\r\n\r\n")
-        self.assertEqual(self.stream(trailers), (WHOLE_STREAM, True))
-        self.assertNotIn("X-Trailer", self.headers)
-        self.assertEqual(self.headers.get_all("Content-Type"), ["text/event-stream"])
+        trailers = b"0\r\nX-Trailer: a\r\nContent-Type: text/plain\r\n\r\n"
+        for events in ([event(number) for number in range(1, 6)], [b"id: 1\ndata: 1\n"], []):
+            with self.subTest(events=events):
+                self.assertEqual(self.stream(sends(STREAM, *map(chunk, events), trailers)),
+                                 (b"".join(events), True))
+                self.assertNotIn("X-Trailer", self.headers)
+                self.assertEqual(self.headers.get_all("Content-Type"), ["text/event-stream"])
 
 
 if __name__ == "__main__":
