Take the head of a stream's answer before its trailers arrive

Callers of a stream that ended before its first complete event got the server's trailers as headers.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -273,8 +273,7 @@
 
 task<request_flow::attempt_outcome> request_flow::relay_stream()
 {
-    if (stream_begun_)
-        continuation_.begin_run();
+    begin_run();
     auto silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
     for (;;)
     {
@@ -335,10 +334,18 @@
     }
 }
 
+void request_flow::begin_run()
+{
+    // The head is taken before the body is read, because trailers are added to it.
+    if (stream_begun_)
+        continuation_.begin_run();
+    else
+        answer_head_ = platform::encode_caller_answer(exchange_->head());
+}
+
 task<bool> request_flow::begin_stream()
 {
     stream_begun_ = true;
-    answer_head_ = platform::encode_caller_answer(exchange_->head());
     first_event_after_ = boot_now() - arrival_;
     last_event_ = boot_now();
     services_.metrics.observe_first_event_latency(first_event_after_);
@@ -369,8 +376,6 @@
 
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
-    if (!stream_begun_)
-        answer_head_ = platform::encode_caller_answer(exchange_->head());
     if (stream_cut_by_connection())
         co_return failure_outcome();
     auto const accepted = continuation_.accept(events_.incomplete_event());
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -187,6 +187,8 @@
     void release_connection();
     [[nodiscard]] attempt_outcome handle_delivery();
     [[nodiscard]] task<attempt_outcome> relay_stream();
+    /// Prepares for the body of a stream whose head has been read.
+    void begin_run();
     [[nodiscard]] task<bool> begin_stream();
     /// Whether the server counts as silent, which it does from `silent_at` on.
     [[nodiscard]] bool is_silent(time_point silent_at);
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -160,8 +160,7 @@
     excluded_.insert(silent.server.id);
     // The next run sends the event anew.
     events_.discard_incomplete_event();
-    if (stream_begun_)
-        continuation_.begin_run();
+    begin_run();
     log_attempt(attempt_outcome::handed_over, silent.server.id, silent.last_received, {});
 }
 
