Claim a lease whose fence was lowered above all fences that may be in use

What callers saw: another writer's row without a holder and with an old fence, written right after a claim that other instances did not know yet, was claimed with the fence of that claim: two holders with one fencing number.

Cause: the next fence was above the highest known one only. A fence below it shows another writer, so the next fence is now also above the version of the row, which no fence of a claim that the row replaced exceeds.

--- a/src/coordination/entry/hub_lease.cpp
+++ b/src/coordination/entry/hub_lease.cpp
@@ -108,8 +108,12 @@
 
 std::uint64_t hub_lease::next_fence() const
 {
+    // A lowered fence shows another writer, who may have replaced a claim that this
+    // instance does not know.
+    auto const last = row_.fence < highest_fence_
+                          ? substitute_for_unreadable(row_version_, highest_fence_).fence
+                          : row_.fence;
     // Beyond the limit, other instances could not read the row of the claim.
-    auto const last = std::max(row_.fence, highest_fence_);
     return (last + 1 < fence_limit ? last : row_version_ % (fence_limit - 1)) + 1;
 }
 
--- a/tests/entry/hub_lease_test.cpp
+++ b/tests/entry/hub_lease_test.cpp
@@ -206,11 +206,16 @@
 }
 
 // Guards against a fence that is used twice after another writer lowered it in the row.
-TEST_F(hub_lease_test, claim_after_lowered_fence_is_above_the_highest_known_one)
+// The row may have replaced a claim with a fence above the highest known one, which is at
+// most the version of the row.
+TEST_F(hub_lease_test, claim_after_lowered_fence_is_above_all_that_may_have_been_used)
 {
     first_.observe({"10.0.0.2:7600", "second", 22, 52}, 90, at(0), duration::max());
-    first_.observe({"127.0.0.1:9", "x", 1, 7}, 91, at(100), duration::max());
-    EXPECT_EQ(first_.next_row(at(3000)).fence, 53U);
+    first_.observe({"127.0.0.1:9", "x", 1, 7}, 92, at(100), duration::max());
+    EXPECT_EQ(first_.next_row(at(3000)).fence, 93U);
+    second_.observe({"10.0.0.1:7600", "first", 11, 520}, 90, at(0), duration::max());
+    second_.observe({"", "x", 1, 7}, 92, at(100), duration::max());
+    EXPECT_EQ(second_.next_row(at(3000)).fence, 521U);
 }
 
 // Guards against a fence that wraps around or that other instances cannot read.
