Bound the fences that a lowered lease row may hide by the writes in between

Each write raises the fence by at most one, or to the version of the row, so the known fence plus the number of writes since bounds the fences in between. This holds for a row with a lowered fence and for one that cannot be decoded.

--- a/src/coordination/entry/hub_lease.cpp
+++ b/src/coordination/entry/hub_lease.cpp
@@ -69,9 +69,9 @@
 {
     if (row_known_ && row_version <= row_version_)
         return false;
-    bool const holder_changed =
-        observe(substitute_for_unreadable(row_version, row_.fence), row_version, seen_at,
-                duration::max());
+    bool const holder_changed = observe(
+        substitute_for_unreadable(row_version, highest_possible_fence(row_version)),
+        row_version, seen_at, duration::max());
     end_ = seen_at + term_ + safety_margin;
     return holder_changed;
 }
@@ -99,22 +99,29 @@
     return next;
 }
 
+std::uint64_t hub_lease::highest_possible_fence(std::uint64_t row_version) const
+{
+    auto const writes = row_version > row_version_ ? row_version - row_version_ : 0;
+    auto const fence = highest_fence_ + std::min(writes, fence_limit);
+    return std::min(std::max(fence, row_version), fence_limit - 2);
+}
+
 void hub_lease::set_row(lease_row const& row, std::uint64_t row_version)
 {
+    // A lowered fence shows another writer, who may have replaced claims that this
+    // instance does not know.
+    highest_fence_ =
+        row.fence < highest_fence_ ? highest_possible_fence(row_version) : row.fence;
     row_ = row;
     row_version_ = row_version;
-    highest_fence_ = std::max(highest_fence_, row.fence);
 }
 
 std::uint64_t hub_lease::next_fence() const
 {
-    // A lowered fence shows another writer, who may have replaced a claim that this
-    // instance does not know.
-    auto const last = row_.fence < highest_fence_
-                          ? substitute_for_unreadable(row_version_, highest_fence_).fence
-                          : row_.fence;
     // Beyond the limit, other instances could not read the row of the claim.
-    return (last + 1 < fence_limit ? last : row_version_ % (fence_limit - 1)) + 1;
+    return (highest_fence_ + 1 < fence_limit ? highest_fence_
+                                             : row_version_ % (fence_limit - 1)) +
+           1;
 }
 
 lease_row hub_lease::released_row() const
--- a/src/coordination/entry/hub_lease.hpp
+++ b/src/coordination/entry/hub_lease.hpp
@@ -73,7 +73,10 @@
 
 private:
     void set_row(lease_row const& row, std::uint64_t row_version);
-    /// Returns a fence above all known ones.
+    /// Returns the highest fence that the row may have had before it got this version:
+    /// each write raises the fence by at most one, or to the version of the row.
+    [[nodiscard]] std::uint64_t highest_possible_fence(std::uint64_t row_version) const;
+    /// Returns a fence above all that may have been used.
     [[nodiscard]] std::uint64_t next_fence() const;
 
     std::string address_;
@@ -83,7 +86,8 @@
     duration reclaim_delay_;
     lease_row row_;
     std::uint64_t row_version_ = 0;
-    /// Another writer may have lowered the fence of the row.
+    /// Upper bound of the fences that were used; another writer may have lowered the
+    /// fence of the row.
     std::uint64_t highest_fence_ = 0;
     bool row_known_ = false;
     time_point end_{};
