Close the connection to a server that was left while the body is written

What callers saw: nothing at once. A server that was left because it was silent received the whole request all the same, and ran it beside the next server.

Cause: a body over 16 KB is written by a coroutine of its own, which keeps the socket alive. Since a silent server is left by destroying the exchange; before, the deadline closed the socket. The write went on until the exchange's last deadline, that of the request.

Class: giving up an exchange has to end all that belongs to it. The exchange now closes its connection when it is destroyed, unless the connection was released.

Evidence: the new test sends 12 MB to a server that begins to read six seconds after the head and is left after 3.5 s.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -70,6 +70,13 @@
     socket_->interrupt_read_at(time_point::max());
 }
 
+backend_exchange::~backend_exchange()
+{
+    // A long body may still be being written, and the write keeps the socket alive.
+    if (socket_)
+        socket_->close();
+}
+
 task<bool> backend_exchange::send(http::request_header<> head, std::string_view body)
 {
     upload_ = std::make_shared<upload>();
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -35,6 +35,10 @@
 {
 public:
     backend_exchange(std::shared_ptr<deadline_socket> socket, std::string request_id);
+    /// Closes the connection unless it was released.
+    ~backend_exchange();
+    backend_exchange(backend_exchange const&) = delete;
+    backend_exchange& operator=(backend_exchange const&) = delete;
 
     /// Writes the request. A long body is written concurrently with reading the answer,
     /// because the server may answer before it has read the whole body. Returns false if
--- a/tests/entry/answer_deadlines_test.py
+++ b/tests/entry/answer_deadlines_test.py
@@ -205,5 +205,56 @@
         self.assertEqual((status, body), (200, b"ok"))
 
 
+class AbandonedLateReader(LateReader):
+    """Delays only the first request that reaches any of the servers with the same `delays_s`, and
+    records how much of each body arrived."""
+
+    def __init__(self, delays_s: list[float], body_lengths: list[int]) -> None:
+        self.delays_s = delays_s
+        self.body_lengths = body_lengths
+        super().__init__(0.0)
+
+    def _serve(self) -> None:
+        connection, _ = self.listener.accept()
+        connection.settimeout(HANG_LIMIT_S)
+        with connection, connection.makefile("rb") as stream:
+            fields = dict(line.lower().split(b":", 1)
+                          for line in iter(stream.readline, b"\r\n") if b":" in line)
+            time.sleep(self.delays_s.pop() if self.delays_s else 0.0)
+            length = int(fields[b"content-length"])
+            body = stream.read(length)
+            self.body_lengths.append(len(body))
+            if len(body) < length:
+                return
+            connection.sendall(
+                b"HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id:%s\r\nContent-Length: 2"
+                b"\r\n\r\nok" % fields[b"x-request-id"].rstrip())
+
+
+class AbandonedUploadTest(AnswerDeadlinesCase):
+    """A server that does not read a long body is left for another one."""
+
+    def test_server_that_was_left_does_not_receive_the_rest_of_a_long_body(self) -> None:
+        """Guards against a write of the body that keeps the connection to a server open after
+        the request has been sent to another one: both then run it."""
+        self.store.remove("servers", "p0")
+        delays_s, body_lengths = [6.0], []
+        for name in ("p1", "p2"):
+            server = AbandonedLateReader(delays_s, body_lengths)
+            self.addCleanup(server.close)
+            self.store.put("servers", name, {
+                "service": "plain", "address": server.address, "zone": "a", "slots": 4,
+                "state": "ready", "seq": 1, "born": 1, "models": []})
+        wait_until(lambda: all(name in str(self.instance.state()["backend_servers"])
+                               for name in ("p1", "p2")), "the instance knows the servers")
+        length = 12_000_000
+        status, body, _ = self.instance.request("/status/a", body=b"b" * length,
+                                                headers={"X-Deadline-Ms": "7000"})
+        self.assertEqual((status, body), (200, b"ok"))
+        wait_until(lambda: len(body_lengths) == 2, "both servers have read")
+        self.assertEqual(body_lengths[0], length)
+        self.assertLess(body_lengths[1], length)
+
+
 if __name__ == "__main__":
     unittest.main()
