Keep a silent server until the next one has answered, also before the head

What callers saw: 502 for requests and streams whose server sent its head after half of the remaining time, when the next servers refused. The first server would have answered in time.

The run was reserved and the exchange was then closed, before the next server had answered. Its refusal used up the sends.

Class: a resource that is in use is given up before its replacement is known to be available.

Change: the request is handed over as a begun stream is. The silent exchange is parked until the head of the next server's answer is acceptable. If that server refuses or fails, or the silent one goes on first, the request stays.

Consequence: until the head arrives, both servers may work on an idempotent request or a resumable stream.

Evidence: three new cases on real processes.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -12,18 +12,6 @@
 
 using namespace flow;
 
-namespace
-{
-
-/// Whether a caller takes this status as a promise that its request has not run and never
-/// will.
-bool promises_not_run(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-} // namespace
-
 task<request_flow::attempt_outcome> request_flow::run_attempt()
 {
     in_flight_ =
@@ -92,9 +80,13 @@
     // so the answer is read even if sending failed.
     static_cast<void>(co_await exchange_->send(
         platform::encode_attempt(request_, parameters), request_.body()));
+    auto const asked = server_.id;
     auto const read = co_await read_answer_head();
     if (read == read_outcome::idle)
         co_return attempt_outcome::unknown;
+    // The head of the server that took the request over has been handled already.
+    if (server_.id != asked)
+        co_return std::nullopt;
     if (read == read_outcome::failed)
     {
         if (!interrupted())
@@ -280,7 +272,7 @@
         // Checked also after a read, because comments and parts of events may arrive.
         if (is_silent(silent_at))
         {
-            bool const moved = co_await hand_over_stream();
+            bool const moved = co_await hand_over();
             silent_at = boot_now() + recheck_interval;
             if (moved)
                 silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -122,11 +122,11 @@
         broken_off,
         /// The deadline passed.
         late,
-        /// The server was silent, and another one has taken the stream over.
+        /// The server was silent, and another one has taken the request over.
         handed_over
     };
     /// An attempt whose server is silent. It is kept while another server is asked to
-    /// take the stream over, and goes on if that server does not.
+    /// take the request over, and goes on if that server does not.
     struct silent_attempt
     {
         backend_record server;
@@ -198,11 +198,11 @@
     [[nodiscard]] repeat_denial reserve_next_run(time_point now);
     [[nodiscard]] bool may_leave_silent_server();
     void log_silence(repeat_denial denial, time_point now);
-    /// Moves a stream whose server is silent to another server, if that one accepts it.
-    /// Returns whether the stream was moved.
-    [[nodiscard]] task<bool> hand_over_stream();
-    /// Whether the head of the answer is that of a stream that may be passed on.
-    [[nodiscard]] bool accepts_stream() const;
+    /// Moves a request whose server is silent to another server, if that one accepts it.
+    /// Returns whether the request was moved.
+    [[nodiscard]] task<bool> hand_over();
+    /// Whether the head of the answer is one that may be passed on.
+    [[nodiscard]] bool accepts_answer() const;
     void leave_server(silent_attempt& silent);
     /// Goes on with the silent server, because the other one did not accept the stream.
     void return_to_server(silent_attempt& silent, attempt_outcome outcome);
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -61,4 +61,11 @@
 inline constexpr duration retry_soon = std::chrono::milliseconds(300);
 inline constexpr duration retry_later = std::chrono::milliseconds(1000);
 
+/// Whether a caller takes this status as a promise that its request has not run and never
+/// will.
+inline bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace carawayturn::entry::flow
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -109,16 +109,17 @@
             exchange_->set_failure("the silent server went on");
             co_return read_outcome::idle;
         }
-        if (!silent_ && is_silent(silent_at) && may_leave_silent_server())
+        if (!silent_ && is_silent(silent_at))
         {
-            exchange_->set_failure("silent");
-            co_return read_outcome::failed;
+            bool const moved = co_await hand_over();
+            if (moved)
+                co_return read_outcome::more;
         }
         silent_at = boot_now() + (silent_ ? handover_poll : recheck_interval);
     }
 }
 
-task<bool> request_flow::hand_over_stream()
+task<bool> request_flow::hand_over()
 {
     bool const leaving = may_leave_silent_server();
     if (!leaving)
@@ -132,7 +133,7 @@
         start_deadline_ = deadline_;
     services_.metrics.count("repeats_total");
     auto const ended = co_await begin_attempt();
-    bool const accepted = !ended && accepts_stream();
+    bool const accepted = !ended && accepts_answer();
     auto silent = std::move(*silent_);
     silent_.reset();
     if (accepted)
@@ -142,7 +143,7 @@
     co_return accepted;
 }
 
-bool request_flow::accepts_stream() const
+bool request_flow::accepts_answer() const
 {
     auto const& metadata = exchange_->metadata();
     if (metadata.contradictory)
@@ -150,8 +151,10 @@
     if (stream_begun_)
         return continues_stream();
     auto const status = exchange_->head().result_int();
-    return status >= 200 && status < 300 && metadata.signed_by_server &&
-           !metadata.encoded;
+    if (status >= 200 && status < 300)
+        return metadata.signed_by_server && !metadata.encoded;
+    return route_->kind != request_kind::stream && status < 500 &&
+           !promises_not_run(status);
 }
 
 void request_flow::leave_server(silent_attempt& silent)
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import sys
 import threading
@@ -171,5 +172,48 @@
         self.assertLess(time.monotonic() - began, 5.0)
 
 
+class LateHeadTest(SilentServerTest):
+    """The server that receives a request first sends the head of its answer late."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.other = BackendServer(self.store, "p1", "plain")
+        self.addCleanup(self.other.close)
+        self.instance.wait_until_serving(servers=2 + self.runner_count)
+        for runner in self.runners:
+            runner.silences_s = {}
+
+    def delay_first(self, delay_s: float, mode_of_others: str) -> None:
+        """Delays the answer to the first arrival; other arrivals are answered by this mode."""
+        arrivals = itertools.count()
+        for server in (self.plain, self.other, *self.runners):
+            def run(call, body, server=server, usual=server._run) -> None:
+                first = next(arrivals) == 0
+                server.answer_delay_s = delay_s if first else 0.0
+                server.mode = "good" if first else mode_of_others
+                usual(call, body)
+            server._run = run
+
+    def plain_status(self) -> int:
+        return self.instance.request("/status/a", headers={"X-Deadline-Ms": "4000"})[0]
+
+    def test_slow_request_that_the_next_server_refuses_gets_its_answer(self) -> None:
+        """Guards against an exchange that is given up for a server that refuses: 502."""
+        self.delay_first(3.0, "full")
+        self.assertEqual(self.plain_status(), 200)
+
+    def test_stream_with_a_late_head_that_the_next_server_refuses_is_whole(self) -> None:
+        """Guards against the same for a stream."""
+        self.delay_first(3.0, "full")
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+
+    def test_slow_request_is_answered_by_the_next_server(self) -> None:
+        """Guards against a request that waits for a server that does not answer."""
+        self.delay_first(20.0, "good")
+        self.assertEqual(self.plain_status(), 200)
+        silent = wait_until(lambda: self.instance.events(1103), "the silence is logged")
+        self.assertEqual([event["not_repeated"] for event in silent], [""])
+
+
 if __name__ == "__main__":
     unittest.main()
