Close a silent server soon after the next one has taken a plain request

A plain request whose server is silent is kept there until the next one has answered. The head of a plain answer comes at the end of the work, so two servers worked on the request for all that time; the users' rules allow 400 ms. A refusal comes at once, so the silent server is closed 200 ms after the next one was asked. The next server of a stream begins to work when it sends the head, so streams need no such limit.

--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -17,6 +17,10 @@
 /// Interval at which a stream that is being handed over is checked for events of its
 /// silent server.
 constexpr duration handover_poll = std::chrono::milliseconds(50);
+/// Time in which a server usually refuses a request that it does not take. After that, a
+/// request without a stream is left to it, so that two servers do not work on it for
+/// long.
+constexpr duration refusal_time = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -94,7 +98,8 @@
 
 task<read_outcome> request_flow::read_answer_head()
 {
-    auto silent_at = silent_ ? boot_now() : first_byte_limit();
+    auto const began = boot_now();
+    auto silent_at = silent_ ? began : first_byte_limit();
     for (;;)
     {
         exchange_->set_idle_limit(silent_at);
@@ -109,6 +114,11 @@
             exchange_->set_failure("the silent server went on");
             co_return read_outcome::idle;
         }
+        // The next server of a stream begins to work when it sends the head. That of any
+        // other request may be at work already.
+        if (silent_ && route_->kind != request_kind::stream &&
+            boot_now() - began >= refusal_time)
+            silent_->exchange->close();
         if (!silent_ && is_silent(silent_at))
         {
             bool const moved = co_await hand_over();
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -214,6 +214,25 @@
         silent = wait_until(lambda: self.instance.events(1103), "the silence is logged")
         self.assertEqual([event["not_repeated"] for event in silent], [""])
 
+    def test_slow_request_does_not_run_at_two_servers_for_long(self) -> None:
+        """Guards against two servers that work on one request until one of them answers."""
+        arrived_at: list[float] = []
+        left_at: list[float] = []
+        for server in (self.plain, self.other):
+            def run(call, body, usual=server._run) -> None:
+                arrived_at.append(time.monotonic())
+                if len(arrived_at) > 1:
+                    time.sleep(1.0)
+                    usual(call, body)
+                    return
+                call.connection.settimeout(HANG_LIMIT_S)
+                call.connection.recv(1)
+                left_at.append(time.monotonic())
+                call.close_connection = True
+            server._run = run
+        self.assertEqual(self.plain_status(), 200)
+        self.assertLess(left_at[0] - arrived_at[1], 0.4)
+
 
 if __name__ == "__main__":
     unittest.main()
