Interrupt a read again if nothing was pending when it was due

Found by review, by reading: the interruption of a read is sent once. If the read's inner receive had completed in that moment, the signal was lost, and a read that needed more bytes waited until the request's deadline. It is now sent with each check until the next read sets a new time.

--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -119,7 +119,8 @@
     {
         if (socket->interruption_time_ <= now)
         {
-            socket->interrupt_read_at(time_point::max());
+            // Repeated with each check: between two steps of a read, nothing is pending
+            // that could be cancelled.
             socket->read_interrupted_ = true;
             socket->interruption_.emit(asio::cancellation_type::terminal);
         }
