Remove the reservation that no attempt takes any more

Since a request is handed over before the head of an answer too, the reserved server is always taken by the hand-over itself. silent_server_test passes.

--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -198,7 +198,7 @@
 {
     for (;;)
     {
-        auto refused = co_await take_server();
+        auto refused = co_await choose_server();
         if (refused)
         {
             if (abandoned_)
@@ -221,14 +221,6 @@
     }
 }
 
-task<std::optional<request_flow::refusal>> request_flow::take_server()
-{
-    if (!reserved_server_)
-        co_return co_await choose_server();
-    server_ = *std::exchange(reserved_server_, std::nullopt);
-    co_return std::nullopt;
-}
-
 backend_requirements request_flow::criteria() const
 {
     return {service_->name, head_.model, head_.affinity, excluded_};
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -149,8 +149,6 @@
     void set_deadlines();
     [[nodiscard]] task<bool> run_attempts();
     [[nodiscard]] task<std::optional<refusal>> choose_server();
-    /// Takes the reserved server, or else chooses one.
-    [[nodiscard]] task<std::optional<refusal>> take_server();
     [[nodiscard]] std::optional<refusal> waiting_refusal(backend_choice const& choice,
                                                          time_point waiting_since,
                                                          time_point now) const;
@@ -196,6 +194,7 @@
     /// current server is silent. Returns why that is not possible; the exchange then goes
     /// on.
     [[nodiscard]] repeat_denial reserve_next_run(time_point now);
+    /// Reserves the next run, logs the result, and marks a server that keeps the request.
     [[nodiscard]] bool may_leave_silent_server();
     void log_silence(repeat_denial denial, time_point now);
     /// Moves a request whose server is silent to another server, if that one accepts it.
@@ -204,7 +203,7 @@
     /// Whether the head of the answer is one that may be passed on.
     [[nodiscard]] bool accepts_answer() const;
     void leave_server(silent_attempt& silent);
-    /// Goes on with the silent server, because the other one did not accept the stream.
+    /// Goes on with the silent server, because the other one did not accept the request.
     void return_to_server(silent_attempt& silent, attempt_outcome outcome);
     [[nodiscard]] task<attempt_outcome> finish_stream();
     /// Whether an answer without a length ended where a stream does not end. If so,
@@ -274,8 +273,9 @@
     backend_record server_;
     std::unique_ptr<in_flight_guard> in_flight_;
     std::unique_ptr<backend_exchange> exchange_;
+    /// Set while another server is asked to take the request over.
     std::optional<silent_attempt> silent_;
-    /// The server for the next attempt, which the retry budget has paid for.
+    /// The server that is to take the request over; the retry budget has paid for it.
     std::optional<backend_record> reserved_server_;
     /// The latest logged reason for which a silent server keeps the request.
     std::optional<repeat_denial> logged_silence_;
--- a/src/transport/entry/request_repeat.cpp
+++ b/src/transport/entry/request_repeat.cpp
@@ -74,7 +74,7 @@
     // Not charged to the retry budget, because no server received the request.
     if (outcome == attempt_outcome::not_sent)
         return true;
-    if (!reserved_server_ && !services_.retries.take(service_->name, now))
+    if (!services_.retries.take(service_->name, now))
     {
         services_.metrics.count("repeats_denied_total");
         denial_ = repeat_denial::retry_budget;
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-/// Interval at which a stream that is being handed over is checked for events of its
-/// silent server.
+/// Interval at which the silent server is checked for input while another one is asked to
+/// take the request over.
 constexpr duration handover_poll = std::chrono::milliseconds(50);
 /// Time in which a server usually refuses a request that it does not take. After that, a
 /// request without a stream is left to it, so that two servers do not work on it for
