--- a/tests/entry/answer_deadlines_test.py
+++ b/tests/entry/answer_deadlines_test.py
@@ -17,7 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
 from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
-from planned_stop_case import Caller, head  # noqa: E402
+from planned_stop_case import Caller, PlannedStopCase, head  # noqa: E402
 from platform_fleet import BackendServer, Store  # noqa: E402
 
 # Longer than the instance's limit for one write to a caller (write_timeout).
@@ -38,7 +38,7 @@
     return head(path, id="s").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n") + "x"
 
 
-class AnswerDeadlinesCase(unittest.TestCase):
+class AnswerDeadlinesCase(PlannedStopCase):
     """Starts a store, a runner, a plain server and one instance."""
 
     more_settings = ""
@@ -57,16 +57,6 @@
         self.instance = Instance(self.store, "n1", more_settings=self.more_settings)
         self.instance.wait_until_serving(servers=2)
 
-    def tearDown(self) -> None:
-        self.instance.close()
-        for service in (self.plain, self.runner, self.store):
-            service.close()
-
-    def caller(self, receive_buffer: int = 0) -> Caller:
-        caller = Caller(self.instance, receive_buffer)
-        self.addCleanup(caller.socket.close)
-        return caller
-
     def start_stream(self, receive_buffer: int = 0) -> Caller:
         caller = self.caller(receive_buffer)
         caller.send(last_request("/draft/a"))
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -60,6 +60,16 @@
     def stream(self) -> list[int]:
         return event_ids(self.instance.raw_answer("/draft/a", "s1", "m1"))
 
+    def stream_in_a_stop(self) -> list[int]:
+        """Returns the events of a stream whose instance is told to stop while it runs."""
+        received: list[list[int]] = []
+        caller = threading.Thread(target=lambda: received.append(self.stream()))
+        caller.start()
+        wait_until(self.runs, "the stream runs")
+        self.instance.process.send_signal(signal.SIGTERM)
+        caller.join()
+        return received[0]
+
     def runs(self) -> list[str]:
         """Returns the names of the runners that ran a request, in the order of the runs."""
         runs = sorted((run["at"], run["server"]) for runner in self.runners for run in runner.ran)
@@ -78,13 +88,7 @@
 
     def test_stream_without_a_retry_budget_is_not_cut_for_a_silence_in_a_stop(self) -> None:
         """Guards against the same during a planned stop of the instance."""
-        received: list[list[int]] = []
-        caller = threading.Thread(target=lambda: received.append(self.stream()))
-        caller.start()
-        wait_until(self.runs, "the stream runs")
-        self.instance.process.send_signal(signal.SIGTERM)
-        caller.join()
-        self.assertEqual(received, [WHOLE_STREAM])
+        self.assertEqual(self.stream_in_a_stop(), WHOLE_STREAM)
         self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
 
     def test_stream_with_a_late_first_event_is_not_failed_without_a_retry_budget(self) -> None:
@@ -118,13 +122,7 @@
 
     def test_stream_with_no_other_server_is_not_cut_for_a_silence_in_a_stop(self) -> None:
         """Guards against the same during a planned stop of the instance."""
-        received: list[list[int]] = []
-        caller = threading.Thread(target=lambda: received.append(self.stream()))
-        caller.start()
-        wait_until(self.runs, "the stream runs")
-        self.instance.process.send_signal(signal.SIGTERM)
-        caller.join()
-        self.assertEqual(received, [WHOLE_STREAM])
+        self.assertEqual(self.stream_in_a_stop(), WHOLE_STREAM)
 
 
 class TwoRunnersTest(SilentServerTest):
