Send a new hub's directory only once it has read the servers

Cause: an instance that becomes the hub starts from its own last reading of the store, and applied that to itself at its next change of any record. The reading may be as old as the time for which another instance was the hub, and lacks the removals that this one had sent. A server that was removed was selected again until the next reading. Other instances ignore a directory older than 1 s, and take a younger one with the same fault. Orders to runners followed from it too.

Change: until a reading that was asked for after the claim has ended, the hub's updates hold no directory and it plans no orders. All instances, itself included, keep the directory of the former hub, which is the newest there is.

Evidence: the new test stops one hub, lets the other one remove a server, and delays the first one's reading by 0.7 s when it becomes the hub again.

--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -58,15 +58,21 @@
     hub_.start(keeper_.first_holder());
     for (auto const& [id, record] : servers)
         hub_.put_server(record, boot_now());
-    pushed_revision_ = hub_.revision();
+    hub_since_ = boot_now();
+    pushed_revision_ = 0;
     link_.send_status_soon();
 }
 
+bool entry_node::directory_is_current() const
+{
+    return reader_.servers_read_at() >= hub_since_;
+}
+
 void entry_node::plan_orders()
 {
     auto const now = boot_now();
     if (!hub_active_ || !order_authorization_.allows_orders(now) ||
-        !reader_.servers_listed())
+        !reader_.servers_listed() || !directory_is_current())
         return;
     for (auto& order : hub_.plan(authority_, now))
     {
@@ -179,10 +185,12 @@
 
 void entry_node::push_changes()
 {
-    if (!hub_active_ ||
-        (hub_.revision() == pushed_revision_ && authority_.version() == pushed_config_))
+    if (!hub_active_)
+        return;
+    auto const revision = directory_is_current() ? hub_.revision() : 0;
+    if (revision == pushed_revision_ && authority_.version() == pushed_config_)
         return;
-    pushed_revision_ = hub_.revision();
+    pushed_revision_ = revision;
     pushed_config_ = authority_.version();
     link_.push_updates();
     apply_update(make_reply(status(false)));
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -276,6 +276,11 @@
 void entry_node::add_hub_fields(node_status const& status, node_update& update) const
 {
     update.directory_age_us = (boot_now() - reader_.servers_read_at()).count();
+    if (!directory_is_current())
+    {
+        update.directory_hub = 0;
+        update.directory.clear();
+    }
     add_config_and_lease(status, update);
 }
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -99,6 +99,9 @@
     [[nodiscard]] bool ready() const;
     void update_readiness();
     void update_hub_role();
+    /// Whether the servers were read from the store since this instance became the hub.
+    /// Until then its directory may lack changes that the former hub had sent.
+    [[nodiscard]] bool directory_is_current() const;
     void plan_orders();
     /// Whether the server has not announced that it is leaving or pausing.
     [[nodiscard]] bool may_call(std::string const& server) const;
@@ -165,6 +168,8 @@
     std::unordered_map<std::uint32_t, std::string> ids_by_short_id_;
     peer_addresses peer_addresses_;
     store_read_policy read_policy_;
+    time_point hub_since_{};
+    /// Revision of the directory that was last sent to all instances; zero if none was.
     std::uint64_t pushed_revision_ = 0;
     std::uint64_t pushed_config_ = 0;
     time_point next_settings_check_{};
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -178,6 +178,8 @@
     def __init__(self, store: Store) -> None:
         self.store = store
         self.refuse = False
+        # Seconds before a call for the rows of a table is answered, by the table's name.
+        self.delays_s: dict[str, float] = {}
         self.rewrite_hub_address = None
         self.calls: list[str] = []
         # Arrival time, path and answer status of each call.
@@ -195,6 +197,8 @@
             send_answer(status, *rest)
 
         call.answer = answer
+        table = parse_qs(urlsplit(path).query).get("table", [""])[0]
+        time.sleep(self.delays_s.get(table, 0))
         if self.refuse:
             call.answer_json(503, {})
         else:
--- a/tests/entry/server_availability_process_test.py
+++ b/tests/entry/server_availability_process_test.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import threading
 import time
@@ -24,6 +25,10 @@
 DEADLINE_S = 10.0
 # Longer than the route's timeout, which is shorter than the callers' deadline.
 LONG_PAUSE_S = 9
+# Time that a reading of the list of servers takes where a test delays it.
+READING_TIME_S = 0.7
+# Number of the log event for a changed record of a server.
+BACKEND_CHANGED = 1130
 
 
 class ServerAvailabilityTest(unittest.TestCase):
@@ -64,6 +69,18 @@
             self.assertEqual(status, 200)
         self.assertEqual(len(server.arrivals), before)
 
+    @staticmethod
+    def is_hub(instance: Instance) -> bool:
+        return instance.state()["hub"]["this_instance"]
+
+    def changes_of(self, instance: Instance, server: str) -> list[dict]:
+        """Returns the logged changes of a server's record at the instance."""
+        return [event for event in instance.events(BACKEND_CHANGED)
+                if event["server"] == server]
+
+    def models_of(self, instance: Instance, server: str) -> list[str]:
+        return self.server_state(instance, server)["models"]
+
     def server_state(self, instance: Instance, name: str) -> dict:
         return next(server for server in instance.state()["backend_servers"]
                     if server["id"] == name)
@@ -109,6 +126,26 @@
                    "n2 learns it from the hub")
         self.assertEqual(self.runners[0].arrivals, [])
 
+    def test_removed_server_stays_removed_when_a_former_hub_becomes_hub_again(self) -> None:
+        """Guards against a new hub that starts from its own last reading of the store, and so
+        selects a server again that another hub has removed since."""
+        self.hub.process.send_signal(signal.SIGSTOP)
+        wait_until(lambda: self.is_hub(self.member), "n2 is the hub")
+        self.hub.process.send_signal(signal.SIGCONT)
+        wait_until(lambda: not self.is_hub(self.hub) and self.hub.state()["hub"]["answers"],
+                   "n1 follows n2")
+        self.store.remove("servers", "p0")
+        wait_until(lambda: len(self.hub.state()["backend_servers"]) == 3, "n1 has removed p0")
+        known = len(self.changes_of(self.hub, "p0"))
+        # The runner's report differs from what n1 read, which changes the directory of n1 as
+        # hub before it has read the list of servers.
+        self.runners[0].models["m2"] = []
+        self.hub.store_endpoint.delays_s["servers"] = READING_TIME_S
+        self.member.process.terminate()
+        wait_until(lambda: self.is_hub(self.hub), "n1 is the hub again")
+        wait_until(lambda: len(self.models_of(self.hub, "r0")) == 2, "n1 has r0's report")
+        self.assertEqual(self.changes_of(self.hub, "p0")[known:], [])
+
     def test_paused_server_gets_nothing_until_the_end_of_its_pause(self) -> None:
         """Guards against requests for a server during its pause."""
         self.plain[0].pauses = [str(PAUSE_S)] * MANY
