Soak: play fleets of more than three instances

Fleets of three draw the same schedule as before.

Traced to the harness: all instances logged store_lost with status 0, because 144 callers that did not wait after a refusal (155,136 requests) took the processor time of the store stand-in, which shares their process. Callers of larger fleets now wait as Retry-After says.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -20,6 +20,8 @@
 # Caller styles: maximum pause within a request and maximum pause between requests, in seconds.
 STYLES = {"brisk": (0.0, 0.04), "halves": (1.2, 0.04), "idle": (0.0, 5.0), "streams": (0.0, 0.2)}
 KINDS = ("book", "book", "status", "draft", "draft", "open")
+# Pause of a caller that waits when it is refused before it opens its next connection.
+CONNECT_PAUSE_S = 0.1
 MAX_REQUESTS_ON_A_CONNECTION = 40
 EXPECTED_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
@@ -74,8 +76,12 @@
     """A thread that sends requests one after another until it is stopped."""
 
     def __init__(self, name: str, seed: int, instances: list[Instance], keys,
-                 style: str = "brisk") -> None:
-        """Starts the thread; `keys` returns the API keys to choose from for the next request."""
+                 style: str = "brisk", waits_when_refused: bool = False) -> None:
+        """Starts the thread; `keys` returns the API keys to choose from for the next request.
+
+        A caller with `waits_when_refused` waits as Retry-After says, and after a refused
+        connection. Many callers that do not wait take the processor time of the stand-ins, which
+        share their process."""
         self.calls: list[Call] = []
         self._name = name
         self._random = random.Random(seed)
@@ -84,6 +90,7 @@
         self._pause_within, self._pause_between = STYLES[style]
         # A caller of streams uses each connection until the instance closes it.
         self._only_streams = style == "streams"
+        self._waits_when_refused = waits_when_refused
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -106,11 +113,16 @@
                     if self._stop.is_set() or not self._call(connection, instance):
                         break
                     self._stop.wait(self._random.uniform(0.005, self._pause_between))
+                    self._wait_if_refused(self.calls[-1])
             except OSError:
                 pass
             finally:
                 connection.close()
-            time.sleep(0.01)
+            time.sleep(CONNECT_PAUSE_S if self._waits_when_refused else 0.01)
+
+    def _wait_if_refused(self, call: Call) -> None:
+        if self._waits_when_refused:
+            self._stop.wait(float(call.headers.get("retry-after", 0)))
 
     def _request_numbers(self) -> Iterable[int]:
         if self._only_streams:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from callers import Call  # noqa: E402
 from entry_fleet import HANG_LIMIT_S, Instance, wait_until  # noqa: E402
 from faults import FaultPlayer  # noqa: E402
-from soak_fleet import QUOTA_BURST, QUOTA_RATE, SoakFleet  # noqa: E402
+from soak_fleet import INSTANCE_COUNT, QUOTA_BURST, QUOTA_RATE, SoakFleet  # noqa: E402
 from stop_load import last_run_ends  # noqa: E402
 
 RECOVERY_S = 12.0
@@ -68,9 +68,10 @@
     return found
 
 
-def run_seed(seed: int, untimed: bool, keep: Path | None) -> list[str]:
+def run_seed(seed: int, arguments: argparse.Namespace) -> list[str]:
     """Plays one seed and returns the promise violations, one line each."""
-    fleet = SoakFleet(seed)
+    untimed, keep = arguments.untimed, arguments.keep
+    fleet = SoakFleet(seed, arguments.instances)
     try:
         FaultPlayer(fleet).play()
         heal(fleet)
@@ -151,7 +152,8 @@
     running: list[subprocess.Popen] = []
     while waiting or running:
         while waiting and len(running) < arguments.jobs:
-            command = [sys.executable, "-B", __file__, "--seeds", str(waiting.pop(0))]
+            command = [sys.executable, "-B", __file__, "--seeds", str(waiting.pop(0)),
+                       "--instances", str(arguments.instances)]
             command += ["--untimed"] if arguments.untimed else []
             command += ["--keep", str(arguments.keep)] if arguments.keep else []
             running.append(subprocess.Popen(command))
@@ -166,13 +168,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1", help="N, FIRST-LAST or 'regression'")
     parser.add_argument("--jobs", type=int, default=1, help="seeds that run at once")
+    parser.add_argument("--instances", type=int, default=INSTANCE_COUNT,
+                        help="size of the fleet, a multiple of %(default)s")
     parser.add_argument("--untimed", action="store_true", help="leave out timed promises")
     parser.add_argument("--keep", type=Path, help="folder for the logs of broken seeds")
     arguments = parser.parse_args()
     seeds = parse_seeds(arguments.seeds)
     if len(seeds) != 1:
         return run_many(seeds, arguments)
-    found = run_seed(seeds[0], arguments.untimed, arguments.keep)
+    found = run_seed(seeds[0], arguments)
     for line in found[:20]:
         print(f"  {line}")
     return 1 if found else 0
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -13,8 +13,10 @@
 from fault_proxy import FaultProxy, ProxyLoop
 from platform_fleet import BackendServer, Store
 from promises import NON_DISRUPTIVE_KINDS
-from stop_load import SETTINGS, UnevenRunner, profile_of
+from stop_load import UnevenRunner, profile_of, settings
 
+# Instances of a fleet of the usual size. The numbers of runners and callers are those of such a
+# fleet; a larger one has as many times more.
 INSTANCE_COUNT = 3
 RUNNER_COUNT = 3
 STOP_LOAD_RUNNER_COUNT = 6
@@ -54,7 +56,8 @@
 class SoakFleet:
     """Store, servers, instances and callers of one seed."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, instance_count: int = INSTANCE_COUNT) -> None:
+        scale = instance_count // INSTANCE_COUNT
         self.random = random.Random(seed)
         self.seed = seed
         self.stop_load = profile_of(seed)
@@ -73,15 +76,16 @@
         self.peer_links: dict[tuple[str, str], FaultProxy] = {}
         self.names = (f"s{number}" for number in itertools.count())
         self.write_configuration()
-        self.servers = [self.add_server("plain") for _ in range(2)]
+        self.settings = settings(instance_count) if self.stop_load else ""
+        self.servers = [self.add_server("plain") for _ in range(2 * scale)]
         runners = STOP_LOAD_RUNNER_COUNT if self.stop_load else RUNNER_COUNT
-        self.servers += [self.add_server("llm") for _ in range(runners)]
-        self.instances = [self.add_instance(f"n{i}") for i in range(INSTANCE_COUNT)]
+        self.servers += [self.add_server("llm") for _ in range(runners * scale)]
+        self.instances = [self.add_instance(f"n{i}") for i in range(instance_count)]
         for instance in self.instances:
             instance.wait_until_serving(servers=len(self.servers))
         self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances,
-                               self.sampled_keys, style)
-                        for i, style in enumerate(self._caller_styles())]
+                               self.sampled_keys, style, scale > 1)
+                        for i, style in enumerate(self._caller_styles() * scale)]
 
     def _caller_styles(self) -> tuple[str, ...]:
         if self.stop_load:
@@ -110,7 +114,7 @@
     def add_instance(self, name: str) -> Instance:
         instance = Instance(self.store, name,
                             lambda address: self.link(f"store-{name}", address).address,
-                            SETTINGS if self.stop_load else "")
+                            self.settings)
         instance.store_endpoint.rewrite_hub_address = lambda address: self.peer_link_address(
             instance, address)
         return instance
--- a/tests/soak/stop_load.py
+++ b/tests/soak/stop_load.py
@@ -14,9 +14,9 @@
 SILENCE_S = (0.3, 3.0)
 MAX_SILENT_SHARE = 0.4
 EVENT_PAUSE_S = (0.0, 0.2)
-# Gives each of the three instances the fixed part of the retry budget that an instance of a
-# deployment with 95 instances and budget_slack 230 has.
-SETTINGS = "bounds.budget_slack=7.26\n"
+# Fixed part of the retry budget of one instance in a deployment with 95 instances and
+# budget_slack 230.
+BUDGET_SLACK_PER_INSTANCE = 230 / 95
 # Faults of servers that end no answer in progress.
 SERVER_KINDS = ("server_refuses", "leave", "leave_by_word", "server_pauses")
 
@@ -35,6 +35,12 @@
             Profile(starved=True, server_kinds=SERVER_KINDS))
 
 
+def settings(instances: int) -> str:
+    """Returns the settings that give each of the fleet's instances the retry budget that it has
+    in a large deployment."""
+    return f"bounds.budget_slack={BUDGET_SLACK_PER_INSTANCE * instances:.2f}\n"
+
+
 def profile_of(seed: int) -> Profile | None:
     return PROFILES[seed % len(PROFILES)] if seed >= FIRST_SEED else None
 
