Keep a silent server's stream until the next server's first event

What callers saw: a stream that ended in the middle although its server went on. The server had been silent, another one had sent the head that accepts the stream, and then broke off, sent an event that does not continue the stream, or sent an error.

Cause: the exchange with the silent server was closed when the next one's head had arrived. A head does not show that the run continues the stream.

Change: the exchange is kept until the next server's first event with data has been received and continues the stream, but for 200 ms after the head at most, because a request must not be worked on by two servers for 400 ms. If the next server fails in that time, the stream goes on at the silent one. If the silent one sends something first, the stream stays there. The events, the resume point and the head of each run are held apart meanwhile, so that nothing of both is joined; what was read from the chosen server is passed on before more is read.

Evidence: NextServerTest of silent_server_test, real processes.

A next server that breaks off without an event later than 200 ms after its head still cuts the stream.

--- a/fuzz/entry_peer_fuzz.cpp
+++ b/fuzz/entry_peer_fuzz.cpp
@@ -36,7 +36,7 @@
         events.append(bytes.substr(at, 7));
         taken += events.take_events();
     }
-    fuzz_check(taken + events.incomplete_event() == bytes,
+    fuzz_check(taken + std::string(events.incomplete_event()) == bytes,
                "no byte of a stream is lost or added");
 }
 
--- a/src/protocol/entry/event_splitter.cpp
+++ b/src/protocol/entry/event_splitter.cpp
@@ -31,21 +31,19 @@
     pending_.append(bytes);
 }
 
-std::size_t event_splitter::find_last_event_end()
+void event_splitter::find_last_event_end()
 {
-    std::size_t end = 0;
     for (; searched_bytes_ < pending_.size(); ++searched_bytes_)
     {
         char const c = pending_[searched_bytes_];
         bool const second_of_crlf = c == '\n' && after_cr_;
         if (second_of_crlf ? blank_line_ended_ : is_line_end(c) && at_line_start_)
-            end = searched_bytes_ + 1;
+            events_end_ = searched_bytes_ + 1;
         if (!second_of_crlf)
             blank_line_ended_ = is_line_end(c) && at_line_start_;
         at_line_start_ = is_line_end(c);
         after_cr_ = c == '\r';
     }
-    return end;
 }
 
 void event_splitter::discard_incomplete_event()
@@ -53,16 +51,25 @@
     *this = {};
 }
 
+std::string_view event_splitter::complete_events()
+{
+    find_last_event_end();
+    return std::string_view(pending_).substr(0, events_end_);
+}
+
+bool event_splitter::has_event_with_data()
+{
+    auto const events = complete_events();
+    return has_field(events, "id:") || has_field(events, "data");
+}
+
 std::string event_splitter::take_events()
 {
-    auto const end = find_last_event_end();
-    last_taken_has_data_ = false;
-    if (end == 0)
-        return {};
-    std::string events = pending_.substr(0, end);
-    pending_.erase(0, end);
+    last_taken_has_data_ = has_event_with_data();
+    std::string events(complete_events());
+    pending_.erase(0, events_end_);
     searched_bytes_ = pending_.size();
-    last_taken_has_data_ = has_field(events, "id:") || has_field(events, "data");
+    events_end_ = 0;
     return events;
 }
 
--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -17,6 +17,10 @@
 public:
     void append(std::string_view bytes);
 
+    /// Returns all complete events, which remain; empty if there is none.
+    [[nodiscard]] std::string_view complete_events();
+    /// Returns whether the complete events contain data or an id.
+    [[nodiscard]] bool has_event_with_data();
     /// Removes and returns all complete events; returns an empty string if there is none.
     [[nodiscard]] std::string take_events();
     /// Returns whether the events of the last take_events() contain data or an id.
@@ -29,19 +33,23 @@
     }
 
     /// Returns the received bytes of the event whose end has not arrived.
-    [[nodiscard]] std::string const& incomplete_event() const { return pending_; }
+    [[nodiscard]] std::string_view incomplete_event() const
+    {
+        return std::string_view(pending_).substr(events_end_);
+    }
     /// Discards the received bytes of the event whose end has not arrived.
     void discard_incomplete_event();
 
 private:
-    /// Searches the bytes that were not searched before. Returns the position after their
-    /// last blank line, or 0 if there is none.
-    [[nodiscard]] std::size_t find_last_event_end();
+    /// Searches the bytes that were not searched before, and updates events_end_.
+    void find_last_event_end();
 
     std::string pending_;
     /// Number of bytes of pending_ that have been searched for an event's end, so that
     /// each byte is searched only once.
     std::size_t searched_bytes_ = 0;
+    /// Position after the last blank line of pending_; 0 if there is none.
+    std::size_t events_end_ = 0;
     /// Whether the next byte begins a line, unless it is the second one of "\r\n".
     bool at_line_start_ = true;
     bool after_cr_ = false;
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -52,6 +52,9 @@
     /// The facts decoded from the head of the answer.
     [[nodiscard]] platform::answer_metadata const& metadata() const { return metadata_; }
 
+    /// Whether the head of the answer has been read.
+    [[nodiscard]] bool head_read() const { return parser_ && parser_->is_header_done(); }
+
     /// Length of the answer's body, if its head states it.
     [[nodiscard]] std::optional<std::uint64_t> length() const;
 
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -46,6 +46,7 @@
     last_received_ = boot_now();
     logged_silence_.reset();
     unread_since_.reset();
+    run_begun_ = false;
     auto connection = co_await services_.connections.acquire_for_request(
         server_.id, server_.address, head_.id, start_deadline_, connecting_);
     if (interrupted())
@@ -265,7 +266,9 @@
 
 task<request_flow::attempt_outcome> request_flow::relay_stream()
 {
-    begin_run();
+    // A run that took the stream over has begun already.
+    if (!run_begun_)
+        begin_run();
     auto silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
     for (;;)
     {
@@ -277,25 +280,29 @@
             if (moved)
                 silent_at = stream_begun_ ? stall_limit(boot_now()) : first_byte_limit();
         }
-        exchange_->set_deadline(stream_begun_ ? deadline_ : start_deadline_);
-        exchange_->set_idle_limit(silent_at);
-        auto const read = co_await exchange_->read_body();
-        if (read == read_outcome::idle)
-            continue;
-        if (read == read_outcome::failed)
+        // The attempt to move the stream may have read events already.
+        if (events_.complete_events().empty())
         {
-            services_.backends.note_failure(server_.id, boot_now());
-            co_return failure_outcome();
-        }
-        if (read == read_outcome::complete)
-            co_return co_await finish_stream();
-        last_received_ = boot_now();
-        events_.append(exchange_->body());
-        if (events_.incomplete_event_too_long())
-        {
-            exchange_->set_failure("an event exceeds the size limit");
-            services_.backends.note_failure(server_.id, boot_now());
-            co_return failure_outcome();
+            exchange_->set_deadline(stream_begun_ ? deadline_ : start_deadline_);
+            exchange_->set_idle_limit(silent_at);
+            auto const read = co_await exchange_->read_body();
+            if (read == read_outcome::idle)
+                continue;
+            if (read == read_outcome::failed)
+            {
+                services_.backends.note_failure(server_.id, boot_now());
+                co_return failure_outcome();
+            }
+            if (read == read_outcome::complete)
+                co_return co_await finish_stream();
+            last_received_ = boot_now();
+            events_.append(exchange_->body());
+            if (events_.incomplete_event_too_long())
+            {
+                exchange_->set_failure("an event exceeds the size limit");
+                services_.backends.note_failure(server_.id, boot_now());
+                co_return failure_outcome();
+            }
         }
         auto events = events_.take_events();
         if (events.empty())
@@ -328,6 +335,7 @@
 
 void request_flow::begin_run()
 {
+    run_begun_ = true;
     // The head is taken before the body is read, because trailers are added to it.
     if (stream_begun_)
         continuation_.begin_run();
@@ -351,14 +359,14 @@
     return failure_outcome();
 }
 
-bool request_flow::stream_cut_by_connection()
+bool request_flow::stream_cut_by_connection(stream_continuation const& continuation)
 {
     if (!exchange_->ends_with_connection() ||
         !is_event_stream(platform::decode_answer_form(answer_head_).content_type))
         return false;
     if (has_event_content(events_.incomplete_event()))
         exchange_->set_failure("the connection ended inside an event");
-    else if (continuation_.resumed_without_event())
+    else if (continuation.resumed_without_event())
         set_continuation_failure(continuation_fault::no_event);
     else
         return false;
@@ -368,7 +376,7 @@
 
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
-    if (stream_cut_by_connection())
+    if (stream_cut_by_connection(continuation_))
         co_return failure_outcome();
     auto const accepted = continuation_.accept(events_.incomplete_event());
     if (accepted.fault != continuation_fault::none)
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -133,6 +133,10 @@
         std::unique_ptr<in_flight_guard> in_flight;
         std::unique_ptr<backend_exchange> exchange;
         time_point last_received;
+        event_splitter events;
+        stream_continuation continuation;
+        http::response_header<> answer_head;
+        bool run_begun;
     };
     struct refusal
     {
@@ -200,6 +204,16 @@
     /// Moves a request whose server is silent to another server, if that one accepts it.
     /// Returns whether the request was moved.
     [[nodiscard]] task<bool> hand_over();
+    /// Waits for the first event of the server that is asked to take a stream over.
+    /// Returns whether the stream is left to that server, which it also is if no event
+    /// has arrived within a limited time.
+    [[nodiscard]] task<bool> receive_first_event();
+    /// Returns whether the stream can be left to the next server after a read from it;
+    /// nothing if that is not known yet.
+    [[nodiscard]] std::optional<bool> check_first_events(read_outcome read);
+    /// Whether the silent server has sent something while another one is asked. If so,
+    /// records that as the failure of the other one's exchange.
+    [[nodiscard]] bool silent_server_goes_on();
     /// Whether the head of the answer is one that may be passed on.
     [[nodiscard]] bool accepts_answer() const;
     void leave_server(silent_attempt& silent);
@@ -208,7 +222,7 @@
     [[nodiscard]] task<attempt_outcome> finish_stream();
     /// Whether an answer without a length ended where a stream does not end. If so,
     /// records the reason as the exchange's failure.
-    [[nodiscard]] bool stream_cut_by_connection();
+    [[nodiscard]] bool stream_cut_by_connection(stream_continuation const& continuation);
     [[nodiscard]] attempt_outcome failure_outcome() const;
     [[nodiscard]] attempt_outcome
     handle_rejection(platform::answer_metadata const& metadata);
@@ -290,6 +304,8 @@
     event_splitter events_;
     stream_continuation continuation_;
     http::response_header<> answer_head_;
+    /// begin_run() was called for the current exchange.
+    bool run_begun_ = false;
     std::string answer_body_;
     bool answer_buffered_ = false;
     /// The head of a long answer has been sent to the caller.
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -21,6 +21,10 @@
 /// request without a stream is left to it, so that two servers do not work on it for
 /// long.
 constexpr duration refusal_time = std::chrono::milliseconds(200);
+/// Time after the next server's head within which an event of a stream is awaited from
+/// it. A request must not be worked on by two servers for 400 ms; deadlines are checked
+/// every 50 ms.
+constexpr duration first_event_time = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -109,11 +113,8 @@
             exchange_->set_idle_limit(time_point::max());
             co_return read;
         }
-        if (silent_ && silent_->exchange->has_unread_input())
-        {
-            exchange_->set_failure("the silent server went on");
+        if (silent_ && silent_server_goes_on())
             co_return read_outcome::idle;
-        }
         // The next server of a stream begins to work when it sends the head. That of any
         // other request may be at work already.
         if (silent_ && route_->kind != request_kind::stream &&
@@ -134,8 +135,9 @@
     bool const leaving = may_leave_silent_server();
     if (!leaving)
         co_return false;
-    silent_.emplace(silent_attempt{std::move(server_), std::move(in_flight_),
-                                   std::move(exchange_), last_received_});
+    silent_.emplace(silent_attempt{
+        std::move(server_), std::move(in_flight_), std::move(exchange_), last_received_,
+        std::exchange(events_, {}), continuation_, answer_head_, run_begun_});
     server_ = *std::exchange(reserved_server_, std::nullopt);
     in_flight_ =
         std::make_unique<in_flight_guard>(services_, server_.id, head_.model.str());
@@ -143,7 +145,12 @@
         start_deadline_ = deadline_;
     services_.metrics.count("repeats_total");
     auto const ended = co_await begin_attempt();
-    bool const accepted = !ended && accepts_answer();
+    bool accepted = !ended && accepts_answer();
+    if (accepted && route_->kind == request_kind::stream)
+    {
+        begin_run();
+        accepted = co_await receive_first_event();
+    }
     auto silent = std::move(*silent_);
     silent_.reset();
     if (accepted)
@@ -153,6 +160,64 @@
     co_return accepted;
 }
 
+task<bool> request_flow::receive_first_event()
+{
+    auto const limit = boot_now() + first_event_time;
+    while (boot_now() < limit)
+    {
+        exchange_->set_idle_limit(std::min(limit, boot_now() + handover_poll));
+        auto const read = co_await exchange_->read_body();
+        if (read == read_outcome::more)
+        {
+            last_received_ = boot_now();
+            events_.append(exchange_->body());
+        }
+        auto const accepted = check_first_events(read);
+        if (accepted)
+            co_return *accepted;
+        // The head of the silent server's answer is no progress over the next one's.
+        if (silent_->exchange->head_read() && silent_server_goes_on())
+            co_return false;
+    }
+    co_return true;
+}
+
+std::optional<bool> request_flow::check_first_events(read_outcome read)
+{
+    if (events_.incomplete_event_too_long())
+        exchange_->set_failure("an event exceeds the size limit");
+    if (read == read_outcome::failed || events_.incomplete_event_too_long())
+    {
+        if (!interrupted())
+            services_.backends.note_failure(server_.id, boot_now());
+        return false;
+    }
+    bool const ended = read == read_outcome::complete;
+    auto continuation = continuation_;
+    auto fault = continuation.accept(events_.complete_events()).fault;
+    if (ended && fault == continuation_fault::none)
+        fault = continuation.accept(events_.incomplete_event()).fault;
+    if (fault != continuation_fault::none)
+    {
+        set_continuation_failure(fault);
+        services_.backends.note_failure(server_.id, boot_now());
+        return false;
+    }
+    if (ended)
+        return !stream_cut_by_connection(continuation);
+    if (events_.has_event_with_data())
+        return true;
+    return std::nullopt;
+}
+
+bool request_flow::silent_server_goes_on()
+{
+    if (!silent_->exchange->has_unread_input())
+        return false;
+    exchange_->set_failure("the silent server went on");
+    return true;
+}
+
 bool request_flow::accepts_answer() const
 {
     auto const& metadata = exchange_->metadata();
@@ -171,9 +236,6 @@
 {
     services_.backends.note_failure(silent.server.id, boot_now());
     excluded_.insert(silent.server.id);
-    // The next run sends the event anew.
-    events_.discard_incomplete_event();
-    begin_run();
     log_attempt(attempt_outcome::handed_over, silent.server.id, silent.last_received, {});
 }
 
@@ -186,6 +248,10 @@
     in_flight_ = std::move(silent.in_flight);
     exchange_ = std::move(silent.exchange);
     last_received_ = silent.last_received;
+    events_ = std::move(silent.events);
+    continuation_ = std::move(silent.continuation);
+    answer_head_ = std::move(silent.answer_head);
+    run_begun_ = silent.run_begun;
 }
 
 } // namespace carawayturn::entry
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -53,6 +53,36 @@
     }
 }
 
+// Guards against events that are lost or cut differently because they were looked at
+// before they were taken.
+TEST_F(event_splitter_test, complete_events_that_were_looked_at_are_taken_unchanged)
+{
+    std::string const first = "id: 1\ndata: a\n\n";
+    std::string const second = "data: b\r\n\r\n";
+    for (char const c : first + second + "da")
+    {
+        events_.append({&c, 1});
+        static_cast<void>(events_.complete_events());
+    }
+    EXPECT_EQ(events_.complete_events(), first + second);
+    EXPECT_EQ(events_.incomplete_event(), "da");
+    EXPECT_EQ(events_.take_events(), first + second);
+    EXPECT_TRUE(events_.last_taken_has_data());
+    EXPECT_EQ(events_.complete_events(), "");
+    EXPECT_EQ(events_.incomplete_event(), "da");
+}
+
+// Guards against comment lines and parts of events that count as an event.
+TEST_F(event_splitter_test, event_with_data_is_known_once_it_is_complete)
+{
+    events_.append(": still here\n\n");
+    EXPECT_FALSE(events_.has_event_with_data());
+    events_.append("data: a\n");
+    EXPECT_FALSE(events_.has_event_with_data());
+    events_.append("\n");
+    EXPECT_TRUE(events_.has_event_with_data());
+}
+
 // Guards against counting comment lines as progress of a stalled stream.
 TEST_F(event_splitter_test, comment_line_is_no_data)
 {
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -16,6 +16,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
 from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
+from misbehaving_server import (  # noqa: E402
+    COMMENT, END, STREAM, Connection, MisbehavingServer, Request, chunk, event, head)
 from platform_fleet import BackendServer, Store  # noqa: E402
 
 # Longer than the time after which another server is looked for: five times the gap objective, a
@@ -23,6 +25,8 @@
 SILENCE_S = 2.5
 # Settings with which no request may be sent a second time.
 NO_RETRY_BUDGET = "bounds.budget_slack=0\nbounds.retry_budget_ratio=0\n"
+# Settings with which the retry budget covers every further run of a test.
+RETRY_BUDGET = "bounds.budget_slack=200\n"
 WHOLE_STREAM = [1, 2, 3, 4, 5]
 
 
@@ -232,5 +236,159 @@
         self.assertLess(left_at[0] - arrived_at[1], 0.4)
 
 
+class NextServerTest(unittest.TestCase):
+    """The server that receives a stream first sends two events and is silent; another one is
+    asked to take the stream over and answers in the way that a test selects."""
+
+    def setUp(self) -> None:
+        self.store = Store()
+        config = configuration(1, ["k1"])
+        for route in config["routes"]:
+            route["gap_target_ms"] = 100
+        self.store.put("op", "config", config)
+        self.runners = [MisbehavingServer(self.store, f"r{number}", "llm", ["m1"])
+                        for number in range(2)]
+        for runner in self.runners:
+            runner.play(self.answer_run)
+        self.instance = Instance(self.store, "n1", more_settings=RETRY_BUDGET)
+        self.instance.wait_until_serving(servers=2)
+        # What the first server does after its two events, and how the next one answers.
+        self.go_on_first = self.go_on_late
+        self.answer_next = self.continue_stream
+        self.next_arrived = threading.Event()
+
+    def tearDown(self) -> None:
+        self.instance.close()
+        for service in (*self.runners, self.store):
+            service.close()
+
+    def answer_run(self, connection: Connection, request: Request) -> None:
+        if request.path == "/order":
+            connection.send(head(request.id, "Content-Length: 0\r\n", 409))
+        elif "last-event-id" in request.headers:
+            self.next_arrived.set()
+            self.answer_next(connection, request)
+        else:
+            connection.send(head(request.id, STREAM) + chunk(event(1)) + chunk(event(2)))
+            self.go_on_first(connection)
+
+    def go_on_late(self, connection: Connection) -> None:
+        time.sleep(SILENCE_S)
+        connection.send(b"".join(chunk(event(number)) for number in (3, 4, 5)) + END)
+
+    def continue_stream(self, connection: Connection, request: Request) -> None:
+        connection.send(head(request.id, STREAM) +
+                        b"".join(chunk(event(number)) for number in (3, 4, 5)) + END)
+
+    def answer_next_with(self, *pieces: bytes, pause_s: float = 0.0) -> None:
+        """Makes the next server send the head of a stream and these pieces, and close the
+        connection."""
+        def answer(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, STREAM))
+            time.sleep(pause_s)
+            connection.send(b"".join(pieces))
+            connection.finish()
+        self.answer_next = answer
+
+    def stream(self) -> list[int]:
+        return event_ids(self.instance.raw_answer("/draft/a", "s1", "m1"))
+
+    def assert_whole_without_next(self) -> None:
+        """Checks that the stream is whole although the next server, which was asked, failed."""
+        self.next_arrived.clear()
+        began = time.monotonic()
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertTrue(self.next_arrived.is_set())
+        self.assertLess(time.monotonic() - began, 2 * SILENCE_S)
+
+    def test_stream_whose_next_server_breaks_off_after_its_head_is_whole(self) -> None:
+        """Guards against a silent server that is left before the next one sends an event."""
+        for pause_s in (0.0, 0.05):
+            with self.subTest(pause_s=pause_s):
+                self.answer_next_with(pause_s=pause_s)
+                self.assert_whole_without_next()
+
+    def test_stream_whose_next_server_breaks_off_in_its_first_event_is_whole(self) -> None:
+        """Guards against a part of an event that counts as one, or is joined to the next."""
+        self.answer_next_with(chunk(COMMENT), chunk(event(3)[:-1]))
+        self.assert_whole_without_next()
+
+    def test_stream_whose_next_server_starts_over_is_whole(self) -> None:
+        """Guards against a silent server that is left for one that does not continue."""
+        self.answer_next_with(*(chunk(event(number)) for number in range(1, 6)), END)
+        self.assert_whole_without_next()
+
+    def test_stream_whose_next_server_sends_an_error_is_whole(self) -> None:
+        """Guards against the same for an error's text, in an event or at the answer's end."""
+        for error in (b'{"error":{}}', b'{"error":{}}\n\n'):
+            with self.subTest(error=error):
+                self.answer_next_with(chunk(error), END)
+                self.assert_whole_without_next()
+
+    def test_stream_whose_next_server_has_only_its_end_left_is_whole(self) -> None:
+        """Guards against a continuation that is refused because no event is left."""
+        def send_all(connection: Connection) -> None:
+            connection.send(b"".join(chunk(event(number)) for number in (3, 4, 5)))
+            connection.wait_for_close()
+        self.go_on_first = send_all
+        self.answer_next_with(END)
+        began = time.monotonic()
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertLess(time.monotonic() - began, 2 * SILENCE_S)
+
+    def test_stream_that_both_servers_continue_is_sent_once(self) -> None:
+        """Guards against pieces of two runs that are joined while both servers are kept."""
+        for first_delay_s, next_delay_s in ((0.0, 0.0), (0.05, 0.0), (0.0, 0.1), (0.15, 0.1)):
+            with self.subTest(first_delay_s=first_delay_s, next_delay_s=next_delay_s):
+                self.next_arrived.clear()
+
+                def go_on(connection: Connection, delay_s=first_delay_s) -> None:
+                    connection.send(chunk(b"id: 3\nda"))
+                    self.next_arrived.wait(HANG_LIMIT_S)
+                    time.sleep(delay_s)
+                    connection.send(chunk(b"ta: 3\n\n") + chunk(event(4)) + chunk(event(5)) +
+                                    END)
+                self.go_on_first = go_on
+                self.answer_next_with(*(chunk(event(number)) for number in (3, 4, 5)), END,
+                                      pause_s=next_delay_s)
+                answer = self.instance.raw_answer("/draft/a", "s1", "m1")
+                self.assertEqual(event_ids(answer), WHOLE_STREAM)
+                for number in WHOLE_STREAM:
+                    self.assertEqual(answer.count(b"data: %d\n" % number), 1)
+
+    def test_stream_that_goes_on_before_the_next_first_event_does_not_wait(self) -> None:
+        """Guards against an event of the silent server that waits for the next server's."""
+        def go_on(connection: Connection) -> None:
+            self.next_arrived.wait(HANG_LIMIT_S)
+            time.sleep(0.1)
+            connection.send(b"".join(chunk(event(number)) for number in (3, 4, 5)) + END)
+        self.go_on_first = go_on
+        self.answer_next_with(pause_s=5.0)
+        began = time.monotonic()
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertLess(time.monotonic() - began, 3.0)
+
+    def test_stream_does_not_run_at_two_servers_for_long(self) -> None:
+        """Guards against a silent server that is kept until the next one's first event."""
+        left_at: list[float] = []
+        arrived_at: list[float] = []
+
+        def wait_for_close(connection: Connection) -> None:
+            try:
+                connection.wait_for_close()
+            finally:
+                left_at.append(time.monotonic())
+
+        def answer_late(connection: Connection, request: Request) -> None:
+            arrived_at.append(time.monotonic())
+            connection.send(head(request.id, STREAM))
+            time.sleep(0.8)
+            connection.send(b"".join(chunk(event(number)) for number in (3, 4, 5)) + END)
+        self.go_on_first = wait_for_close
+        self.answer_next = answer_late
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertLess(left_at[0] - arrived_at[0], 0.4)
+
+
 if __name__ == "__main__":
     unittest.main()
