Read a silent server's comments while another server is asked

What callers saw: a stream that was cut at its deadline although another server would have continued it. Its own server sent only comments, such as ": keep-alive" lines, or a part of an event.

Cause: while another server is asked to take a stream over, any byte from the silent one counted as going on. The other server's run was given up for it, the silent one sent no event, and the route allowed no further run. For the current server, only an event with data or an id counts as progress.

Change: the silent server's body is read while the other one is asked. Only an event with data or an id, or the end of the answer, counts as going on. Comments and parts of events are kept, up to the size limit of an event, and are passed on if the stream stays with the silent server. Before the head of its answer has been read, any byte counts as before.

Evidence: silent_server_test, real processes. On the commit before, all 8 subtests of test_stream_of_a_server_that_sends_no_whole_event_is_moved fail (comment, comment line, part of an event, part of a chunk; each while the next server's head is awaited and while its first event is), all alike:

AssertionError: Lists differ: [1, 2, 0] != [1, 2, 3, 4, 5]

The two other new cases, which guard what is read meanwhile, pass before and after. Now all 26 cases pass; resumed_stream_test (26), answer_deadlines_test (7) and repeated_answer_test (10) pass.

--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -54,6 +54,8 @@
 
     /// Whether the head of the answer has been read.
     [[nodiscard]] bool head_read() const { return parser_ && parser_->is_header_done(); }
+    /// Whether the whole answer has been read.
+    [[nodiscard]] bool answer_read() const { return parser_ && parser_->is_done(); }
 
     /// Length of the answer's body, if its head states it.
     [[nodiscard]] std::optional<std::uint64_t> length() const;
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -211,9 +211,12 @@
     /// Returns whether the stream can be left to the next server after a read from it;
     /// nothing if that is not known yet.
     [[nodiscard]] std::optional<bool> check_first_events(read_outcome read);
-    /// Whether the silent server has sent something while another one is asked. If so,
-    /// records that as the failure of the other one's exchange.
-    [[nodiscard]] bool silent_server_goes_on();
+    /// Reads what the silent server has sent while another one is asked. Returns whether
+    /// it goes on, and then records that as the failure of the other one's exchange.
+    [[nodiscard]] task<bool> silent_server_goes_on();
+    /// Reads what has arrived of the silent server's stream. Returns whether that is an
+    /// event with data or the end of the answer; comments and parts of events are kept.
+    [[nodiscard]] static task<bool> read_silent_stream(silent_attempt& silent);
     /// Whether the head of the answer is one that may be passed on.
     [[nodiscard]] bool accepts_answer() const;
     void leave_server(silent_attempt& silent);
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -113,8 +113,12 @@
             exchange_->set_idle_limit(time_point::max());
             co_return read;
         }
-        if (silent_ && silent_server_goes_on())
-            co_return read_outcome::idle;
+        if (silent_)
+        {
+            bool const goes_on = co_await silent_server_goes_on();
+            if (goes_on)
+                co_return read_outcome::idle;
+        }
         // The next server of a stream begins to work when it sends the head. That of any
         // other request may be at work already.
         if (silent_ && route_->kind != request_kind::stream &&
@@ -176,7 +180,10 @@
         if (accepted)
             co_return *accepted;
         // The head of the silent server's answer is no progress over the next one's.
-        if (silent_->exchange->head_read() && silent_server_goes_on())
+        if (!silent_->exchange->head_read())
+            continue;
+        bool const goes_on = co_await silent_server_goes_on();
+        if (goes_on)
             co_return false;
     }
     co_return true;
@@ -210,12 +217,32 @@
     return std::nullopt;
 }
 
-bool request_flow::silent_server_goes_on()
+task<bool> request_flow::silent_server_goes_on()
 {
-    if (!silent_->exchange->has_unread_input())
-        return false;
-    exchange_->set_failure("the silent server went on");
-    return true;
+    bool goes_on = false;
+    if (silent_->exchange->head_read())
+        goes_on = co_await read_silent_stream(*silent_);
+    else
+        goes_on = silent_->exchange->has_unread_input();
+    if (goes_on)
+        exchange_->set_failure("the silent server went on");
+    co_return goes_on;
+}
+
+task<bool> request_flow::read_silent_stream(silent_attempt& silent)
+{
+    auto& exchange = *silent.exchange;
+    // The size limit also bounds comments that arrive without end.
+    while (exchange.has_unread_input() && !silent.events.incomplete_event_too_long())
+    {
+        exchange.set_idle_limit(boot_now());
+        auto const read = co_await exchange.read_body();
+        if (read != read_outcome::more)
+            break;
+        silent.last_received = boot_now();
+        silent.events.append(exchange.body());
+    }
+    co_return exchange.answer_read() || silent.events.has_event_with_data();
 }
 
 bool request_flow::accepts_answer() const
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -389,6 +389,64 @@
         self.assertEqual(self.stream(), WHOLE_STREAM)
         self.assertLess(left_at[0] - arrived_at[0], 0.4)
 
+    def send_until_closed(self, connection: Connection, piece: bytes) -> None:
+        while True:
+            connection.send(piece)
+            time.sleep(0.02)
+
+    def test_stream_of_a_server_that_sends_no_whole_event_is_moved(self) -> None:
+        """Guards against comments, or a part of an event, for which the next server's run is
+        given up: no other run was left, and the stream was cut at the deadline."""
+        pieces = {"comment": chunk(b": keep-alive\n\n"), "comment line": chunk(b": a\n"),
+                  "part of an event": chunk(b"data: x\n"), "part of a chunk": b"0"}
+        # Before the next server's head, and between its head and its first event.
+        for name, piece in pieces.items():
+            for before_head_s, after_head_s in ((0.3, 0.0), (0.0, 0.15)):
+                with self.subTest(piece=name, before_head_s=before_head_s):
+                    self.go_on_first = lambda connection, piece=piece: self.send_until_closed(
+                        connection, piece)
+
+                    def answer(connection: Connection, request: Request,
+                               pauses=(before_head_s, after_head_s)) -> None:
+                        time.sleep(pauses[0])
+                        connection.send(head(request.id, STREAM))
+                        time.sleep(pauses[1])
+                        connection.send(b"".join(map(chunk, map(event, (3, 4, 5)))) + END)
+                    self.answer_next = answer
+                    began = time.monotonic()
+                    answer = self.instance.raw_answer("/draft/a", "s1", "m1")
+                    self.assertEqual(event_ids(answer), WHOLE_STREAM)
+                    self.assertNotIn(b"data: x", answer)
+                    self.assertLess(time.monotonic() - began, 5.0)
+
+    def test_comments_and_events_of_a_server_that_goes_on_are_passed_on(self) -> None:
+        """Guards against the loss of what was read while the next server was asked."""
+        def go_on(connection: Connection) -> None:
+            self.next_arrived.wait(HANG_LIMIT_S)
+            for piece in (COMMENT, COMMENT, b"id: 3\n", b"data: 3\n", b"\n" + event(4)):
+                connection.send(chunk(piece))
+                time.sleep(0.1)
+            connection.send(chunk(event(5)) + END)
+        self.go_on_first = go_on
+        self.answer_next = lambda connection, request: connection.wait_for_close()
+        answer = self.instance.raw_answer("/draft/a", "s1", "m1")
+        self.assertEqual(event_ids(answer), WHOLE_STREAM)
+        self.assertEqual(answer.count(COMMENT), 2)
+        for number in WHOLE_STREAM:
+            self.assertEqual(answer.count(b"data: %d\n" % number), 1)
+
+    def test_stream_whose_end_comes_from_the_silent_server_is_whole(self) -> None:
+        """Guards against the end of an answer that does not count because it is no event."""
+        def send_all(connection: Connection) -> None:
+            connection.send(b"".join(chunk(event(number)) for number in (3, 4, 5)))
+            self.next_arrived.wait(HANG_LIMIT_S)
+            connection.send(chunk(COMMENT) + END)
+        self.go_on_first = send_all
+        self.answer_next = lambda connection, request: connection.wait_for_close()
+        began = time.monotonic()
+        self.assertEqual(self.stream(), WHOLE_STREAM)
+        self.assertLess(time.monotonic() - began, 5.0)
+
 
 if __name__ == "__main__":
     unittest.main()
