Give a hand-over's retry back if nothing was sent

What callers saw: a stream with a silent server that was cut although another server was free, because the retry budget was used up by hand-overs in which no server received the request.

Cause: a hand-over takes a retry from the budget when it reserves the next run. If the next server asked for a pause while its connection was being opened, nothing was sent and the retry was lost. may_repeat() does not charge such an attempt.

Change: the retry is given back if the attempt ended as not_sent, and the attempt is not counted in repeats_total.

Evidence: retry_budget_test covers the budget's side; before this change it does not compile, as there was no way to give a retry back. No test in the tree plays the hand-over itself: the pause has to arrive within the opening of a loopback connection.

--- a/src/coordination/entry/retry_budget.cpp
+++ b/src/coordination/entry/retry_budget.cpp
@@ -62,4 +62,9 @@
     return true;
 }
 
+void retry_budget::give_back(std::string const& service)
+{
+    accounts_[service].tokens += 1;
+}
+
 } // namespace carawayturn::entry
--- a/src/coordination/entry/retry_budget.hpp
+++ b/src/coordination/entry/retry_budget.hpp
@@ -25,6 +25,8 @@
 
     /// Takes one retry from the budget. Returns false if the budget is used up.
     [[nodiscard]] bool take(std::string const& service, time_point now);
+    /// Returns a retry that was taken, because nothing was sent for it.
+    void give_back(std::string const& service);
 
 private:
     struct account
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -147,8 +147,11 @@
         std::make_unique<in_flight_guard>(services_, server_.id, head_.model.str());
     if (stream_begun_)
         start_deadline_ = deadline_;
-    services_.metrics.count("repeats_total");
     auto const ended = co_await begin_attempt();
+    if (ended == attempt_outcome::not_sent)
+        services_.retries.give_back(service_->name);
+    else
+        services_.metrics.count("repeats_total");
     bool accepted = !ended && accepts_answer();
     if (accepted && route_->kind == request_kind::stream)
     {
--- a/tests/entry/quota_test.cpp
+++ b/tests/entry/quota_test.cpp
@@ -300,5 +300,23 @@
     EXPECT_TRUE(budget.take("service", at(2000)));
 }
 
+// Guards against retries that are charged although nothing was sent, and against ones
+// that are given back in excess of what was taken.
+TEST_F(retry_budget_test, retry_that_was_given_back_can_be_taken_once_more)
+{
+    retry_budget budget(bounds_);
+    budget.set_instances(15);
+    auto const take_all = [&budget]
+    {
+        int taken = 0;
+        while (budget.take("service", at(0)))
+            ++taken;
+        return taken;
+    };
+    EXPECT_GT(take_all(), 0);
+    budget.give_back("service");
+    EXPECT_EQ(take_all(), 1);
+}
+
 } // namespace
 } // namespace carawayturn::entry
