Use no connection to a former store after its address has changed

Operators: after a SIGHUP with another address of the store, an instance called the former store as long as that one answered, and followed its configuration and lease.

Cause: kept connections are found by the name "store", whatever the address.

Change: the name holds the address. Idle connections to the former store are closed by their usual limit.

Evidence: test_store_with_a_new_address_is_used_after_a_reload fails before ("not within 60 s: the new address is called") and passes after 3.5 s.

--- a/src/transport/entry/store_client.cpp
+++ b/src/transport/entry/store_client.cpp
@@ -28,7 +28,8 @@
                                                     duration timeout)
 {
     call_request http;
-    http.peer = "store";
+    // Names the address, so that no connection to a former store is used again.
+    http.peer = "store " + services_.settings.store_address;
     http.address = services_.settings.store_address;
     http.method =
         request.post ? boost::beast::http::verb::post : boost::beast::http::verb::get;
--- a/tests/entry/entry_process_test.py
+++ b/tests/entry/entry_process_test.py
@@ -17,7 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
 from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
-from platform_fleet import BackendServer, Store  # noqa: E402
+from platform_fleet import BackendServer, Store, StoreEndpoint  # noqa: E402
 
 
 # `bounds.lease_ms` of the instances, plus time for their start.
@@ -425,6 +425,15 @@
         wait_until(lambda: self.instance.events(1164),
                    "the changed file is read without a signal")
 
+    def test_store_with_a_new_address_is_used_after_a_reload(self) -> None:
+        """Guards against calls on kept connections to the store that was replaced."""
+        moved = StoreEndpoint(self.store)
+        self.addCleanup(moved.close)
+        settings = self.instance.settings.read_text(encoding="utf-8")
+        self.instance.settings.write_text(settings.replace(
+            self.instance.store_endpoint.address, moved.address), encoding="utf-8")
+        wait_until(lambda: moved.calls, "the new address is called")
+
     def send_raw(self, text: str) -> bytes:
         """Sends the text unchanged and returns all bytes received until the connection closes."""
         with socket.create_connection(("127.0.0.1", self.instance.front_port),
