Keep a server's complete error answer apart from those of later attempts

Cause: one head and one body served for both, the answer that may still be sent and the one that is being read; only the search for a next server used it.

Change: failure_answer_ keeps the latest complete error answer. It is what the caller gets if no later attempt delivers one.

Evidence: server_failure_test, 3 of 3 cases fail before and pass after.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -165,7 +165,6 @@
     exchange_->set_deadline(deadline_);
     answer_head_ = platform::encode_caller_answer(exchange_->head());
     answer_body_.clear();
-    answer_buffered_ = false;
     auto read = read_outcome::more;
     while (read == read_outcome::more)
     {
@@ -188,9 +187,9 @@
         services_.backends.note_failure(server_.id, boot_now());
         co_return failure_outcome();
     }
-    answer_buffered_ = true;
     if (status < 500)
         co_return handle_delivery();
+    failure_answer_ = {answer_head_, std::move(answer_body_)};
     release_connection();
     services_.backends.note_failure(server_.id, boot_now());
     co_return attempt_outcome::server_failure;
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -204,8 +204,6 @@
             if (abandoned_)
                 co_return false;
             denial_ = stopped_ ? repeat_denial::stopping : repeat_denial::no_server;
-            if (answer_buffered_)
-                co_return co_await answer_after(attempt_outcome::server_failure);
             if (runs_ > 0 || stream_begun_)
                 co_return co_await answer_after(attempt_outcome::unknown);
             co_return co_await refuse(*refused);
@@ -353,6 +351,14 @@
         log_end(stream_begun_ ? "stream_broken" : "answer_broken", 0);
         co_return false;
     }
+    // The complete answer of an earlier attempt tells the caller more than a refusal.
+    if (failure_answer_ && outcome != attempt_outcome::delivered &&
+        outcome != attempt_outcome::caller_gone)
+    {
+        outcome = attempt_outcome::server_failure;
+        answer_head_ = std::move(failure_answer_->head);
+        answer_body_ = std::move(failure_answer_->body);
+    }
     switch (outcome)
     {
     case attempt_outcome::delivered:
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -138,6 +138,11 @@
         http::response_header<> answer_head;
         bool run_begun;
     };
+    struct buffered_answer
+    {
+        http::response_header<> head;
+        std::string body;
+    };
     struct refusal
     {
         refusal_reason reason = refusal_reason::no_configuration;
@@ -310,7 +315,8 @@
     /// begin_run() was called for the current exchange.
     bool run_begun_ = false;
     std::string answer_body_;
-    bool answer_buffered_ = false;
+    /// The latest complete answer with an error status of a server.
+    std::optional<buffered_answer> failure_answer_;
     /// The head of a long answer has been sent to the caller.
     bool answer_begun_ = false;
 };
