Keep a slow plain request at its server until another one has answered

Callers: a plain request whose server needs more than half of its time got 504 or 502 although that server would have answered.

Cause: the exchange with the slow server was closed 200 ms after the next one had been asked, whatever that one did.

Change: that bound holds for model runners alone, where a request must not be worked on at two for long. Elsewhere only idempotent requests get here, and both exchanges are kept until one of them answers.

--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -119,9 +119,10 @@
             if (goes_on)
                 co_return read_outcome::idle;
         }
-        // The next server of a stream begins to work when it sends the head. That of any
-        // other request may be at work already.
-        if (silent_ && route_->kind != request_kind::stream &&
+        // A model must not work on a request at two runners for long. The next runner of
+        // a stream begins to work when it sends the head; that of any other request may
+        // be at work already.
+        if (silent_ && service_->engine && route_->kind != request_kind::stream &&
             boot_now() - began >= refusal_time)
             silent_->exchange->close();
         if (!silent_ && is_silent(silent_at))
