Let an organisation above its rate leave no debts while no hub answers

Cause: without a hub, an instance passes a request while its own share of the rate leaves a positive balance, and the balance may become negative. In a fleet of 161 instances the share is 228 units a second and the mean request 1,138 units, so each instance passed one request about five seconds before its share paid for it. The next hub does not know these debts.

The hub now lists the organisations that request more than their rate and burst. It counts requested units whether it grants them or not, in a bucket that starts full, because a new hub has less than the burst available and refuses organisations inside their rate too. While no hub answers, a request of a listed organisation that is larger than the balance uses all of the balance and passes with the probability balance / units. What the instances spend together is then on average at most what accrues, without debts. Organisations that are not listed pass as before.

The test organisation_above_its_rate_without_hub_gets_only_the_rate fails without the new condition in spend_without_hub: "Expected: (spent) <= (1.2 * accrued), actual: 4800 vs 3600".

--- a/src/coordination/entry/quota.cpp
+++ b/src/coordination/entry/quota.cpp
@@ -35,24 +35,34 @@
 {
     auto& entry = buckets_[organisation];
     if (entry.fresh)
-        entry = {terms.burst * initial_fill_, terms, now, false};
+        entry = {terms.burst * initial_fill_, terms, now, false, terms.burst};
     entry.terms = terms;
-    entry.level = level_at(entry, now);
+    entry.level = accrued(entry, entry.level, now);
+    entry.demand_level = accrued(entry, entry.demand_level, now);
     entry.last = now;
     return entry;
 }
 
-double hub_quota::level_at(bucket const& entry, time_point now) const
+double hub_quota::accrued(bucket const& entry, double level, time_point now) const
 {
-    double const accrued = to_seconds(now - entry.last) * entry.terms.rate * share_;
-    return std::min(entry.level + accrued, entry.terms.burst);
+    double const gain = to_seconds(now - entry.last) * entry.terms.rate * share_;
+    return std::min(level + gain, entry.terms.burst);
 }
 
 std::vector<std::string> hub_quota::drained(time_point now) const
 {
     std::vector<std::string> names;
     for (auto const& [organisation, entry] : buckets_)
-        if (level_at(entry, now) < entry.terms.burst * drained_share)
+        if (accrued(entry, entry.level, now) < entry.terms.burst * drained_share)
+            names.push_back(organisation);
+    return names;
+}
+
+std::vector<std::string> hub_quota::above_rate(time_point now) const
+{
+    std::vector<std::string> names;
+    for (auto const& [organisation, entry] : buckets_)
+        if (accrued(entry, entry.demand_level, now) < 0)
             names.push_back(organisation);
     return names;
 }
@@ -61,6 +71,7 @@
                              double units, double reserve, time_point now)
 {
     auto& entry = refresh(organisation, terms, now);
+    entry.demand_level = std::max(entry.demand_level - units, -terms.burst);
     // A request larger than the burst is granted when the bucket is full, and leaves a
     // negative level.
     double const needed = std::min(units, terms.burst);
@@ -72,9 +83,12 @@
     entry.level -= units;
     double const extra = std::clamp(entry.level / 2, 0.0, reserve);
     entry.level -= extra;
+    entry.demand_level -= extra;
     return {units + extra, duration::zero()};
 }
 
+instance_quota::instance_quota(std::uint64_t seed) : random_(seed) {}
+
 bool instance_quota::spend(std::string const& organisation, double units)
 {
     auto& entry = accounts_[organisation];
@@ -96,6 +110,11 @@
     last_hub_update_ = now;
 }
 
+void instance_quota::set_above_rate(std::vector<std::string> const& organisations)
+{
+    above_rate_ = {organisations.begin(), organisations.end()};
+}
+
 bool instance_quota::spend_without_hub(std::string const& organisation,
                                        quota_terms const& terms, double units,
                                        std::size_t instances, time_point now)
@@ -114,10 +133,20 @@
     entry.accrue_without_hub(instance_rate, cap, now);
     if (entry.without_hub_balance <= 0)
         return false;
+    if (entry.without_hub_balance < units && above_rate_.contains(organisation))
+        return spend_rest(entry, units);
     entry.without_hub_balance -= units;
     return true;
 }
 
+bool instance_quota::spend_rest(account& entry, double units)
+{
+    std::uniform_real_distribution<double> position(0, units);
+    bool const passes = position(random_) < entry.without_hub_balance;
+    entry.without_hub_balance = 0;
+    return passes;
+}
+
 void instance_quota::account::accrue_without_hub(double instance_rate, double cap,
                                                  time_point until)
 {
--- a/src/coordination/entry/quota.hpp
+++ b/src/coordination/entry/quota.hpp
@@ -3,8 +3,10 @@
 #include "state/time.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -51,6 +53,11 @@
     /// burst. Only organisations that requested units since the last reset are listed.
     [[nodiscard]] std::vector<std::string> drained(time_point now) const;
 
+    /// Returns the names of the organisations that request more than their rate and
+    /// burst, whether the units are granted or not. Unlike a refusal, this does not
+    /// depend on how much a new hub has available at the start.
+    [[nodiscard]] std::vector<std::string> above_rate(time_point now) const;
+
 private:
     struct bucket
     {
@@ -58,8 +65,13 @@
         quota_terms terms;
         time_point last{};
         bool fresh = true;
+        /// Level of a second bucket, which starts full and from which requested units are
+        /// subtracted even if they are not granted. Bounded below, so that an
+        /// organisation that returns to its rate is soon no longer listed.
+        double demand_level = 0;
     };
-    [[nodiscard]] double level_at(bucket const& entry, time_point now) const;
+    /// Returns `level`, as of the last change of the bucket, plus what has accrued since.
+    [[nodiscard]] double accrued(bucket const& entry, double level, time_point now) const;
     bucket& refresh(std::string const& organisation, quota_terms const& terms,
                     time_point now);
 
@@ -73,9 +85,19 @@
 /// passes while the balance is positive and may leave it negative. Handles the load
 /// pattern "the hub is gone for seconds, and one request is larger than what an
 /// instance's share of the rate brings in a second".
+///
+/// The negative balances of all instances together can exceed what the rate brings in
+/// seconds. An organisation that requested more than its rate from the hub therefore gets
+/// none: a request that is larger than the balance uses all of it and passes with the
+/// probability balance / units, so that the instances together spend on average no more
+/// than what accrues.
 class instance_quota
 {
 public:
+    /// @param seed differs between instances, so that they do not all pass their requests
+    ///     at the same balance.
+    explicit instance_quota(std::uint64_t seed = 0);
+
     /// Spends units that the hub granted in advance. Returns false, spending nothing, if
     /// they do not suffice.
     [[nodiscard]] bool spend(std::string const& organisation, double units);
@@ -84,6 +106,8 @@
     /// Stores the hub's list of drained organisations. If the hub is lost, these start
     /// from zero, and the others from half of the instance's burst.
     void set_drained(std::vector<std::string> const& organisations, time_point now);
+    /// Stores the hub's list of organisations that request more than their rate.
+    void set_above_rate(std::vector<std::string> const& organisations);
 
     /// Spends from the share of the rate that accrues to one of `instances` since the
     /// hub's last update.
@@ -111,7 +135,13 @@
         void accrue_without_hub(double instance_rate, double cap, time_point until);
     };
     std::map<std::string, account> accounts_;
+    /// Spends all of a balance smaller than `units`. Returns true with the probability
+    /// balance / units.
+    [[nodiscard]] bool spend_rest(account& entry, double units);
+
+    std::mt19937_64 random_;
     std::set<std::string> drained_;
+    std::set<std::string> above_rate_;
     std::optional<time_point> last_hub_update_;
 };
 
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -193,6 +193,8 @@
     std::vector<quota_reply> quota;
     /// Organisations whose quota is nearly used up.
     std::vector<std::string> exhausted_organisations;
+    /// Organisations that request more than their rate.
+    std::vector<std::string> organisations_above_rate;
     std::vector<crash_count> crashes;
     /// Signatures that are no longer suspected of causing crashes.
     std::vector<std::uint64_t> cleared_signatures;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -51,7 +51,7 @@
       tasks_(io_, log_, metrics_),
       authority_(settings_.bounds.key_withdrawal - withdrawal_margin),
       backends_(settings_.failure_domain, incarnation), connections_(io_, deadlines_),
-      retries_(settings_.bounds), changes_(io_), plan_due_(io_),
+      quota_(incarnation), retries_(settings_.bounds), changes_(io_), plan_due_(io_),
       random_(static_cast<std::minstd_rand::result_type>(incarnation)),
       lease_(own_address(settings_.peer_port), settings_.name, incarnation, lease_term,
              settings_.bounds.order_lease),
@@ -410,6 +410,7 @@
                 found != ids_by_short_id_.end() && !found->second.empty())
                 backends_.set_other_requests(found->second, total.requests);
         quota_.set_drained(update.exhausted_organisations, now);
+        quota_.set_above_rate(update.organisations_above_rate);
         crashes_.merge_fleet_counts(update.crashes, update.cleared_signatures, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.unloading_models)
--- a/tests/entry/quota_test.cpp
+++ b/tests/entry/quota_test.cpp
@@ -74,6 +74,29 @@
     EXPECT_TRUE(quota_.drained(at(200)).empty());
 }
 
+// Guards against an organisation that requests more than its rate and is missing from the
+// list that instances receive, or stays in it after it went back below its rate.
+TEST_F(hub_quota_test, organisation_above_its_rate_is_listed_until_it_is_below)
+{
+    quota_.reset(1.0);
+    for (int ms = 0; ms < 4000; ms += 10)
+    {
+        static_cast<void>(quota_.grant("above", terms, 15, 0, at(ms)));
+        static_cast<void>(quota_.grant("inside", terms, 9, 0, at(ms)));
+    }
+    EXPECT_EQ(quota_.above_rate(at(4000)), std::vector<std::string>{"above"});
+    EXPECT_TRUE(quota_.above_rate(at(5000)).empty());
+}
+
+// Guards against an organisation inside its rate that counts as above it because a new
+// hub has less than the burst available and refuses it.
+TEST_F(hub_quota_test, refusal_by_a_new_hub_alone_is_not_above_the_rate)
+{
+    quota_.reset(0.3);
+    EXPECT_EQ(quota_.grant("org", terms, 500, 0, at(0)).units, 0);
+    EXPECT_TRUE(quota_.above_rate(at(0)).empty());
+}
+
 // Guards against a rate that accrues twice while disconnected instances accrue their own
 // share of it.
 TEST_F(hub_quota_test, disconnected_instances_keep_their_share_of_the_rate)
@@ -154,6 +177,47 @@
     EXPECT_GE(spent, 2.5 * terms.rate);
 }
 
+// Guards against a fleet whose instances each pass one request of an organisation that
+// exceeds its rate when the hub is lost, and together exceed the rate for seconds. Each
+// request is larger than what an instance's share of the rate brings in a second.
+TEST(instance_quota_test, organisation_above_its_rate_without_hub_gets_only_the_rate)
+{
+    constexpr std::size_t instances = 160;
+    constexpr double units = 30;
+    constexpr int hub_ends_ms = 1000;
+    constexpr int until_ms = 4000;
+    hub_quota hub;
+    hub.reset(1.0);
+    for (int ms = 0; ms < hub_ends_ms; ms += 10)
+        static_cast<void>(hub.grant("org", terms, units, 0, at(ms)));
+    double spent = 0;
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        instance_quota quota(i);
+        quota.set_drained(hub.drained(at(hub_ends_ms)), at(hub_ends_ms));
+        quota.set_above_rate(hub.above_rate(at(hub_ends_ms)));
+        for (int ms = hub_ends_ms; ms < until_ms; ms += 500)
+            if (quota.spend_without_hub("org", terms, units, instances, at(ms)))
+                spent += units;
+    }
+    double const accrued = (until_ms - hub_ends_ms) / 1000.0 * terms.rate;
+    EXPECT_LE(spent, 1.2 * accrued);
+    EXPECT_GE(spent, 0.6 * accrued);
+}
+
+// Guards against refusals of an organisation that is inside its rate but holds less than
+// half of its burst when the hub is lost.
+TEST(instance_quota_test, drained_organisation_inside_its_rate_may_leave_a_debt)
+{
+    hub_quota hub;
+    hub.reset(1.0);
+    static_cast<void>(hub.grant("org", terms, 600, 0, at(0)));
+    instance_quota quota;
+    quota.set_drained(hub.drained(at(0)), at(0));
+    quota.set_above_rate(hub.above_rate(at(0)));
+    EXPECT_TRUE(quota.spend_without_hub("org", terms, 30, 160, at(100)));
+}
+
 // Guards against a new burst each time an update of the hub is late.
 TEST(instance_quota_test, intermittent_hub_does_not_renew_the_burst)
 {
