List organisations above their rate in a field that the former version reads

Operators: with a new field, an update could not be read by instances of the former version, so a rolling change of versions had taken quotas, placement and the directory from one part of the fleet.

Change: an organisation above its rate stands twice in the list of exhausted organisations. The former version takes the second name for the first one again.

The tests of the list now go through exhausted() and set_exhausted(), with the same expectations.

--- a/fuzz/entry_peer_fuzz.cpp
+++ b/fuzz/entry_peer_fuzz.cpp
@@ -97,8 +97,7 @@
     update.estimates = {{"s", "m1", 6000000}};
     update.unloading_models = {{"s1", "m1"}};
     update.quota = {{7, 1460.5, 12}};
-    update.exhausted_organisations = {"o1"};
-    update.organisations_above_rate = {"o2"};
+    update.exhausted_organisations = {"o1", "o2", "o2"};
     update.crashes = {{99, 2}};
     update.cleared_signatures = {7};
     update.peers = {"10.0.0.2:7600"};
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -169,8 +169,7 @@
     }
     update.peers =
         fleet_.addresses_of_others(status.node, peers_per_update, peer_rotation_++);
-    update.exhausted_organisations = quota_.drained(now);
-    update.organisations_above_rate = quota_.above_rate(now);
+    update.exhausted_organisations = quota_.exhausted(now);
     update.crashes = crashes_.suspects(now);
     update.cleared_signatures = crashes_.cleared(now);
     for (auto const& [backend, model] : planner_.unloading_models())
--- a/src/coordination/entry/quota.cpp
+++ b/src/coordination/entry/quota.cpp
@@ -67,6 +67,15 @@
     return names;
 }
 
+std::vector<std::string> hub_quota::exhausted(time_point now) const
+{
+    auto names = drained(now);
+    std::set<std::string> const drained_names(names.begin(), names.end());
+    for (auto const& name : above_rate(now))
+        names.insert(names.end(), drained_names.contains(name) ? 1 : 2, name);
+    return names;
+}
+
 quota_grant hub_quota::grant(std::string const& organisation, quota_terms const& terms,
                              double units, double reserve, time_point now)
 {
@@ -110,6 +119,18 @@
     last_hub_update_ = now;
 }
 
+void instance_quota::set_exhausted(std::vector<std::string> const& organisations,
+                                   time_point now)
+{
+    set_drained(organisations, now);
+    std::set<std::string> seen;
+    std::vector<std::string> repeated;
+    for (auto const& name : organisations)
+        if (!seen.insert(name).second)
+            repeated.push_back(name);
+    set_above_rate(repeated);
+}
+
 void instance_quota::set_above_rate(std::vector<std::string> const& organisations)
 {
     above_rate_ = {organisations.begin(), organisations.end()};
--- a/src/coordination/entry/quota.hpp
+++ b/src/coordination/entry/quota.hpp
@@ -58,6 +58,10 @@
     /// depend on how much a new hub has available at the start.
     [[nodiscard]] std::vector<std::string> above_rate(time_point now) const;
 
+    /// Returns the names of the organisations that are drained, and twice those that are
+    /// above their rate.
+    [[nodiscard]] std::vector<std::string> exhausted(time_point now) const;
+
 private:
     struct bucket
     {
@@ -106,6 +110,8 @@
     /// Stores the hub's list of drained organisations. If the hub is lost, these start
     /// from zero, and the others from half of the instance's burst.
     void set_drained(std::vector<std::string> const& organisations, time_point now);
+    /// Stores the hub's list of exhausted organisations, see hub_quota::exhausted().
+    void set_exhausted(std::vector<std::string> const& organisations, time_point now);
     /// Stores the hub's list of organisations that request more than their rate.
     void set_above_rate(std::vector<std::string> const& organisations);
 
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -132,8 +132,8 @@
             value.directory_revision, value.directory_changes_after, value.is_resync,
             value.replaced_buckets, value.complete, value.other_instances_loads,
             value.estimates, value.unloading_models, value.quota,
-            value.exhausted_organisations, value.organisations_above_rate, value.crashes,
-            value.cleared_signatures, value.peers);
+            value.exhausted_organisations, value.crashes, value.cleared_signatures,
+            value.peers);
 }
 
 namespace
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -191,10 +191,9 @@
     std::vector<model_estimate> estimates;
     std::vector<unloading_model> unloading_models;
     std::vector<quota_reply> quota;
-    /// Organisations whose quota is nearly used up.
+    /// Organisations whose quota is nearly used up. One that requests more than its rate
+    /// is listed twice, which instances without this distinction read as once.
     std::vector<std::string> exhausted_organisations;
-    /// Organisations that request more than their rate.
-    std::vector<std::string> organisations_above_rate;
     std::vector<crash_count> crashes;
     /// Signatures that are no longer suspected of causing crashes.
     std::vector<std::uint64_t> cleared_signatures;
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -409,8 +409,7 @@
             if (auto const found = ids_by_short_id_.find(total.short_server_id);
                 found != ids_by_short_id_.end() && !found->second.empty())
                 backends_.set_other_requests(found->second, total.requests);
-        quota_.set_drained(update.exhausted_organisations, now);
-        quota_.set_above_rate(update.organisations_above_rate);
+        quota_.set_exhausted(update.exhausted_organisations, now);
         crashes_.merge_fleet_counts(update.crashes, update.cleared_signatures, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.unloading_models)
--- a/tests/entry/quota_test.cpp
+++ b/tests/entry/quota_test.cpp
@@ -194,8 +194,7 @@
     for (std::size_t i = 0; i < instances; ++i)
     {
         instance_quota quota(i);
-        quota.set_drained(hub.drained(at(hub_ends_ms)), at(hub_ends_ms));
-        quota.set_above_rate(hub.above_rate(at(hub_ends_ms)));
+        quota.set_exhausted(hub.exhausted(at(hub_ends_ms)), at(hub_ends_ms));
         for (int ms = hub_ends_ms; ms < until_ms; ms += 500)
             if (quota.spend_without_hub("org", terms, units, instances, at(ms)))
                 spent += units;
@@ -213,8 +212,7 @@
     hub.reset(1.0);
     static_cast<void>(hub.grant("org", terms, 600, 0, at(0)));
     instance_quota quota;
-    quota.set_drained(hub.drained(at(0)), at(0));
-    quota.set_above_rate(hub.above_rate(at(0)));
+    quota.set_exhausted(hub.exhausted(at(0)), at(0));
     EXPECT_TRUE(quota.spend_without_hub("org", terms, 30, 160, at(100)));
 }
 
