Let a slow caller take a piece of an answer as long as it makes progress

Cause: two limits. One write to a caller had 10 s for the whole piece. And the kernel's TCP_USER_TIMEOUT, 10 s too, counts on while the caller's window is smaller than the next segment, whatever the caller reads.

Change: callers' connections have no TCP_USER_TIMEOUT. A write begins a limit of 10 s without progress, which lasts until the caller has acknowledged all bytes. The check of the deadlines renews it when the connection's count of acknowledged bytes has grown. That count, unlike the completion of a write, also grows while the kernel's buffer is still too full to take more. It is read at most twice a second, and only from 0.5 s after a write on. Without TCP_USER_TIMEOUT the number of keep-alive probes decides when a silent unreachable caller is given up; it is set so that this still takes 10 s (not measured).

Evidence: four new tests. Before the change, "event taken slowly" failed (connection reset after 12.5 s), "stops taking bytes" failed (given up before 9 s after the last byte that was taken), "takes nothing" and "leaves bytes in the buffers" passed. All four pass now. They check that a caller that takes nothing, or no more, is given up after 9 to 14 s.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -24,8 +24,9 @@
 namespace
 {
 
-/// Time limit for one write to the caller; the connection is closed if it is exceeded.
-/// Also the connection's TCP user timeout.
+/// The connection is closed if the caller has taken none of the written bytes for this
+/// long, or has taken all of them and is unreachable for this long. A longer piece of an
+/// answer may take a slow caller more time.
 constexpr duration write_timeout = std::chrono::seconds(10);
 /// Maximum number of bytes read but not yet parsed. Bounds chunk extensions and trailers,
 /// for which the parser has no limit.
@@ -48,18 +49,19 @@
            failure != http::error::partial_message;
 }
 
-/// The time limit of one write to a caller. The destructor takes it back, because the
-/// next piece of the answer may come much later.
+/// One write to a caller, limited only by write_timeout without progress. The next piece
+/// of the answer may come much later, so the socket has no deadline afterwards either.
 class write_limit
 {
 public:
     explicit write_limit(deadline_socket& socket) : socket_(socket)
     {
-        socket_.set_deadline(boot_now() + write_timeout);
+        socket_.set_deadline(time_point::max());
+        socket_.begin_write(boot_now(), write_timeout);
     }
     write_limit(write_limit const&) = delete;
     write_limit& operator=(write_limit const&) = delete;
-    ~write_limit() { socket_.set_deadline(time_point::max()); }
+    ~write_limit() { socket_.end_write(); }
 
 private:
     deadline_socket& socket_;
@@ -440,7 +442,7 @@
 
 void begin_session(entry_services& services, tcp_socket socket)
 {
-    set_connection_options(socket, write_timeout);
+    set_slow_reader_options(socket, write_timeout);
     auto const peer = remote_address(socket);
     services.tasks.run("serve caller", peer,
                        serve_caller(std::make_unique<caller_session>(
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -1,5 +1,7 @@
 #include "transport/entry/io.hpp"
 
+#include "transport/entry/tcp_progress.hpp"
+
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <linux/sockios.h>
@@ -19,6 +21,9 @@
 /// seconds.
 constexpr int keepalive_s = 2;
 constexpr int keepalive_probes = 2;
+/// Interval at which the acknowledged bytes of a connection are read. Most writes are
+/// acknowledged before the first check.
+constexpr duration progress_check_interval = std::chrono::milliseconds(500);
 
 int to_timeout_option(duration limit)
 {
@@ -32,6 +37,15 @@
     static_cast<void>(::setsockopt(socket, level, option, &value, sizeof value));
 }
 
+void set_common_options(int socket, int probes)
+{
+    set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_s);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, probes);
+}
+
 } // namespace
 
 std::optional<tcp::endpoint> parse_endpoint(std::string const& text)
@@ -60,6 +74,38 @@
     deadlines_.sockets_.erase(this);
 }
 
+void deadline_socket::begin_write(time_point now, duration progress_limit)
+{
+    writing_ = true;
+    // Bytes of an earlier write are not acknowledged yet: a new write is no progress.
+    if (progress_deadline_ != time_point::max())
+        return;
+    progress_limit_ = progress_limit;
+    progress_deadline_ = now + progress_limit;
+    next_progress_check_ = now + progress_check_interval;
+    acknowledged_.reset();
+}
+
+bool deadline_socket::progress_overdue(time_point now)
+{
+    if (progress_deadline_ == time_point::max() || now < next_progress_check_ ||
+        !socket_.is_open())
+        return false;
+    next_progress_check_ = now + progress_check_interval;
+    if (!writing_ && !has_unacknowledged_bytes())
+    {
+        progress_deadline_ = time_point::max();
+        return false;
+    }
+    auto const acknowledged = acknowledged_bytes(socket_.native_handle());
+    // The first check has nothing to compare with, and may come late after a pause of the
+    // process in which the peer made progress.
+    if (!acknowledged_ || acknowledged > *acknowledged_)
+        progress_deadline_ = now + progress_limit_;
+    acknowledged_ = acknowledged;
+    return progress_deadline_ <= now;
+}
+
 void deadline_socket::close()
 {
     boost::system::error_code ignored;
@@ -124,9 +170,11 @@
             socket->read_interrupted_ = true;
             socket->interruption_.emit(asio::cancellation_type::terminal);
         }
-        if (socket->deadline_ > now)
+        bool const overdue = socket->progress_overdue(now);
+        if (!overdue && socket->deadline_ > now)
             continue;
-        if (socket->hard_deadline_ > now && socket->has_unacknowledged_bytes())
+        if (!overdue && socket->hard_deadline_ > now &&
+            socket->has_unacknowledged_bytes())
             continue;
         socket->deadline_ = time_point::max();
         socket->expired_ = true;
@@ -171,15 +219,19 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void set_connection_options(tcp_socket& socket, duration limit)
+void set_connection_options(tcp_socket& socket)
 {
     auto const handle = socket.native_handle();
-    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, to_timeout_option(limit));
-    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_s);
-    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_s);
-    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set_common_options(handle, keepalive_probes);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               to_timeout_option(unacknowledged_timeout));
+}
+
+void set_slow_reader_options(tcp_socket& socket, duration limit)
+{
+    auto const limit_s = std::chrono::duration_cast<std::chrono::seconds>(limit).count();
+    auto const probes = static_cast<int>(limit_s) / keepalive_s - 1;
+    set_common_options(socket.native_handle(), probes);
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -64,6 +64,10 @@
         deadline_ = soft_deadline;
         hard_deadline_ = hard_deadline;
     }
+    /// Begins a write to a peer that may read slowly. Until the peer has acknowledged all
+    /// written bytes, the socket is closed once none were acknowledged for this long.
+    void begin_write(time_point now, duration progress_limit);
+    void end_write() { writing_ = false; }
     [[nodiscard]] bool expired() const { return expired_; }
     /// Cancels the pending read once this time has passed, and leaves the connection as
     /// it is; time_point::max() means never. Applies to reads that use read_slot().
@@ -92,12 +96,21 @@
     friend class deadline_monitor;
     /// Whether the peer has not acknowledged all written bytes.
     [[nodiscard]] bool has_unacknowledged_bytes();
+    /// Whether the peer has acknowledged nothing for the limit of begin_write().
+    [[nodiscard]] bool progress_overdue(time_point now);
 
     deadline_monitor& deadlines_;
     tcp_socket socket_;
     time_point deadline_ = time_point::max();
     time_point hard_deadline_ = time_point::max();
     bool expired_ = false;
+    bool writing_ = false;
+    duration progress_limit_{};
+    /// time_point::max() if there is nothing to be acknowledged.
+    time_point progress_deadline_ = time_point::max();
+    time_point next_progress_check_{};
+    /// Bytes that were acknowledged at the last check; absent before the first one.
+    std::optional<std::uint64_t> acknowledged_;
     time_point interruption_time_ = time_point::max();
     asio::cancellation_signal interruption_;
     bool read_interrupted_ = false;
@@ -137,8 +150,13 @@
 
 /// Sets the options that every connection has: TCP_NODELAY, and timeouts that end the
 /// connection within seconds if the peer becomes unreachable.
-/// @param limit time after which unacknowledged bytes end the connection; longer for
-///     callers, which may read their answers slowly.
-void set_connection_options(tcp_socket& socket, duration limit = unacknowledged_timeout);
+void set_connection_options(tcp_socket& socket);
+
+/// Sets the options of a connection to a peer that may read slowly. The kernel has no
+/// limit for its unacknowledged bytes, because that limit also ends a connection whose
+/// peer reads less than a segment at a time; begin_write() sets one.
+/// @param limit time after which a peer without unacknowledged bytes counts as
+/// unreachable.
+void set_slow_reader_options(tcp_socket& socket, duration limit);
 
 } // namespace carawayturn::entry
--- a/tests/entry/answer_deadlines_test.py
+++ b/tests/entry/answer_deadlines_test.py
@@ -25,6 +25,17 @@
 # Read by the instance in several pieces.
 LONG_EVENT_BYTES = 20_000
 WHOLE_STREAM = [1, 2, 3, 4, 5]
+# The instance's limit for a write to a caller that takes nothing (write_timeout), in seconds.
+WRITE_LIMIT_S = 10.0
+# Time for the instance to notice and log that the limit has passed, in seconds.
+NOTICE_S = 4.0
+# Maximum TCP segment of a network with Ethernet frames. Loopback has segments of 64 KB, which
+# make the kernel buffer megabytes of an answer for a caller that reads nothing.
+ETHERNET_SEGMENT_BYTES = 1448
+# Longer than the kernel's buffers of such a connection, so that a write of it blocks.
+BLOCKING_EVENT_BYTES = 240_000
+# Longer than the receive buffer of a slow caller, and shorter than both buffers.
+BUFFERED_EVENT_BYTES = 20_000
 
 
 def event_ids(answer: bytes) -> list[int]:
@@ -148,6 +159,76 @@
         self.assertEqual(event_ids(received + caller.answer()), WHOLE_STREAM)
 
 
+class SlowCallerTest(AnswerDeadlinesCase):
+    """The runner sends one event, which the instance passes on in one write. No other run may
+    continue the stream."""
+
+    def send_event(self, data_bytes: int, silence_s: float = 0.0) -> None:
+        """Makes the runner send one event and then nothing for a while before the end."""
+        event = b"id: 1\ndata: %s\n\n" % (b"z" * data_bytes)
+
+        def stream(call, headers) -> None:
+            call.send_response(200)
+            for name, value in {**headers, "X-Server-Seal": "s",
+                                "Transfer-Encoding": "chunked"}.items():
+                call.send_header(name, value)
+            call.end_headers()
+            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(silence_s)
+            call.wfile.write(b"0\r\n\r\n")
+
+        self.runner._stream = stream
+
+    def start_slow_stream(self) -> Caller:
+        caller = self.caller(receive_buffer=4096, segment_bytes=ETHERNET_SEGMENT_BYTES)
+        caller.send(last_request("/draft/a"))
+        wait_until(lambda: self.runner.ran, "the stream runs")
+        return caller
+
+    def given_up_after(self, start: float) -> float:
+        """Waits until the instance has given the caller up, and returns the time since `start`."""
+        (ended,) = wait_until(lambda: self.instance.events(1100), "the request ends")
+        self.assertIn(ended["outcome"], ("caller_timed_out", "caller_gone"))
+        return time.monotonic() - start
+
+    def test_event_taken_slowly_without_a_pause_is_not_cut(self) -> None:
+        """Guards against a limit for the whole write of an event, which ends the answer of a
+        caller that takes bytes all the time."""
+        self.send_event(BLOCKING_EVENT_BYTES)
+        caller = self.start_slow_stream()
+        start = time.monotonic()
+        answer = b""
+        while time.monotonic() - start < 2 * WRITE_LIMIT_S:
+            answer += caller.socket.recv(1000)
+            time.sleep(0.2)
+        self.assertEqual(event_ids(answer + caller.answer()), [1])
+
+    def test_caller_that_takes_nothing_is_given_up_after_the_limit(self) -> None:
+        """Guards against a write without a limit, which keeps its server's place."""
+        self.send_event(BLOCKING_EVENT_BYTES)
+        start = time.monotonic()
+        self.start_slow_stream()
+        self.assertTrue(WRITE_LIMIT_S - 1 < self.given_up_after(start) < WRITE_LIMIT_S + NOTICE_S)
+
+    def test_caller_that_leaves_bytes_in_the_buffers_is_given_up_after_the_limit(self) -> None:
+        """Guards against a limit that ends with the write, although the caller has not taken
+        the bytes from the kernel's buffer."""
+        self.send_event(BUFFERED_EVENT_BYTES, silence_s=3 * WRITE_LIMIT_S)
+        start = time.monotonic()
+        self.start_slow_stream()
+        self.assertTrue(WRITE_LIMIT_S - 1 < self.given_up_after(start) < WRITE_LIMIT_S + NOTICE_S)
+
+    def test_caller_that_stops_taking_bytes_is_given_up_after_the_limit(self) -> None:
+        """Guards against a limit that is renewed although the caller takes no more bytes."""
+        self.send_event(BLOCKING_EVENT_BYTES)
+        caller = self.start_slow_stream()
+        for _ in range(20):
+            caller.socket.recv(1000)
+            time.sleep(0.2)
+        start = time.monotonic()
+        self.assertTrue(WRITE_LIMIT_S - 1 < self.given_up_after(start) < WRITE_LIMIT_S + NOTICE_S)
+
+
 class LateReader:
     """A server of a plain service that reads the body of a request `delay_s` after its head."""
 
--- a/tests/entry/planned_stop_case.py
+++ b/tests/entry/planned_stop_case.py
@@ -34,10 +34,14 @@
 class Caller:
     """A connection on which raw bytes are sent and received."""
 
-    def __init__(self, instance: Instance, receive_buffer: int = 0) -> None:
+    def __init__(self, instance: Instance, receive_buffer: int = 0,
+                 segment_bytes: int = 0) -> None:
         """Connects to the instance. A small `receive_buffer`, in bytes, blocks the sender of a
-        long answer until the caller reads it."""
+        long answer until the caller reads it. `segment_bytes` limits the TCP segments, and with
+        them how much the sender's kernel buffers."""
         self.socket = socket.socket()
+        if segment_bytes:
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, segment_bytes)
         if receive_buffer:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.socket.settimeout(HANG_LIMIT_S)
@@ -90,8 +94,8 @@
         for service in (self.plain, self.runner, self.store):
             service.close()
 
-    def caller(self, receive_buffer: int = 0) -> Caller:
-        caller = Caller(self.instance, receive_buffer)
+    def caller(self, receive_buffer: int = 0, segment_bytes: int = 0) -> Caller:
+        caller = Caller(self.instance, receive_buffer, segment_bytes)
         self.addCleanup(caller.socket.close)
         return caller
 
