Shorten the steps of a planned stop in proportion to a short grace time

Callers: with a grace time of 1 s, a request sent at once after SIGTERM was refused (503 "draining") although its server needed 0.4 s.

Cause: the steps of the shutdown plan had fixed lengths. Open requests were cut 0.6 s before the end, which comes before the last sixth of any grace time below 3.6 s, and requests needed a second before that cut, which a grace time of 1.6 s and less does not have.

Change: below 3.6 s, the grace time of which 0.6 s are a sixth, all steps are shortened in proportion: intake, idle time before a connection is closed, shortest time for a request, cut and end. The cut is then at five sixths of the grace time. Longer grace times keep their steps.

--- a/src/coordination/entry/shutdown_plan.cpp
+++ b/src/coordination/entry/shutdown_plan.cpp
@@ -18,15 +18,31 @@
 constexpr duration end_margin = std::chrono::milliseconds(200);
 /// A request that has been read is refused if less time than this is left before the cut.
 constexpr duration min_service_time = std::chrono::milliseconds(1000);
+/// An idle connection is closed after this time without traffic, because its caller may
+/// have sent a request before it could learn of the shutdown.
+constexpr duration idle_time = std::chrono::milliseconds(300);
+/// The times above apply to grace times from this one on, of which cut_margin is a sixth.
+/// A request that ends before the last sixth of the grace time has to be answered, so a
+/// shorter grace time shortens all of them in proportion.
+constexpr duration full_grace = 6 * cut_margin;
+
+duration scaled(duration time, duration grace)
+{
+    auto const bounded = std::clamp(grace, duration::zero(), full_grace);
+    return time * bounded.count() / full_grace.count();
+}
 
 } // namespace
 
 shutdown_plan::shutdown_plan(signal_time_range began, duration grace)
-    : cut_unanswered_at_(began.earliest + std::max(grace - cut_margin, duration::zero())),
-      cut_at_(began.latest + std::max(grace - cut_margin, duration::zero())),
-      end_at_(began.latest + std::max(grace - end_margin, duration::zero())),
-      intake_end_(std::min(began.latest + notice_time, cut_unanswered_at_)),
-      last_first_byte_(std::min(intake_end_ + idle_close_delay, cut_unanswered_at_))
+    : idle_close_delay_(scaled(idle_time, grace)),
+      min_service_time_(scaled(min_service_time, grace)),
+      cut_unanswered_at_(began.earliest + grace - scaled(cut_margin, grace)),
+      cut_at_(began.latest + grace - scaled(cut_margin, grace)),
+      end_at_(began.latest + grace - scaled(end_margin, grace)),
+      intake_end_(
+          std::min(began.latest + scaled(notice_time, grace), cut_unanswered_at_)),
+      last_first_byte_(std::min(intake_end_ + idle_close_delay_, cut_unanswered_at_))
 {
 }
 
@@ -49,7 +65,7 @@
 
 bool shutdown_plan::may_begin(time_point first_byte, time_point now) const
 {
-    return first_byte < last_first_byte_ && now < cut_unanswered_at_ - min_service_time;
+    return first_byte < last_first_byte_ && now < cut_unanswered_at_ - min_service_time_;
 }
 
 std::string_view shutdown_plan::end_reason(time_point now) const
--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -46,10 +46,6 @@
     time_point latest;
 };
 
-/// During a shutdown an idle connection is closed after this time without traffic,
-/// because its caller may have sent a request before it could learn of the shutdown.
-inline constexpr duration idle_close_delay = std::chrono::milliseconds(300);
-
 /// Decides the phases of one shutdown. Only the end of the grace time, and no fixed
 /// delay, ends it while a request is open. Handles the load pattern "requests keep
 /// arriving, slowly and on kept connections, while the instance stops".
@@ -59,10 +55,13 @@
 /// go on until its latest end, because being cut is as bad for them as the kill. New
 /// connections are served from the latest time on, because a paused process has not told
 /// the platform that it is not ready.
+///
+/// The length of each phase is fixed, but a short grace time shortens all of them in
+/// proportion.
 class shutdown_plan
 {
 public:
-    /// @param grace time from the signal until the process is killed.
+    /// @param grace time from the signal until the process is killed; not negative.
     shutdown_plan(signal_time_range began, duration grace);
 
     [[nodiscard]] shutdown_step step(time_point now, shutdown_state state) const;
@@ -72,10 +71,15 @@
     /// cut.
     [[nodiscard]] bool may_begin(time_point first_byte, time_point now) const;
 
+    /// Returns the time without traffic after which an idle connection is closed.
+    [[nodiscard]] duration idle_close_delay() const { return idle_close_delay_; }
+
     /// Returns the reason for the end of the shutdown, for the log.
     [[nodiscard]] std::string_view end_reason(time_point now) const;
 
 private:
+    duration idle_close_delay_;
+    duration min_service_time_;
     time_point cut_unanswered_at_;
     time_point cut_at_;
     time_point end_at_;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -227,7 +227,7 @@
 {
     if (step == shutdown_step::serve)
         return;
-    caller_connections_.close_idle(boot_now() - idle_close_delay);
+    caller_connections_.close_idle(boot_now() - shutdown_->idle_close_delay());
     stop_accepting();
     if (step == shutdown_step::finish)
         return;
@@ -248,8 +248,9 @@
     for (;;)
     {
         auto const now = boot_now();
+        auto const idle_before = now - shutdown_->idle_close_delay();
         auto const step = shutdown_->step(
-            now, {caller_connections_.unfinished(now - idle_close_delay), lease_settled_,
+            now, {caller_connections_.unfinished(idle_before), lease_settled_,
                   !caller_acceptor_.is_open(), requests_cut_});
         if (step == shutdown_step::end)
             break;
--- a/tests/entry/planned_stop_test.py
+++ b/tests/entry/planned_stop_test.py
@@ -131,5 +131,41 @@
         self.assertLess(ended - began, 1000 * GRACE_S / 2)
 
 
+class ShortGraceTimeTest(PlannedStopCase):
+    """The grace time is shorter than the usual steps of a stop."""
+
+    resumable = False
+
+    def terminate_with_grace_time(self, grace_s: int) -> None:
+        """The instance reads its settings again when it is told to stop."""
+        text = self.instance.settings.read_text(encoding="utf-8")
+        self.instance.settings.write_text(
+            text.replace(f"grace_s={GRACE_S}", f"grace_s={grace_s}"), encoding="utf-8")
+        self.terminate()
+
+    def test_request_that_is_done_before_the_last_sixth_is_answered(self) -> None:
+        """Guards against a request sent at once after SIGTERM that is refused or cut, because
+        the time before the cut is fixed and takes up most of a short grace time."""
+        self.plain.answer_delay_s = 0.4
+        self.terminate_with_grace_time(1)
+        caller = self.caller()
+        caller.send(head() + "x")
+        answer = caller.answer()
+        self.assertTrue(answer.endswith(b"done by p0"), answer)
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+
+    def test_stream_that_is_done_before_the_last_sixth_is_not_cut(self) -> None:
+        """Guards against a cut of begun answers at a fixed time before the end of the grace
+        time, which comes before its last sixth."""
+        self.runner.silences_s = {3: 1.45}
+        caller = self.caller()
+        self.terminate_with_grace_time(2)
+        caller.send(head("/draft/a", id="s") + "x")
+        answer = caller.answer()
+        self.assertEqual(answer.count(b"data:"), 5, answer)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
