Bound the informational answers of a server by bytes instead of their number

Cause: informational answers counted as skipped answers to other requests, of which three are allowed before the exchange is given up.

Change: they are counted in bytes, 64 KB for one exchange, and no longer as skipped answers, whose limit stays. Their number is not limited otherwise: the deadline of the exchange ends a server that sends one now and then without end.

Evidence: three new ways of the misbehaving server.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -24,6 +24,10 @@
 /// Maximum number of bytes read but not yet parsed. Bounds chunk extensions and trailers,
 /// for which the parser has no limit.
 constexpr std::size_t answer_buffer_limit = std::size_t{64} * 1024;
+/// Maximum length of all informational answers (1xx) before the final one, in bytes.
+/// Their number is not limited: a server may send one now and then while it works, until
+/// the request's deadline.
+constexpr std::size_t max_informational_bytes = std::size_t{64} * 1024;
 /// Request bodies longer than this are written while the answer is read.
 constexpr std::size_t inline_body_bytes = std::size_t{16} * 1024;
 /// Maximum number of late answers to other requests that are skipped before the exchange
@@ -161,12 +165,20 @@
         auto const [failure, size] = co_await http::async_read_header(
             socket_->socket(), buffer_, *parser_,
             asio::bind_cancellation_slot(socket_->read_slot(), use_task));
+        head_bytes_ += size;
         if (failure)
             co_return failed_read(failure);
         head_begun_ = false;
-        ++skipped_answers_;
+        auto const head_bytes = std::exchange(head_bytes_, 0);
         if (parser_->get().result_int() < 200)
-            continue;
+        {
+            informational_bytes_ += head_bytes;
+            if (informational_bytes_ <= max_informational_bytes)
+                continue;
+            failure_ = "the informational answers exceed the limit";
+            co_return read_outcome::failed;
+        }
+        ++skipped_answers_;
         metadata_ = platform::decode_answer_metadata(parser_->get());
         if (!metadata_.several_ids && metadata_.request_id == request_id_)
             co_return read_outcome::more;
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -104,6 +104,9 @@
     bool head_request_ = false;
     /// A read of the head was interrupted, so a part of it may have been read.
     bool head_begun_ = false;
+    /// Bytes that were read of the current head.
+    std::size_t head_bytes_ = 0;
+    std::size_t informational_bytes_ = 0;
     int skipped_answers_ = 0;
     /// The buffer holds only bytes that cannot be parsed before more of them arrive.
     bool buffer_parsed_ = false;
--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -185,6 +185,27 @@
     connection.repeat(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100)
 
 
+def many_informational_first(connection: Connection, request: Request) -> None:
+    """Sends more informational answers than HTTP clients usually see, then the final one."""
+    connection.send(b"HTTP/1.1 103 Early Hints\r\nLink: </a.css>; rel=preload\r\n\r\n" * 50)
+    good(connection, request)
+
+
+def slow_informational_first(connection: Connection, request: Request) -> None:
+    """Says for a while that it goes on processing the request, and answers then."""
+    for _ in range(10):
+        connection.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+        time.sleep(TRICKLE_PAUSE_S)
+    good(connection, request)
+
+
+def trickled_informational(connection: Connection, request: Request) -> None:
+    """Says without end that it goes on processing the request."""
+    while True:
+        connection.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+        time.sleep(TRICKLE_PAUSE_S)
+
+
 def no_end_of_bytes(connection: Connection, request: Request) -> None:
     """Sends bytes that are not HTTP: the start of a TLS record, repeated."""
     connection.repeat(b"\x16\x03\x01" * 1000)
@@ -373,7 +394,8 @@
 
 # All behaviours for a plain request or a stream, by name.
 WAYS = {function.__name__: function for function in (
-    good, no_end_of_head, no_end_of_header_lines, no_end_of_informational, no_end_of_bytes,
+    good, no_end_of_head, no_end_of_header_lines, no_end_of_informational,
+    many_informational_first, slow_informational_first, trickled_informational, no_end_of_bytes,
     no_end_of_lines, no_end_of_length, no_end_of_length_number, no_end_of_unframed,
     no_end_of_chunks, no_end_of_chunk_extension, no_end_of_trailers, other_answer,
     long_other_answer, chunked_other_answer, other_answer_first, chunked_other_answer_first,
--- a/tests/entry/misbehaving_server_test.py
+++ b/tests/entry/misbehaving_server_test.py
@@ -34,6 +34,8 @@
 PLAIN_WAYS = {
     "good": OWN,
     "no_end_of_head": FAILED, "no_end_of_header_lines": FAILED,
+    "many_informational_first": OWN, "slow_informational_first": OWN,
+    "trickled_informational": FAILED,
     "no_end_of_informational": FAILED, "no_end_of_bytes": FAILED, "no_end_of_lines": FAILED,
     "no_end_of_length": FAILED, "no_end_of_length_number": FAILED,
     "no_end_of_unframed": BROKEN, "no_end_of_chunks": BROKEN,
