Count a request that carawayturnd is still reading as open in its shutdown

A caller whose request was still being read when the shutdown of carawayturnd found nothing open got no answer: its connection was closed (drain_notice_ms 500, drain_limit_ms 8000, the last byte 1.5 s after SIGTERM). The same happened to a request that began to arrive during the last writes, and to one that was incomplete at drain_limit_ms.

Cause: the core counted a request as open from request_arrived on, which is raised when it has been read whole, and the HTTP server closed every connection without a whole request.

A connection is busy now from the first byte of a request until its answer is written. From the start of the drain on, the gateway raises callers_busy with each change, first before drain_requested and through the same thread, so that the core cannot end the drain before it knows of these connections. The core waits for them before it gives up its ownership and again before it ends, at most until drain_limit_ms; idle connections are not counted. The count is checked with each change and not only with each tick, so that refused requests in close succession do not hold up the end. What is incomplete as the server stops is refused with 503 "draining" in place of a close. A request that is complete only after the notice is still refused, as before for whole requests; it is not run.

--- a/src/coordination/event.hpp
+++ b/src/coordination/event.hpp
@@ -7,6 +7,7 @@
 #include "state/table.hpp"
 #include "state/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -126,6 +127,14 @@
 {
 };
 
+/// The number of callers' connections with a request that has begun to arrive and whose
+/// answer is not written yet. Raised before drain_requested and, from then on, with each
+/// change; a request's request_arrived comes before the change that its answer makes.
+struct callers_busy
+{
+    std::size_t connections = 0;
+};
+
 // The following events come from components of the core itself.
 
 /// Budget answer to a request that waited for tokens.
@@ -179,8 +188,8 @@
     std::variant<tick, request_arrived, caller_gone, dispatch_started, dispatch_progress,
                  dispatch_ended, table_answered, order_answered, report_received,
                  backend_unreachable, instances_listed, peer_received, change_submitted,
-                 drain_requested, budget_decided, idempotency_decided, config_changed,
-                 replicas_changed, backend_crashed>;
+                 drain_requested, callers_busy, budget_decided, idempotency_decided,
+                 config_changed, replicas_changed, backend_crashed>;
 
 /// Longest time between two ticks.
 inline constexpr duration tick_interval = std::chrono::milliseconds(25);
--- a/src/coordination/instance_core.cpp
+++ b/src/coordination/instance_core.cpp
@@ -6,6 +6,7 @@
 #include "coordination/idempotency_ledger.hpp"
 #include "coordination/poison_ledger.hpp"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <utility>
@@ -50,7 +51,12 @@
     void update_ready(time_point now, actions& out);
     void start_drain(time_point now, actions& out);
     void advance_drain(time_point now, actions& out);
+    void finish_requests(time_point now, actions& out);
     void leave(time_point now, actions& out);
+    [[nodiscard]] bool drain_limit_reached(time_point now) const
+    {
+        return now - drain_started >= settings.drain.limit;
+    }
 
     core_settings settings;
     std::unique_ptr<serving_authority> authority;
@@ -67,6 +73,7 @@
     bool ready = false;
     drain_phase drain = drain_phase::none;
     time_point drain_started{};
+    std::size_t busy_callers = 0;
     time_point left_at{};
 };
 
@@ -97,6 +104,13 @@
         part->handle(now, input, out);
     if (std::holds_alternative<drain_requested>(input))
         start_drain(now, out);
+    if (auto const* const callers = std::get_if<callers_busy>(&input))
+    {
+        busy_callers = callers->connections;
+        // Requests that are refused one after the other leave short gaps, which a tick
+        // may miss.
+        advance_drain(now, out);
+    }
     if (std::holds_alternative<tick>(input))
     {
         advance_drain(now, out);
@@ -149,26 +163,31 @@
         flow->stop_accepting();
     }
     if (drain == drain_phase::finishing)
-    {
-        bool const limit_reached = now - drain_started >= settings.drain.limit;
-        if (limit_reached && flow->open_requests() > 0)
-        {
-            out.push_back(log_record{event_drain_limit_reached,
-                                     settings.identity.id.str(),
-                                     std::to_string(flow->open_requests())});
-            flow->refuse_all(now, out);
-        }
-        if (limit_reached ||
-            (flow->open_requests() == 0 && idempotency->writes_in_progress() == 0))
-            leave(now, out);
-    }
-    if (drain == drain_phase::leaving && now - left_at >= departure_grace)
+        finish_requests(now, out);
+    // A request that begins to arrive during the last writes is answered as well.
+    if (drain == drain_phase::leaving && now - left_at >= departure_grace &&
+        (busy_callers == 0 || drain_limit_reached(now)))
     {
         drain = drain_phase::finished;
         out.push_back(drain_finished{});
     }
 }
 
+void instance_core::state::finish_requests(time_point now, actions& out)
+{
+    bool const limit_reached = drain_limit_reached(now);
+    // A request that is still being read is open at its connection only.
+    auto const open = std::max(flow->open_requests(), busy_callers);
+    if (limit_reached && open > 0)
+    {
+        out.push_back(log_record{event_drain_limit_reached, settings.identity.id.str(),
+                                 std::to_string(open)});
+        flow->refuse_all(now, out);
+    }
+    if (limit_reached || (open == 0 && idempotency->writes_in_progress() == 0))
+        leave(now, out);
+}
+
 void instance_core::state::leave(time_point now, actions& out)
 {
     drain = drain_phase::leaving;
--- a/src/transport/caller_gateway.cpp
+++ b/src/transport/caller_gateway.cpp
@@ -79,7 +79,7 @@
 
 void caller_gateway::on_request(std::shared_ptr<http_exchange> const& exchange)
 {
-    if (closing_)
+    if (draining_)
         exchange->close_after();
     if (!serve_own_path(*exchange, path_of(exchange->request().target)))
         admit(exchange);
@@ -159,11 +159,17 @@
     events_.deliver(caller_gone{id});
 }
 
+void caller_gateway::on_busy_changed(std::size_t connections)
+{
+    if (draining_)
+        events_.deliver(callers_busy{connections});
+}
+
 std::string caller_gateway::error_body(unsigned status, std::string_view reason)
 {
     constexpr unsigned unavailable = 503;
-    auto const code =
-        status == unavailable ? refusal_code::queue_full : refusal_code::bad_request;
+    auto const busy = draining_ ? refusal_code::draining : refusal_code::queue_full;
+    auto const code = status == unavailable ? busy : refusal_code::bad_request;
     metrics_.refused(code);
     return print_refusal(make_id(),
                          {code, execution::not_run, std::string(reason), {}, {}, {}});
@@ -199,9 +205,16 @@
     ready_ = ready;
 }
 
-void caller_gateway::close_after_answers()
+void caller_gateway::begin_drain()
 {
-    closing_ = true;
+    server_.post(
+        [this]
+        {
+            draining_ = true;
+            // The core must not end the drain before it knows of these connections.
+            events_.deliver(callers_busy{server_.busy_connections()});
+            events_.deliver(drain_requested{});
+        });
 }
 
 void caller_gateway::whole_answer(attempt_id const& from, http_answer_head head,
--- a/src/transport/caller_gateway.hpp
+++ b/src/transport/caller_gateway.hpp
@@ -35,8 +35,10 @@
     void refuse(refuse_request refused);
     void deliver(deliver_answer kept);
     void set_ready(bool ready);
-    /// Closes each connection after its next answer.
-    void close_after_answers();
+
+    /// Closes each connection after its next answer, and raises drain_requested and the
+    /// number of busy connections.
+    void begin_drain();
 
     [[nodiscard]] std::size_t connections() const { return server_.connections(); }
 
@@ -63,6 +65,7 @@
     // http_handler
     void on_request(std::shared_ptr<http_exchange> const& exchange) override;
     void on_hangup(http_exchange const& exchange) override;
+    void on_busy_changed(std::size_t connections) override;
     std::string error_body(unsigned status, std::string_view reason) override;
 
     void admit(std::shared_ptr<http_exchange> const& exchange);
@@ -90,7 +93,8 @@
     request_registry& registry_;
     metrics& metrics_;
     std::atomic<bool> ready_ = false;
-    std::atomic<bool> closing_ = false;
+    /// Used on the server's thread only.
+    bool draining_ = false;
     std::uint64_t made_ids_ = 0;
     http_server server_;
     /// Exchanges end before the server whose event loop they use.
--- a/src/transport/http_connection.hpp
+++ b/src/transport/http_connection.hpp
@@ -25,6 +25,9 @@
 /// Bytes of following, pipelined requests that are read while one is answered.
 inline constexpr std::size_t max_pipelined_bytes = std::size_t{64} << 10U;
 
+/// Size of the read that waits for a request, and of those that read ahead.
+inline constexpr std::size_t first_read_bytes = std::size_t{4} << 10U;
+
 inline std::optional<digest> take_key(http::fields& fields)
 {
     auto const found = fields.find(http::field::authorization);
@@ -73,6 +76,8 @@
     http_handler& handler;
     std::set<connection*> open;
     std::atomic<std::size_t> count{0};
+    /// See http_server::busy_connections().
+    std::size_t busy = 0;
     bool stopping = false;
     /// Last, so that connections that it still holds find the other members at its end.
     asio::io_context context{1};
@@ -106,21 +111,30 @@
             co_await refuse(503, "too many connections");
         while (!refused && !parts_.stopping)
         {
+            bool const begun = co_await wait_for_request();
+            if (!begun)
+                break;
             auto request = co_await read_request();
             if (!request)
                 break;
             bool const open = co_await answer(std::move(*request));
             if (!open)
                 break;
+            // Bytes in the buffer are the beginning of the next request.
+            set_busy(buffer_.size() > 0);
         }
         close();
+        set_busy(false);
     }
 
-    /// Closes the connection now or, if a request is open, after its answer.
+    /// Closes the connection now or, if a request is open, after its answer. A request
+    /// that is still being read is refused.
     void close_when_answered()
     {
-        if (answer_ == nullptr)
+        if (!busy_)
             close();
+        else if (reading_)
+            stream_.cancel();
     }
 
     void close()
@@ -133,23 +147,45 @@
 private:
     using parser = http::request_parser<http::string_body>;
 
+    void set_busy(bool busy)
+    {
+        if (busy_ == busy)
+            return;
+        busy_ = busy;
+        parts_.busy = busy ? parts_.busy + 1 : parts_.busy - 1;
+        parts_.handler.on_busy_changed(parts_.busy);
+    }
+
+    /// Waits for the first bytes of the next request; returns whether they arrived. Sets
+    /// the timeout for the whole request.
+    asio::awaitable<bool> wait_for_request()
+    {
+        stream_.expires_after(parts_.limits.read_timeout);
+        if (buffer_.size() == 0)
+        {
+            auto const [failure, size] = co_await stream_.async_read_some(
+                buffer_.prepare(first_read_bytes), as_result);
+            if (failure)
+                co_return false;
+            buffer_.commit(size);
+        }
+        set_busy(true);
+        co_return true;
+    }
+
     asio::awaitable<std::optional<http_request>> read_request()
     {
         parser input;
         input.header_limit(parts_.limits.max_header_bytes);
         input.body_limit(parts_.limits.max_body_bytes);
-        stream_.expires_after(parts_.limits.read_timeout);
-        auto const [head_failure, head_size] =
-            co_await http::async_read_header(stream_, buffer_, input, as_result);
+        auto const head_failure = co_await read_head(input);
         if (head_failure)
         {
             co_await refuse_unread(head_failure);
             co_return std::nullopt;
         }
         auto key = take_key(input.get().base());
-        co_await invite_body(input);
-        auto const [failure, size] =
-            co_await http::async_read(stream_, buffer_, input, as_result);
+        auto const failure = co_await read_body(input);
         if (failure)
         {
             co_await refuse_unread(failure);
@@ -164,6 +200,27 @@
         co_return request;
     }
 
+    asio::awaitable<beast::error_code> read_head(parser& input)
+    {
+        reading_ = true;
+        auto const [failure, size] =
+            co_await http::async_read_header(stream_, buffer_, input, as_result);
+        reading_ = false;
+        co_return failure;
+    }
+
+    asio::awaitable<beast::error_code> read_body(parser& input)
+    {
+        co_await invite_body(input);
+        if (parts_.stopping)
+            co_return asio::error::operation_aborted;
+        reading_ = true;
+        auto const [failure, size] =
+            co_await http::async_read(stream_, buffer_, input, as_result);
+        reading_ = false;
+        co_return failure;
+    }
+
     asio::awaitable<void> invite_body(parser const& input)
     {
         if (!beast::iequals(input.get()[http::field::expect], "100-continue"))
@@ -174,7 +231,9 @@
 
     asio::awaitable<void> refuse_unread(beast::error_code failure)
     {
-        if (failure == http::error::header_limit)
+        if (failure == asio::error::operation_aborted && parts_.stopping)
+            co_await refuse(503, "the instance is shutting down");
+        else if (failure == http::error::header_limit)
             co_await refuse(431, "the request's header is larger than " +
                                      std::to_string(parts_.limits.max_header_bytes) +
                                      " bytes");
@@ -358,7 +417,7 @@
         complete_ = false;
         watching_ = true;
         stream_.socket().async_read_some(
-            buffer_.prepare(std::size_t{4} << 10U),
+            buffer_.prepare(first_read_bytes),
             [self = shared_from_this()](beast::error_code failure, std::size_t size)
             { self->watched(failure, size); });
     }
@@ -404,6 +463,9 @@
     std::shared_ptr<pending_answer> answer_;
     unsigned version_ = 11;
     bool keep_alive_ = true;
+    bool busy_ = false;
+    /// While a read of a request is pending.
+    bool reading_ = false;
     bool watching_ = false;
     bool writing_ = false;
     bool complete_ = false;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -123,4 +123,9 @@
     return state_->count;
 }
 
+std::size_t http_server::busy_connections() const
+{
+    return state_->busy;
+}
+
 } // namespace carawayturn
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -74,6 +74,9 @@
     /// The caller closed its connection before the answer was complete.
     virtual void on_hangup(http_exchange const& exchange) = 0;
 
+    /// The number of busy connections changed; see http_server::busy_connections().
+    virtual void on_busy_changed(std::size_t /*connections*/) {}
+
     /// Returns the JSON body for a request that the server refuses by itself.
     [[nodiscard]] virtual std::string error_body(unsigned status,
                                                  std::string_view reason) = 0;
@@ -98,11 +101,16 @@
     /// Runs a function on the server's thread, in the order of the calls.
     void post(std::function<void()> work);
 
-    /// Stops serving; open connections are closed. May be called on any thread.
+    /// Stops serving; open connections are closed. A request that is still being read is
+    /// refused with 503 first. May be called on any thread.
     void stop();
 
     [[nodiscard]] std::size_t connections() const;
 
+    /// Connections with a request that has begun to arrive and whose answer is not
+    /// written yet. Called on the server's thread.
+    [[nodiscard]] std::size_t busy_connections() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/src/transport/instance_server.cpp
+++ b/src/transport/instance_server.cpp
@@ -33,7 +33,6 @@
     result<std::monostate> listen();
     void start(std::unique_ptr<core_driver> core);
     void stop();
-    void begin_drain();
     void add_gauges();
     [[nodiscard]] listed_instance describe_self() const;
 
@@ -100,7 +99,7 @@
                [this](token_count tokens) { counters.tokens_used(tokens); }),
       callers(settings.caller_limits, make_id_prefix(settings), loop, registry, counters),
       peers(settings.peers, loop, log),
-      admin(settings.admin, loop, log, [this] { begin_drain(); }),
+      admin(settings.admin, loop, log, [this] { callers.begin_drain(); }),
       platform_connections(platform_thread.executor(), idle_platform_connections),
       platform{platform_thread, platform_connections, loop, log, addresses},
       table(make_http_table(settings.table, platform)),
@@ -182,12 +181,6 @@
     callers.stop();
 }
 
-void instance_server::state::begin_drain()
-{
-    callers.close_after_answers();
-    loop.deliver(drain_requested{});
-}
-
 instance_server::instance_server(std::unique_ptr<state> made) : state_(std::move(made)) {}
 
 instance_server::~instance_server() = default;
@@ -209,7 +202,7 @@
 
 void instance_server::drain()
 {
-    state_->begin_drain();
+    state_->callers.begin_drain();
 }
 
 void instance_server::wait_until_drained()
--- a/tests/coordination/instance_core_test.cpp
+++ b/tests/coordination/instance_core_test.cpp
@@ -14,12 +14,18 @@
 class instance_core_test : public ::testing::Test
 {
 protected:
+    static constexpr duration drain_notice = 1s;
+    static constexpr duration drain_limit = 20s;
+    /// The notice, half a second for the last writes and two ticks.
+    static constexpr duration idle_drain_time = drain_notice + 500ms + 2 * tick_interval;
+
     static core_settings settings()
     {
         core_settings chosen;
         chosen.identity.id = instance_id("entry-0");
         chosen.identity.incarnation = 1;
         chosen.identity.peer_address = {"127.0.0.1", 7000};
+        chosen.drain = {drain_notice, drain_limit};
         return chosen;
     }
 
@@ -64,6 +70,19 @@
             });
     }
 
+    void begin_drain(std::size_t busy_connections)
+    {
+        (void)core_.handle(now_, callers_busy{busy_connections});
+        (void)core_.handle(now_, drain_requested{});
+    }
+
+    static bool ends_drain(actions const& all)
+    {
+        return std::any_of(all.begin(), all.end(),
+                           [](action const& done)
+                           { return std::holds_alternative<drain_finished>(done); });
+    }
+
     time_point now_{1h};
     instance_core core_{settings()};
 };
@@ -91,5 +110,54 @@
     EXPECT_EQ(std::get<refuse_request>(*found).reason.ran, execution::not_run);
 }
 
+// Guards against callers' connections without a request that hold up the end.
+TEST_F(instance_core_test, drain_without_busy_connections_ends_after_notice)
+{
+    begin_drain(0);
+    EXPECT_FALSE(ends_drain(run(drain_notice)));
+    EXPECT_TRUE(ends_drain(run(idle_drain_time - drain_notice)));
+}
+
+// Guards against a process that ends while a request is being read, which no component
+// counts as open yet.
+TEST_F(instance_core_test, drain_with_busy_connection_ends_after_its_answer)
+{
+    begin_drain(1);
+    EXPECT_FALSE(ends_drain(run(10s)));
+    EXPECT_FALSE(ends_drain(core_.handle(now_, callers_busy{0})));
+    EXPECT_TRUE(ends_drain(run(1s)));
+}
+
+// Guards against a caller that never completes its request and holds up the end.
+TEST_F(instance_core_test, drain_with_busy_connection_ends_after_limit)
+{
+    begin_drain(1);
+    EXPECT_FALSE(ends_drain(run(drain_limit - tick_interval)));
+    EXPECT_TRUE(ends_drain(run(1s)));
+}
+
+// Guards against a request that begins to arrive during the last writes and is cut as
+// these end.
+TEST_F(instance_core_test, connection_busy_during_last_writes_delays_end)
+{
+    begin_drain(0);
+    EXPECT_FALSE(ends_drain(run(idle_drain_time - 200ms)));
+    (void)core_.handle(now_, callers_busy{1});
+    EXPECT_FALSE(ends_drain(run(5s)));
+    EXPECT_TRUE(ends_drain(core_.handle(now_, callers_busy{0})));
+}
+
+// Guards against refused requests that follow each other closely, with no tick between
+// one and the next, and hold up the end until the limit.
+TEST_F(instance_core_test, moment_without_busy_connection_between_ticks_ends_drain)
+{
+    begin_drain(1);
+    EXPECT_FALSE(ends_drain(run(drain_notice + 1s)));
+    (void)core_.handle(now_, callers_busy{0});
+    (void)core_.handle(now_, callers_busy{1});
+    EXPECT_FALSE(ends_drain(run(1s)));
+    EXPECT_TRUE(ends_drain(core_.handle(now_, callers_busy{0})));
+}
+
 } // namespace
 } // namespace carawayturn
