--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -17,9 +17,8 @@
 /// Interval at which the silent server is checked for input while another one is asked to
 /// take the request over.
 constexpr duration handover_poll = std::chrono::milliseconds(50);
-/// Time in which a server usually refuses a request that it does not take. After that, a
-/// request without a stream is left to it, so that two servers do not work on it for
-/// long.
+/// Time in which a runner usually refuses a request that it does not take. After that, a
+/// plain request is left to it, so that two runners do not work on it for long.
 constexpr duration refusal_time = std::chrono::milliseconds(200);
 /// Time after the next server's head within which an event of a stream is awaited from
 /// it. A request must not be worked on by two servers for 400 ms; deadlines are checked
--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -14,6 +14,8 @@
 import time
 from dataclasses import dataclass
 
+from answer_bytes import CHUNKED, COMMENT, END, STREAM, chunk, event, head, with_length
+
 # An endless answer stops after this many bytes, so that a caller that never closes the connection
 # is recorded in `unbounded` instead of making the test hang.
 ENDLESS_LIMIT = 48 * 1024 * 1024
@@ -134,34 +136,6 @@
         self.pending += piece
 
 
-def head(request_id: str, framing: str, status: int = 200) -> bytes:
-    """Returns the head of an answer; `framing` holds the header lines that frame the body.
-
-    The instance must forward X-Server-Seal. It closes an idle connection shortly before the
-    timeout in Keep-Alive ends."""
-    return (f"HTTP/1.1 {status} Said\r\nX-Request-Id: {request_id}\r\nX-Server-Seal: s\r\n"
-            f"Keep-Alive: timeout=10\r\n{framing}\r\n").encode()
-
-
-def with_length(request_id: str, body: bytes) -> bytes:
-    return head(request_id, f"Content-Length: {len(body)}\r\n") + body
-
-
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-CHUNKED = "Transfer-Encoding: chunked\r\n"
-STREAM = "Content-Type: text/event-stream\r\n" + CHUNKED
-END = b"0\r\n\r\n"
-# A comment line in place of an event, which the instance forwards unchanged.
-COMMENT = b": still here\n\n"
-
-
-def event(number: int) -> bytes:
-    return b"id: %d\ndata: %d\n\n" % (number, number)
-
-
 def own_body(request: Request) -> bytes:
     """Returns the body that only the answer to this request has."""
     return request.answer or b"answer of " + request.path.encode()
--- a/standins/repeating_server.py
+++ b/standins/repeating_server.py
@@ -10,8 +10,8 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from misbehaving_server import (
-    END, STREAM, Connection, MisbehavingServer, Request, chunk, event, head, with_length)
+from answer_bytes import END, STREAM, chunk, event, head, with_length
+from misbehaving_server import Connection, MisbehavingServer, Request
 
 # Length of a run, in seconds: the copy arrives long before the answer.
 RUN_S = 0.15
--- a/tests/entry/contradictory_answer_test.py
+++ b/tests/entry/contradictory_answer_test.py
@@ -8,10 +8,9 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from answer_bytes import CHUNKED, END, STREAM, chunk, event, head  # noqa: E402
 from entry_fleet import Instance, configuration  # noqa: E402
-from misbehaving_server import (  # noqa: E402
-    CHUNKED, END, STREAM, Connection, MisbehavingServer, Request, chunk, event, good, head,
-    own_body)
+from misbehaving_server import Connection, MisbehavingServer, Request, good, own_body  # noqa: E402
 from platform_fleet import Store  # noqa: E402
 
 REFUSAL = "Content-Length: 0\r\nX-Not-Executed: 1\r\n"
--- a/tests/entry/misbehaving_server_test.py
+++ b/tests/entry/misbehaving_server_test.py
@@ -14,11 +14,12 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from answer_bytes import CHUNKED, END, STREAM, chunk, event, head  # noqa: E402
 from entry_fleet import (  # noqa: E402
     FREED_MEMORY_IS_HELD, HANG_LIMIT_S, Instance, configuration, wait_until)
 from misbehaving_server import (  # noqa: E402
-    CHUNKED, END, FRAMINGS, STREAM, WAYS, Closed, Connection, MisbehavingServer, Request, chunk,
-    cut_answer, event, head, long_answer, own_body)
+    FRAMINGS, WAYS, Closed, Connection, MisbehavingServer, Request, cut_answer, long_answer,
+    own_body)
 from platform_fleet import Store  # noqa: E402
 
 ROUTE_TIMEOUT_MS = 2500
--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from answer_bytes import END, STREAM, chunk, event, head  # noqa: E402
 from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
-from misbehaving_server import (  # noqa: E402
-    END, STREAM, Connection, MisbehavingServer, Request, chunk, event, head, stream)
+from misbehaving_server import Connection, MisbehavingServer, Request, stream  # noqa: E402
 from platform_fleet import Store  # noqa: E402
 
 RUNNERS = 3
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -15,9 +15,9 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from answer_bytes import COMMENT, END, STREAM, chunk, event, head  # noqa: E402
 from entry_fleet import HANG_LIMIT_S, Instance, configuration, route, wait_until  # noqa: E402
-from misbehaving_server import (  # noqa: E402
-    COMMENT, END, STREAM, Connection, MisbehavingServer, Request, chunk, event, head)
+from misbehaving_server import Connection, MisbehavingServer, Request  # noqa: E402
 from platform_fleet import BackendServer, Store  # noqa: E402
 
 # Longer than the time after which another server is looked for: five times the gap objective, a
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,8 +7,8 @@
 
 from collections import Counter, defaultdict
 
+from answer_bytes import COMMENT
 from callers import DEADLINE_MARGIN_S, DEADLINE_S, EXPECTED_STREAM, Call
-from misbehaving_server import COMMENT
 
 REVOKE_S = 5.0
 DRAIN_S = 2.0
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -9,9 +9,9 @@
 
 HERE = Path(__file__).resolve().parent
 sys.path[:0] = [str(HERE), str(HERE.parent.parent / "standins")]
+from answer_bytes import COMMENT  # noqa: E402
 import promises  # noqa: E402
 from callers import EXPECTED_STREAM, Call  # noqa: E402
-from misbehaving_server import COMMENT  # noqa: E402
 
 
 def call(kind: str, status: int = 200, body: bytes = b"", **options) -> Call:
