--- a/src/coordination/entry/quota.cpp
+++ b/src/coordination/entry/quota.cpp
@@ -123,17 +123,11 @@
                                    time_point now)
 {
     set_drained(organisations, now);
+    above_rate_.clear();
     std::set<std::string> seen;
-    std::vector<std::string> repeated;
     for (auto const& name : organisations)
         if (!seen.insert(name).second)
-            repeated.push_back(name);
-    set_above_rate(repeated);
-}
-
-void instance_quota::set_above_rate(std::vector<std::string> const& organisations)
-{
-    above_rate_ = {organisations.begin(), organisations.end()};
+            above_rate_.insert(name);
 }
 
 bool instance_quota::spend_without_hub(std::string const& organisation,
@@ -155,12 +149,12 @@
     if (entry.without_hub_balance <= 0)
         return false;
     if (entry.without_hub_balance < units && above_rate_.contains(organisation))
-        return spend_rest(entry, units);
+        return spend_at_random(entry, units);
     entry.without_hub_balance -= units;
     return true;
 }
 
-bool instance_quota::spend_rest(account& entry, double units)
+bool instance_quota::spend_at_random(account& entry, double units)
 {
     std::uniform_real_distribution<double> position(0, units);
     bool const passes = position(random_) < entry.without_hub_balance;
--- a/src/coordination/entry/quota.hpp
+++ b/src/coordination/entry/quota.hpp
@@ -58,8 +58,8 @@
     /// depend on how much a new hub has available at the start.
     [[nodiscard]] std::vector<std::string> above_rate(time_point now) const;
 
-    /// Returns the names of the organisations that are drained, and twice those that are
-    /// above their rate.
+    /// Returns the list for node_update::exhausted_organisations: drained organisations
+    /// once, organisations above their rate twice.
     [[nodiscard]] std::vector<std::string> exhausted(time_point now) const;
 
 private:
@@ -91,10 +91,10 @@
 /// instance's share of the rate brings in a second".
 ///
 /// The negative balances of all instances together can exceed what the rate brings in
-/// seconds. An organisation that requested more than its rate from the hub therefore gets
-/// none: a request that is larger than the balance uses all of it and passes with the
-/// probability balance / units, so that the instances together spend on average no more
-/// than what accrues.
+/// several seconds. The balance of an organisation that requested more than its rate from
+/// the hub therefore does not become negative: a request that is larger than the balance
+/// uses all of it and passes with the probability balance / units. On average, the
+/// instances then spend no more than what accrues.
 class instance_quota
 {
 public:
@@ -112,8 +112,6 @@
     void set_drained(std::vector<std::string> const& organisations, time_point now);
     /// Stores the hub's list of exhausted organisations, see hub_quota::exhausted().
     void set_exhausted(std::vector<std::string> const& organisations, time_point now);
-    /// Stores the hub's list of organisations that request more than their rate.
-    void set_above_rate(std::vector<std::string> const& organisations);
 
     /// Spends from the share of the rate that accrues to one of `instances` since the
     /// hub's last update.
@@ -140,11 +138,11 @@
 
         void accrue_without_hub(double instance_rate, double cap, time_point until);
     };
-    std::map<std::string, account> accounts_;
-    /// Spends all of a balance smaller than `units`. Returns true with the probability
-    /// balance / units.
-    [[nodiscard]] bool spend_rest(account& entry, double units);
+    /// Spends the whole balance, which is smaller than `units`. Returns true with the
+    /// probability balance / units.
+    [[nodiscard]] bool spend_at_random(account& entry, double units);
 
+    std::map<std::string, account> accounts_;
     std::mt19937_64 random_;
     std::set<std::string> drained_;
     std::set<std::string> above_rate_;
--- a/src/coordination/entry/shutdown_plan.cpp
+++ b/src/coordination/entry/shutdown_plan.cpp
@@ -20,7 +20,7 @@
 constexpr duration min_service_time = std::chrono::milliseconds(1000);
 /// An idle connection is closed after this time without traffic, because its caller may
 /// have sent a request before it could learn of the shutdown.
-constexpr duration idle_time = std::chrono::milliseconds(300);
+constexpr duration full_idle_close_delay = std::chrono::milliseconds(300);
 /// The times above apply to grace times from this one on, of which cut_margin is a sixth.
 /// A request that ends before the last sixth of the grace time has to be answered, so a
 /// shorter grace time shortens all of them in proportion.
@@ -35,7 +35,7 @@
 } // namespace
 
 shutdown_plan::shutdown_plan(signal_time_range began, duration grace)
-    : idle_close_delay_(scaled(idle_time, grace)),
+    : idle_close_delay_(scaled(full_idle_close_delay, grace)),
       min_service_time_(scaled(min_service_time, grace)),
       cut_unanswered_at_(began.earliest + grace - scaled(cut_margin, grace)),
       cut_at_(began.latest + grace - scaled(cut_margin, grace)),
--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -56,8 +56,8 @@
 /// connections are served from the latest time on, because a paused process has not told
 /// the platform that it is not ready.
 ///
-/// The length of each phase is fixed, but a short grace time shortens all of them in
-/// proportion.
+/// Delays and margins have a fixed length. A grace time below 3.6 s shortens all of them
+/// in proportion.
 class shutdown_plan
 {
 public:
--- a/src/coordination/event.hpp
+++ b/src/coordination/event.hpp
@@ -127,9 +127,10 @@
 {
 };
 
-/// The number of callers' connections with a request that has begun to arrive and whose
-/// answer is not written yet. Raised before drain_requested and, from then on, with each
-/// change; a request's request_arrived comes before the change that its answer makes.
+/// Number of callers' connections with a request that has begun to arrive and whose
+/// answer is not completely written. Delivered before drain_requested and after each
+/// later change. A connection is counted until its request_arrived has been delivered,
+/// and longer.
 struct callers_busy
 {
     std::size_t connections = 0;
--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -26,11 +26,8 @@
     /// Returns whether the events of the last take_events() contain data or an id.
     /// Comment lines count as neither.
     [[nodiscard]] bool last_taken_has_data() const { return last_taken_has_data_; }
-    /// Returns whether the incomplete event exceeds max_event_bytes.
-    [[nodiscard]] bool incomplete_event_too_long() const
-    {
-        return pending_.size() > max_event_bytes;
-    }
+    /// Returns whether the bytes that were not taken exceed max_event_bytes.
+    [[nodiscard]] bool exceeds_limit() const { return pending_.size() > max_event_bytes; }
 
     /// Returns the received bytes of the event whose end has not arrived.
     [[nodiscard]] std::string_view incomplete_event() const
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -192,7 +192,8 @@
     std::vector<unloading_model> unloading_models;
     std::vector<quota_reply> quota;
     /// Organisations whose quota is nearly used up. One that requests more than its rate
-    /// is listed twice, which instances without this distinction read as once.
+    /// is listed twice, so that the message format stays as it was: instances that do not
+    /// know the distinction ignore the repetition.
     std::vector<std::string> exhausted_organisations;
     std::vector<crash_count> crashes;
     /// Signatures that are no longer suspected of causing crashes.
--- a/src/transport/caller_gateway.hpp
+++ b/src/transport/caller_gateway.hpp
@@ -36,8 +36,8 @@
     void deliver(deliver_answer kept);
     void set_ready(bool ready);
 
-    /// Closes each connection after its next answer, and raises drain_requested and the
-    /// number of busy connections.
+    /// From now on, closes each connection after its next answer. Delivers callers_busy,
+    /// then drain_requested.
     void begin_drain();
 
     [[nodiscard]] std::size_t connections() const { return server_.connections(); }
--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -24,17 +24,17 @@
 namespace
 {
 
-/// The connection is closed if the caller has taken none of the written bytes for this
-/// long, or has taken all of them and is unreachable for this long. A longer piece of an
-/// answer may take a slow caller more time.
-constexpr duration write_timeout = std::chrono::seconds(10);
+/// The connection is closed if the caller acknowledges none of the written bytes for this
+/// long or, with nothing left to acknowledge, answers no keep-alive probe for this long.
+/// A whole write may take longer.
+constexpr duration progress_timeout = std::chrono::seconds(10);
 /// Maximum number of bytes read but not yet parsed. Bounds chunk extensions and trailers,
 /// for which the parser has no limit.
 constexpr std::size_t request_buffer_limit = std::size_t{256} * 1024;
 /// How long, and for how many bytes, input is read and discarded after an answer that
 /// ends the connection. Closing with unread input would reset the connection, and the
-/// answer could be lost. The time is extended, up to write_timeout, while the caller has
-/// not acknowledged the whole answer.
+/// answer could be lost. The time is extended, up to progress_timeout, while the caller
+/// has not acknowledged the whole answer.
 constexpr duration discard_time = std::chrono::seconds(1);
 constexpr std::size_t discard_limit = std::size_t{64} << 20U;
 constexpr std::size_t discard_piece = std::size_t{16} * 1024;
@@ -49,19 +49,20 @@
            failure != http::error::partial_message;
 }
 
-/// One write to a caller, limited only by write_timeout without progress. The next piece
-/// of the answer may come much later, so the socket has no deadline afterwards either.
-class write_limit
+/// Closes the connection if one write to the caller makes no progress for
+/// progress_timeout. Sets no deadline for the whole write, nor for the time until the
+/// next one.
+class guarded_write
 {
 public:
-    explicit write_limit(deadline_socket& socket) : socket_(socket)
+    explicit guarded_write(deadline_socket& socket) : socket_(socket)
     {
         socket_.set_deadline(time_point::max());
-        socket_.begin_write(boot_now(), write_timeout);
+        socket_.begin_write(boot_now(), progress_timeout);
     }
-    write_limit(write_limit const&) = delete;
-    write_limit& operator=(write_limit const&) = delete;
-    ~write_limit() { socket_.end_write(); }
+    guarded_write(guarded_write const&) = delete;
+    guarded_write& operator=(guarded_write const&) = delete;
+    ~guarded_write() { socket_.end_write(); }
 
 private:
     deadline_socket& socket_;
@@ -256,7 +257,7 @@
     boost::system::error_code failure;
     socket_->socket().shutdown(tcp_socket::shutdown_send, failure);
     auto const now = boot_now();
-    socket_->set_soft_deadline(now + discard_time, now + write_timeout);
+    socket_->set_soft_deadline(now + discard_time, now + progress_timeout);
     std::array<char, discard_piece> piece{};
     std::size_t discarded = 0;
     while (!failure && discarded < discard_limit)
@@ -299,7 +300,7 @@
         answer.content_length(answer.body().size());
     if (head_request_)
         answer.body().clear();
-    write_limit const limit(*socket_);
+    guarded_write const guard(*socket_);
     auto const [failure, size] =
         co_await http::async_write(socket_->socket(), answer, use_task);
     co_return !failure;
@@ -326,7 +327,7 @@
     if (!length && http_1_0_)
         socket_->reset_on_close();
     http::response_serializer<http::empty_body> serializer(answer);
-    write_limit const limit(*socket_);
+    guarded_write const guard(*socket_);
     auto const [failure, size] =
         co_await http::async_write_header(socket_->socket(), serializer, use_task);
     co_return !failure;
@@ -337,7 +338,7 @@
     // An empty chunk would mark the end of the answer.
     if (bytes.empty())
         co_return true;
-    write_limit const limit(*socket_);
+    guarded_write const guard(*socket_);
     auto const piece = asio::buffer(bytes.data(), bytes.size());
     if (!chunked_)
     {
@@ -357,7 +358,7 @@
         socket_->clear_reset_on_close();
         co_return true;
     }
-    write_limit const limit(*socket_);
+    guarded_write const guard(*socket_);
     auto const [failure, size] =
         co_await asio::async_write(socket_->socket(), http::make_chunk_last(), use_task);
     co_return !failure;
@@ -442,7 +443,7 @@
 
 void begin_session(entry_services& services, tcp_socket socket)
 {
-    set_slow_reader_options(socket, write_timeout);
+    set_slow_reader_options(socket, progress_timeout);
     auto const peer = remote_address(socket);
     services.tasks.run("serve caller", peer,
                        serve_caller(std::make_unique<caller_session>(
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -276,6 +276,7 @@
 void entry_node::add_hub_fields(node_status const& status, node_update& update) const
 {
     update.directory_age_us = (boot_now() - reader_.servers_read_at()).count();
+    // Without a directory, receivers keep the one of the former hub.
     if (!directory_is_current())
     {
         update.directory_hub = 0;
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -99,8 +99,9 @@
     [[nodiscard]] bool ready() const;
     void update_readiness();
     void update_hub_role();
-    /// Whether the servers were read from the store since this instance became the hub.
-    /// Until then its directory may lack changes that the former hub had sent.
+    /// Whether the servers were read from the store since this instance last became the
+    /// hub. Until then its directory may lack changes that the former hub had sent.
+    /// Always true if it never was the hub.
     [[nodiscard]] bool directory_is_current() const;
     /// Whether a change that was read reaches this instance with the hub's next push to
     /// all. Otherwise it is applied at once.
@@ -171,6 +172,7 @@
     std::unordered_map<std::uint32_t, std::string> ids_by_short_id_;
     peer_addresses peer_addresses_;
     store_read_policy read_policy_;
+    /// When this instance last became the hub; zero if it never did.
     time_point hub_since_{};
     /// Revision of the directory that was last sent to all instances; zero if none was.
     std::uint64_t pushed_revision_ = 0;
--- a/src/transport/entry/io.cpp
+++ b/src/transport/entry/io.cpp
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace carawayturn::entry
@@ -230,7 +231,9 @@
 void set_slow_reader_options(tcp_socket& socket, duration limit)
 {
     auto const limit_s = std::chrono::duration_cast<std::chrono::seconds>(limit).count();
-    auto const probes = static_cast<int>(limit_s) / keepalive_s - 1;
+    // The first probe is sent after keepalive_s, and the connection ends keepalive_s
+    // after the last one.
+    auto const probes = std::max(1, static_cast<int>(limit_s) / keepalive_s - 1);
     set_common_options(socket.native_handle(), probes);
 }
 
--- a/src/transport/entry/io.hpp
+++ b/src/transport/entry/io.hpp
@@ -152,11 +152,11 @@
 /// connection within seconds if the peer becomes unreachable.
 void set_connection_options(tcp_socket& socket);
 
-/// Sets the options of a connection to a peer that may read slowly. The kernel has no
-/// limit for its unacknowledged bytes, because that limit also ends a connection whose
-/// peer reads less than a segment at a time; begin_write() sets one.
-/// @param limit time after which a peer without unacknowledged bytes counts as
-/// unreachable.
+/// Sets the options of a connection to a peer that may read slowly. TCP_USER_TIMEOUT is
+/// not set, because it also ends a connection whose peer reads less than a segment at a
+/// time; begin_write() limits the time of unacknowledged bytes instead.
+/// @param limit time without an answer to keep-alive probes after which the connection
+///     ends; 4 s at least.
 void set_slow_reader_options(tcp_socket& socket, duration limit);
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -296,7 +296,7 @@
                 co_return co_await finish_stream();
             last_received_ = boot_now();
             events_.append(exchange_->body());
-            if (events_.incomplete_event_too_long())
+            if (events_.exceeds_limit())
             {
                 exchange_->set_failure("an event exceeds the size limit");
                 services_.backends.note_failure(server_.id, boot_now());
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -210,15 +210,15 @@
     /// Returns whether the request was moved.
     [[nodiscard]] task<bool> hand_over();
     /// Waits for the first event of the server that is asked to take a stream over.
-    /// Returns whether the stream is left to that server, which it also is if no event
-    /// has arrived within a limited time.
+    /// Returns whether that server takes it over, which it also does if no event has
+    /// arrived within a limited time.
     [[nodiscard]] task<bool> receive_first_event();
-    /// Returns whether the stream can be left to the next server after a read from it;
-    /// nothing if that is not known yet.
+    /// Returns whether the next server takes the stream over, given what was read from
+    /// it; nothing if that is not known yet. Records a failure of that server.
     [[nodiscard]] std::optional<bool> check_first_events(read_outcome read);
-    /// Reads what the silent server has sent while another one is asked. Returns whether
-    /// it goes on, and then records that as the failure of the other one's exchange.
-    [[nodiscard]] task<bool> silent_server_goes_on();
+    /// Reads what the silent server has sent while another one is asked. If it goes on,
+    /// records that as the failure of the other one's exchange and returns true.
+    [[nodiscard]] task<bool> check_silent_server();
     /// Reads what has arrived of the silent server's stream. Returns whether that is an
     /// event with data or the end of the answer; comments and parts of events are kept.
     [[nodiscard]] static task<bool> read_silent_stream(silent_attempt& silent);
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -17,12 +17,12 @@
 /// Interval at which the silent server is checked for input while another one is asked to
 /// take the request over.
 constexpr duration handover_poll = std::chrono::milliseconds(50);
-/// Time in which a runner usually refuses a request that it does not take. After that, a
-/// plain request is left to it, so that two runners do not work on it for long.
+/// Time in which a runner usually refuses a request that it does not take. If it has not
+/// refused a request without a stream by then, the silent runner's connection is closed,
+/// so that two runners do not work on the request for long.
 constexpr duration refusal_time = std::chrono::milliseconds(200);
-/// Time after the next server's head within which an event of a stream is awaited from
-/// it. A request must not be worked on by two servers for 400 ms; deadlines are checked
-/// every 50 ms.
+/// Longest wait for the next server's first event after its head. Two servers must work
+/// on one request for less than 400 ms, and a deadline is noticed up to 50 ms late.
 constexpr duration first_event_time = std::chrono::milliseconds(200);
 
 } // namespace
@@ -114,13 +114,13 @@
         }
         if (silent_)
         {
-            bool const goes_on = co_await silent_server_goes_on();
+            bool const goes_on = co_await check_silent_server();
             if (goes_on)
                 co_return read_outcome::idle;
         }
-        // A model must not work on a request at two runners for long. The next runner of
-        // a stream begins to work when it sends the head; that of any other request may
-        // be at work already.
+        // Two runners must not work on one request for long. The next runner of a stream
+        // begins to work when it sends the head; that of any other request may have begun
+        // already. Two plain servers may both work on it.
         if (silent_ && service_->engine && route_->kind != request_kind::stream &&
             boot_now() - began >= refusal_time)
             silent_->exchange->close();
@@ -185,7 +185,7 @@
         // The head of the silent server's answer is no progress over the next one's.
         if (!silent_->exchange->head_read())
             continue;
-        bool const goes_on = co_await silent_server_goes_on();
+        bool const goes_on = co_await check_silent_server();
         if (goes_on)
             co_return false;
     }
@@ -194,9 +194,9 @@
 
 std::optional<bool> request_flow::check_first_events(read_outcome read)
 {
-    if (events_.incomplete_event_too_long())
+    if (events_.exceeds_limit())
         exchange_->set_failure("an event exceeds the size limit");
-    if (read == read_outcome::failed || events_.incomplete_event_too_long())
+    if (read == read_outcome::failed || events_.exceeds_limit())
     {
         if (!interrupted())
             services_.backends.note_failure(server_.id, boot_now());
@@ -220,7 +220,7 @@
     return std::nullopt;
 }
 
-task<bool> request_flow::silent_server_goes_on()
+task<bool> request_flow::check_silent_server()
 {
     bool goes_on = false;
     if (silent_->exchange->head_read())
@@ -236,7 +236,7 @@
 {
     auto& exchange = *silent.exchange;
     // The size limit also bounds comments that arrive without end.
-    while (exchange.has_unread_input() && !silent.events.incomplete_event_too_long())
+    while (exchange.has_unread_input() && !silent.events.exceeds_limit())
     {
         exchange.set_idle_limit(boot_now());
         auto const read = co_await exchange.read_body();
--- a/src/transport/entry/tcp_progress.cpp
+++ b/src/transport/entry/tcp_progress.cpp
@@ -11,7 +11,6 @@
 
 std::uint64_t acknowledged_bytes(int socket)
 {
-    // A kernel without the counter leaves it at 0.
     tcp_info info{};
     socklen_t size = sizeof info;
     return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -101,14 +101,14 @@
 TEST_F(event_splitter_test, event_without_end_becomes_overlong)
 {
     std::string const piece(4096, 'd');
-    while (!events_.incomplete_event_too_long())
+    while (!events_.exceeds_limit())
     {
         events_.append(piece);
         ASSERT_TRUE(events_.take_events().empty());
         ASSERT_LE(events_.incomplete_event().size(), max_event_bytes + piece.size());
     }
     events_.discard_incomplete_event();
-    EXPECT_FALSE(events_.incomplete_event_too_long());
+    EXPECT_FALSE(events_.exceeds_limit());
     events_.append("id: 3\n\n");
     EXPECT_EQ(events_.take_events(), "id: 3\n\n");
 }
--- a/tests/entry/server_failure_test.py
+++ b/tests/entry/server_failure_test.py
@@ -63,7 +63,8 @@
         self.assertEqual(self.status_answer(), ERROR)
 
     def test_error_before_broken_connections_is_the_answer(self) -> None:
-        """Guards against the same where the next servers close the connection."""
+        """Guards against a server's complete answer that is lost when the next servers close the
+        connection."""
         self.answer_with(self.plain, "error", lambda _, call: call.drop())
         self.assertEqual(self.status_answer(), ERROR)
 
--- a/tests/entry/silent_server_test.py
+++ b/tests/entry/silent_server_test.py
@@ -232,11 +232,12 @@
         self.assert_first_answers(0.5, "full")
 
     def test_slow_request_whose_next_server_breaks_off_gets_its_answer(self) -> None:
-        """Guards against the same where the next server closes the connection."""
+        """Guards against an exchange with a slow server that is closed before the next one has
+        closed its connection."""
         self.assert_first_answers(0.5, "reset")
 
     def test_slow_request_whose_next_server_hangs_gets_its_answer(self) -> None:
-        """Guards against the same where the next server does not answer at all."""
+        """Guards against an exchange with a slow server that is closed while the next one hangs."""
         self.assert_first_answers(8.0, "good")
 
     def test_slow_request_is_answered_if_every_server_is_slow(self) -> None:
@@ -354,7 +355,7 @@
         self.assert_whole_without_next()
 
     def test_stream_whose_next_server_sends_an_error_is_whole(self) -> None:
-        """Guards against the same for an error's text, in an event or at the answer's end."""
+        """Guards against a silent server that is left for one that sends only an error's text."""
         for error in (b'{"error":{}}', b'{"error":{}}\n\n'):
             with self.subTest(error=error):
                 self.answer_next_with(chunk(error), END)
