--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -58,6 +58,13 @@
 
 } // namespace
 
+std::string_view name_of(body_framing framing)
+{
+    static constexpr std::array<std::string_view, 4> names{"", "length", "chunks",
+                                                           "connection"};
+    return names.at(static_cast<std::size_t>(framing));
+}
+
 /// A request that is being written, with the data that the write operation refers to.
 struct backend_exchange::upload
 {
@@ -127,6 +134,7 @@
 void backend_exchange::start_parser()
 {
     parser_.emplace();
+    body_bytes_ = 0;
     parser_->header_limit(answer_head_limit);
     parser_->body_limit(boost::none);
     if (head_request_)
@@ -198,6 +206,15 @@
     return *content_length;
 }
 
+body_framing backend_exchange::framing() const
+{
+    if (!head_read())
+        return body_framing::unknown;
+    if (parser_->need_eof())
+        return body_framing::connection;
+    return parser_->chunked() ? body_framing::chunks : body_framing::length;
+}
+
 read_outcome backend_exchange::failed_read(boost::system::error_code failure)
 {
     if (failure == asio::error::operation_aborted && socket_->read_interrupted() &&
@@ -240,6 +257,7 @@
         socket_->socket(), buffer_, *parser_,
         asio::bind_cancellation_slot(socket_->read_slot(), use_task));
     piece_size_ = piece_.size() - body.size;
+    body_bytes_ += piece_size_;
     if (failure && failure != http::error::need_buffer)
         co_return failed_read(failure);
     co_return read_outcome::more;
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace carawayturn::entry
 {
@@ -30,6 +31,19 @@
     failed
 };
 
+/// What marks the end of an answer's body.
+enum class body_framing
+{
+    /// The head of the answer has not been read.
+    unknown,
+    length,
+    chunks,
+    /// The end of the connection.
+    connection
+};
+
+[[nodiscard]] std::string_view name_of(body_framing framing);
+
 /// One request and its answer on a connection to a backend server.
 class backend_exchange
 {
@@ -60,6 +74,9 @@
     /// Length of the answer's body, if its head states it.
     [[nodiscard]] std::optional<std::uint64_t> length() const;
 
+    [[nodiscard]] body_framing framing() const;
+    /// Bytes of the answer's body that have been read.
+    [[nodiscard]] std::uint64_t body_bytes() const { return body_bytes_; }
     /// Whether only the end of the connection marks the end of the answer.
     [[nodiscard]] bool ends_with_connection() const { return parser_->need_eof(); }
 
@@ -100,6 +117,7 @@
     platform::answer_metadata metadata_;
     std::array<char, 4096> piece_{};
     std::size_t piece_size_ = 0;
+    std::uint64_t body_bytes_ = 0;
     std::shared_ptr<upload> upload_;
     bool head_request_ = false;
     /// A read of the head was interrupted, so a part of it may have been read.
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -20,25 +20,30 @@
     auto outcome = ended.value_or(attempt_outcome::unknown);
     if (!ended)
         outcome = co_await receive_answer();
-    log_attempt(outcome, server_.id, last_received_,
-                exchange_ ? exchange_->failure() : "no connection");
+    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_});
     exchange_.reset();
     in_flight_.reset();
     co_return outcome;
 }
 
-void request_flow::log_attempt(attempt_outcome outcome, std::string_view server,
-                               time_point last_received, std::string_view detail)
+void request_flow::log_attempt(attempt_outcome outcome, ended_attempt const& attempt)
 {
     auto const now = boot_now();
-    services_.log.write(entry_event::attempt_ended,
-                        {{"request", head_.id},
-                         {"server", server},
-                         {"send", std::uint64_t{sends_}},
-                         {"end", name_of(outcome)},
-                         {"detail", detail},
-                         {"silent_ms", to_ms(now - last_received)},
-                         {"elapsed_ms", to_ms(now - arrival_)}});
+    auto const* const exchange = attempt.exchange;
+    auto const framing = exchange ? exchange->framing() : body_framing::unknown;
+    auto const incomplete = attempt.events.incomplete_event().size();
+    services_.log.write(
+        entry_event::attempt_ended,
+        {{"request", head_.id},
+         {"server", attempt.server},
+         {"send", std::uint64_t{sends_}},
+         {"end", name_of(outcome)},
+         {"detail", exchange ? std::string_view(exchange->failure()) : "no connection"},
+         {"framing", entry::name_of(framing)},
+         {"body_bytes", exchange ? exchange->body_bytes() : 0},
+         {"incomplete_bytes", std::uint64_t{incomplete}},
+         {"silent_ms", to_ms(now - attempt.last_received)},
+         {"elapsed_ms", to_ms(now - arrival_)}});
 }
 
 task<std::optional<request_flow::attempt_outcome>> request_flow::begin_attempt()
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -138,6 +138,15 @@
         http::response_header<> answer_head;
         bool run_begun;
     };
+    /// What the log line of an attempt that has ended is made of.
+    struct ended_attempt
+    {
+        std::string_view server;
+        time_point last_received;
+        /// Null if there was no connection.
+        backend_exchange const* exchange;
+        event_splitter const& events;
+    };
     struct buffered_answer
     {
         http::response_header<> head;
@@ -177,8 +186,7 @@
     /// Reads the head of the answer. Returns `idle` if a silent server has gone on in the
     /// meantime.
     [[nodiscard]] task<read_outcome> read_answer_head();
-    void log_attempt(attempt_outcome outcome, std::string_view server,
-                     time_point last_received, std::string_view detail);
+    void log_attempt(attempt_outcome outcome, ended_attempt const& attempt);
     [[nodiscard]] task<attempt_outcome> receive_answer();
     /// Whether the answer's head lets it continue the stream that has begun. If not,
     /// records the reason as the exchange's failure.
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -266,13 +266,13 @@
 {
     services_.backends.note_failure(silent.server.id, boot_now());
     excluded_.insert(silent.server.id);
-    log_attempt(attempt_outcome::handed_over, silent.server.id, silent.last_received, {});
+    log_attempt(attempt_outcome::handed_over, {silent.server.id, silent.last_received,
+                                               silent.exchange.get(), silent.events});
 }
 
 void request_flow::return_to_server(silent_attempt& silent, attempt_outcome outcome)
 {
-    log_attempt(outcome, server_.id, last_received_,
-                exchange_ ? exchange_->failure() : "no connection");
+    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_});
     excluded_.insert(server_.id);
     server_ = std::move(silent.server);
     in_flight_ = std::move(silent.in_flight);
