--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -139,6 +139,22 @@
         finally:
             connection.close()
 
+    def stream(self, path: str, model: str,
+               request_id: str = "s1") -> tuple[bytes, bool, http.client.HTTPMessage | None]:
+        """Sends one request of a streaming route on a new connection. Returns the received bytes
+        of the stream, whether it ended as complete, and the headers if it did."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.front_port, timeout=HANG_LIMIT_S)
+        try:
+            connection.request("POST", path, b"x", {
+                "Host": "h.example", "X-Request-Id": request_id, "X-Model": model,
+                "Authorization": "Token k1"})
+            answer = connection.getresponse()
+            return answer.read(), answer.status == 200, answer.headers
+        except http.client.IncompleteRead as failure:
+            return failure.partial, False, None
+        finally:
+            connection.close()
+
     def raw_answer(self, path: str, request_id: str, model: str) -> bytes:
         """Sends one request and returns all bytes received until the connection closes."""
         with socket.create_connection(("127.0.0.1", self.front_port), HANG_LIMIT_S) as caller:
--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -403,6 +403,15 @@
     return play
 
 
+def sends(framing_lines: str, *pieces: bytes, status: int = 200):
+    """Returns a behaviour that sends a head with these lines and the pieces, and closes the
+    connection normally."""
+    def play(connection: Connection, request: Request) -> None:
+        connection.send(head(request.id, framing_lines, status) + b"".join(pieces))
+        connection.finish()
+    return play
+
+
 def long_answer(framing_lines: str, body: bytes, cut: bool):
     """Returns a behaviour that sends this body, or half of the body and then a reset. Closes the
     connection after the body if there are no framing lines."""
--- a/tests/entry/resumed_stream_test.py
+++ b/tests/entry/resumed_stream_test.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import http.client
 import sys
 import time
 import unittest
@@ -14,8 +13,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
 from answer_bytes import END, STREAM, chunk, event, head  # noqa: E402
-from entry_fleet import HANG_LIMIT_S, Instance, configuration, wait_until  # noqa: E402
-from misbehaving_server import Connection, MisbehavingServer, Request, stream  # noqa: E402
+from entry_fleet import Instance, configuration, wait_until  # noqa: E402
+from misbehaving_server import (  # noqa: E402
+    Connection, MisbehavingServer, Request, sends, stream)
 from platform_fleet import Store  # noqa: E402
 
 RUNNERS = 3
@@ -31,15 +31,6 @@
 BEGUN_STREAM = event(1) + event(2)
 
 
-def sends(framing: str, *pieces: bytes, status: int = 200):
-    """Returns a way to answer: a head with these header lines, the pieces, and the end of the
-    connection."""
-    def play(connection: Connection, request: Request) -> None:
-        connection.send(head(request.id, framing, status) + b"".join(pieces))
-        connection.finish()
-    return play
-
-
 def sends_events(*events: bytes):
     """Returns a way to answer: a complete chunked stream of these events."""
     return sends(STREAM, *map(chunk, events), END)
@@ -90,19 +81,8 @@
         """Sends a request. Returns the received bytes of the stream and whether it ended as
         complete."""
         self.ways, self.resume_points = list(ways), []
-        connection = http.client.HTTPConnection("127.0.0.1", self.instance.front_port,
-                                                timeout=HANG_LIMIT_S)
-        try:
-            connection.request("POST", "/draft/a", b"x", {
-                "Host": "h.example", "X-Request-Id": "s1", "X-Model": "m1",
-                "Authorization": "Token k1"})
-            answer = connection.getresponse()
-            self.headers = answer.headers
-            return answer.read(), answer.status == 200
-        except http.client.IncompleteRead as failure:
-            return failure.partial, False
-        finally:
-            connection.close()
+        received, whole, self.headers = self.instance.stream("/draft/a", "m1")
+        return received, whole
 
     def attempt_details(self) -> set[str]:
         return {ended["detail"] for ended in self.instance.events(1101)}
