Recognize a stream that was cut by its connection without its Content-Type

Cause: an answer without a length and chunks ends with its connection, so only the part of an event that is left tells that it was cut. That was looked for only if the head names text/event-stream. A server may omit the header, as the users' example of a streaming answer does, or send another. The route says already that the answer is a stream.

Now the answer on a streaming route counts as one without a Content-Type too, and with any other type if its body has begun like an event. A body of another kind (a JSON text) is passed on as before.

--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -14,6 +14,8 @@
 {
     /// Whether there is a line other than a comment and the reconnection time.
     bool has_content = false;
+    /// Whether there is a line with a field of event_field_names.
+    bool has_known_field = false;
     std::optional<std::string_view> id;
 };
 
@@ -28,6 +30,15 @@
     return type.substr(0, type.find_last_not_of(" \t") + 1);
 }
 
+/// The standard fields of an event that hold a part of it.
+constexpr std::array<std::string_view, 3> event_field_names{"id", "data", "event"};
+
+bool is_event_field(std::string_view name)
+{
+    return std::find(event_field_names.begin(), event_field_names.end(), name) !=
+           event_field_names.end();
+}
+
 /// Removes and returns the first line, without its end.
 std::string_view take_line(std::string_view& text)
 {
@@ -67,6 +78,7 @@
         if (name.empty() || name == "retry")
             continue;
         fields.has_content = true;
+        fields.has_known_field = fields.has_known_field || is_event_field(name);
         if (name != "id")
             continue;
         auto value = line.substr(std::min(name.size() + 1, line.size()));
@@ -101,6 +113,23 @@
     return false;
 }
 
+bool begins_event(std::string_view bytes)
+{
+    while (!bytes.empty())
+    {
+        auto const line = take_line(bytes);
+        auto const name = line.substr(0, line.find(':'));
+        if (name.empty() || name == "retry")
+            continue;
+        bool const cut = bytes.empty() && name.size() == line.size();
+        return is_event_field(name) ||
+               (cut && std::any_of(event_field_names.begin(), event_field_names.end(),
+                                   [&](std::string_view field)
+                                   { return field.starts_with(name); }));
+    }
+    return false;
+}
+
 continuation_fault find_head_fault(answer_form const& begun, answer_form const& answer)
 {
     if (answer.status != begun.status)
@@ -153,6 +182,7 @@
 {
     if (!event.has_content)
         return;
+    has_events_ = has_events_ || event.has_known_field;
     last_id_covers_all_ = event.id.has_value();
     if (!event.id)
         return;
--- a/src/protocol/entry/stream_continuation.hpp
+++ b/src/protocol/entry/stream_continuation.hpp
@@ -48,6 +48,10 @@
 /// Returns whether the bytes hold more of an event than comments and blank lines.
 [[nodiscard]] bool has_event_content(std::string_view bytes);
 
+/// Returns whether the bytes begin like an event: with one of its fields, or with a part
+/// of a field's name if they end there.
+[[nodiscard]] bool begins_event(std::string_view bytes);
+
 /// Returns why the body of an answer cannot continue a stream that began with the head
 /// `begun`. Only the status and the content type of `begun` are compared.
 [[nodiscard]] continuation_fault find_head_fault(answer_form const& begun,
@@ -89,6 +93,9 @@
     /// Returns whether the current run was asked for the events after an id and has sent
     /// none of them.
     [[nodiscard]] bool resumed_without_event() const { return resumed_ && !run_has_id_; }
+    /// Returns whether an event with one of the standard fields was accepted, in this or
+    /// an earlier run.
+    [[nodiscard]] bool has_events() const { return has_events_; }
     /// Returns whether a run after last_id() neither repeats nor omits an event.
     [[nodiscard]] bool resumable() const { return ids_usable_ && last_id_covers_all_; }
     /// Returns the id of the last accepted event that has one; empty before the first.
@@ -105,6 +112,7 @@
     bool ids_usable_ = true;
     /// Whether no event without an id was accepted after the one with last_id_.
     bool last_id_covers_all_ = true;
+    bool has_events_ = false;
     bool resumed_ = false;
     /// Whether the current run has sent an event with an id.
     bool run_has_id_ = false;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -363,10 +363,16 @@
     return failure_outcome();
 }
 
+bool request_flow::holds_events(stream_continuation const& continuation) const
+{
+    auto const type = platform::decode_answer_form(answer_head_).content_type;
+    return type.empty() || is_event_stream(type) || continuation.has_events() ||
+           begins_event(events_.incomplete_event());
+}
+
 bool request_flow::stream_cut_by_connection(stream_continuation const& continuation)
 {
-    if (!exchange_->ends_with_connection() ||
-        !is_event_stream(platform::decode_answer_form(answer_head_).content_type))
+    if (!exchange_->ends_with_connection() || !holds_events(continuation))
         return false;
     if (has_event_content(events_.incomplete_event()))
         exchange_->set_failure("the connection ended inside an event");
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -236,6 +236,9 @@
     /// Goes on with the silent server, because the other one did not accept the request.
     void return_to_server(silent_attempt& silent, attempt_outcome outcome);
     [[nodiscard]] task<attempt_outcome> finish_stream();
+    /// Whether the answer on a streaming route is an event stream. Servers may omit its
+    /// Content-Type or send another one, so its body counts too.
+    [[nodiscard]] bool holds_events(stream_continuation const& continuation) const;
     /// Whether an answer without a length ended where a stream does not end. If so,
     /// records the reason as the exchange's failure.
     [[nodiscard]] bool stream_cut_by_connection(stream_continuation const& continuation);
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -275,5 +275,17 @@
         EXPECT_TRUE(has_event_content(bytes)) << bytes;
 }
 
+// Guards against a stream that is not recognized because its Content-Type is missing, and
+// against the refusal of a body that is none.
+TEST(event_content_test, events_are_recognized_by_their_first_field)
+{
+    for (std::string_view const bytes :
+         {"i", "da", "data", "id: 1", ": a\n\nevent: x", "retry: 5\ndata: 1\n"})
+        EXPECT_TRUE(begins_event(bytes)) << bytes;
+    for (std::string_view const bytes :
+         {"", ": data", "{\"id\": 1}", "da\n", "text", "ids"})
+        EXPECT_FALSE(begins_event(bytes)) << bytes;
+}
+
 } // namespace
 } // namespace carawayturn::entry
