Take a stream that ends after its head for a broken one

Cause: only a resumed run had to send an event before the end of its connection counted as the end of the stream. In a first run nothing incomplete is left either, so nothing showed the cut. Now each run that ends with its connection must have sent an event; comments are none.

The unit test of the former accessor asserted that a first run need not send an event; it checks the same steps of a resumed run and those of a first run now.

--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -147,6 +147,7 @@
 void stream_continuation::begin_run()
 {
     resumed_ = !last_id_.empty();
+    run_has_event_ = false;
     run_has_id_ = false;
 }
 
@@ -182,6 +183,7 @@
 {
     if (!event.has_content)
         return;
+    run_has_event_ = true;
     has_events_ = has_events_ || event.has_known_field;
     last_id_covers_all_ = event.id.has_value();
     if (!event.id)
--- a/src/protocol/entry/stream_continuation.hpp
+++ b/src/protocol/entry/stream_continuation.hpp
@@ -90,9 +90,8 @@
     /// passed on. The events of the first run are passed on as they are.
     [[nodiscard]] accepted_events accept(std::string_view events);
 
-    /// Returns whether the current run was asked for the events after an id and has sent
-    /// none of them.
-    [[nodiscard]] bool resumed_without_event() const { return resumed_ && !run_has_id_; }
+    /// Returns whether the current run has sent no event.
+    [[nodiscard]] bool run_without_event() const { return !run_has_event_; }
     /// Returns whether an event with one of the standard fields was accepted, in this or
     /// an earlier run.
     [[nodiscard]] bool has_events() const { return has_events_; }
@@ -114,6 +113,8 @@
     bool last_id_covers_all_ = true;
     bool has_events_ = false;
     bool resumed_ = false;
+    /// Whether the current run has sent an event.
+    bool run_has_event_ = false;
     /// Whether the current run has sent an event with an id.
     bool run_has_id_ = false;
 };
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -372,14 +372,18 @@
 
 bool request_flow::stream_cut_by_connection(stream_continuation const& continuation)
 {
-    if (!exchange_->ends_with_connection() || !holds_events(continuation))
+    if (!exchange_->ends_with_connection())
         return false;
-    if (has_event_content(events_.incomplete_event()) || events_.ends_inside_line_end())
+    auto const rest = events_.incomplete_event();
+    bool const inside_event = has_event_content(rest) || events_.ends_inside_line_end();
+    if (inside_event && holds_events(continuation))
         exchange_->set_failure("the connection ended inside an event");
-    else if (continuation.resumed_without_event())
-        set_continuation_failure(continuation_fault::no_event);
-    else
+    else if (inside_event || !continuation.run_without_event())
         return false;
+    else if (continuation.last_id().empty())
+        exchange_->set_failure("the connection ended before an event");
+    else
+        set_continuation_failure(continuation_fault::no_event);
     services_.backends.note_failure(server_.id, boot_now());
     return true;
 }
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -255,15 +255,19 @@
 }
 
 // Guards against a cut stream that is taken for complete, and the reverse.
-TEST_F(stream_continuation_test, run_without_event_is_known_until_its_first_id)
+TEST_F(stream_continuation_test, run_without_event_is_known_until_its_first_one)
 {
-    EXPECT_FALSE(stream_.resumed_without_event());
+    EXPECT_TRUE(stream_.run_without_event());
+    accept(": comment\n\n");
+    EXPECT_TRUE(stream_.run_without_event());
+    accept("data: a\n\n");
+    EXPECT_FALSE(stream_.run_without_event());
     resume_after("id: 2\ndata: b\n\n");
-    EXPECT_TRUE(stream_.resumed_without_event());
+    EXPECT_TRUE(stream_.run_without_event());
     accept(": comment\n\n");
-    EXPECT_TRUE(stream_.resumed_without_event());
+    EXPECT_TRUE(stream_.run_without_event());
     accept("id: 3\n\n");
-    EXPECT_FALSE(stream_.resumed_without_event());
+    EXPECT_FALSE(stream_.run_without_event());
 }
 
 // Guards against taking a part of an event for a complete answer's last bytes.
