--- a/src/transport/answer_sink.hpp
+++ b/src/transport/answer_sink.hpp
@@ -23,6 +23,8 @@
     std::string body;
     /// A chat completion: it can be resumed and cancelled at the engine.
     bool chat = false;
+    /// The answer is requested as a stream of events.
+    bool stream = false;
 };
 
 /// Contents of the requests without a final answer. They are shared, because an attempt
--- a/src/transport/backend_client.cpp
+++ b/src/transport/backend_client.cpp
@@ -82,6 +82,16 @@
            equal_ignoring_case(std::string_view(*type).substr(0, wanted.size()), wanted);
 }
 
+/// Whether the answer is a stream of events, by its head or because one was requested: a
+/// server may omit the Content-Type.
+bool holds_events(http_answer_head const& head, request_content const& content)
+{
+    constexpr unsigned first_success = 200;
+    constexpr unsigned first_redirection = 300;
+    return is_event_stream(head) || (content.stream && head.status >= first_success &&
+                                     head.status < first_redirection);
+}
+
 stored_answer make_stored(http_answer_head const& head, std::string body)
 {
     auto const* const type = find_header(head.headers, "Content-Type");
@@ -261,7 +271,7 @@
                               {}});
         co_return finish_whole(*attempt, head, std::move(body));
     }
-    if (!connection.end_is_proof() && is_event_stream(head) &&
+    if (!connection.end_is_proof() && holds_events(head, *attempt->content) &&
         body.find("data: [DONE]") == std::string::npos)
         co_return dispatch_outcome::broken;
     co_return finish_whole(*attempt, head, std::move(body));
--- a/src/transport/caller_gateway.cpp
+++ b/src/transport/caller_gateway.cpp
@@ -129,9 +129,9 @@
     auto const& request = exchange->request();
     auto const id = arrived.id;
     // Two open requests under one id could get each other's answers at an engine.
-    if (!registry_.add(std::make_shared<request_content const>(
-            request_content{id, request.method, request.target,
-                            forwardable(request.headers), request.body, chat})))
+    if (!registry_.add(std::make_shared<request_content const>(request_content{
+            id, request.method, request.target, forwardable(request.headers),
+            request.body, chat, chat && arrived.stream})))
         return refuse_exchange(*exchange, id,
                                bad_request("a request with this X-Request-Id is open"));
     open_[id] = {exchange, monotonic_now(), 0, false, false, chat, 0};
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -276,6 +276,27 @@
     EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
 }
 
+// Guards against a stream that its connection has cut and that is taken for complete
+// because the server omits its Content-Type.
+TEST_F(request_path_test, unframed_stream_without_its_last_event_is_broken)
+{
+    std::string const events = "HTTP/1.1 200 OK\r\n\r\ndata: {\"a\":1}\n\n";
+    auto const cut_caller = call(chat_request_text("r1", stream_body));
+    {
+        auto backend = backend_.accept();
+        backend.read_message();
+        backend.send(events + "dat");
+    }
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
+    auto const caller = call(chat_request_text("r2", stream_body));
+    {
+        auto backend = backend_.accept();
+        backend.read_message();
+        backend.send(events + "data: [DONE]\n\n");
+    }
+    EXPECT_EQ(script_->wait_for<dispatch_ended>(2).outcome, dispatch_outcome::completed);
+}
+
 TEST_F(request_path_test, engine_that_did_not_run_request_ends_as_rejected)
 {
     auto caller = call(chat_request_text("r1"));
