Take only an unfinished line for a part of an event field's name

A body of another type whose first whole line is the beginning of such a name ("da") counted as an event stream.

--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -117,11 +117,12 @@
 {
     while (!bytes.empty())
     {
+        auto const size = bytes.size();
         auto const line = take_line(bytes);
         auto const name = line.substr(0, line.find(':'));
         if (name.empty() || name == "retry")
             continue;
-        bool const cut = bytes.empty() && name.size() == line.size();
+        bool const cut = name.size() == size;
         return is_event_field(name) ||
                (cut && std::any_of(event_field_names.begin(), event_field_names.end(),
                                    [&](std::string_view field)
