Soak: streams that end with their connections

Seeds 4000 to 4999 let runners send streams without length, chunks and Content-Type, and let servers fail more often.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -14,6 +14,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+from answer_bytes import END, chunk
 from misbehaving_server import WAYS, Closed, Connection, Request
 
 # Number of models of the tests' configuration that fit into a runner's memory.
@@ -255,6 +256,9 @@
         self.silences_s: dict[int, float] = {}
         # Seconds to wait before the head of the answer to a resumed stream.
         self.resume_delay_s = 0.0
+        # Whether streams are sent in chunks and with a Content-Type. Without, a stream ends with
+        # its connection.
+        self.framed_streams = True
         # Whether every answer carries the Server-Leaving header.
         self.leaving = False
         # Ids of the requests whose answers carried that header.
@@ -415,20 +419,24 @@
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
         silences = self.silences_of(headers["X-Request-Id"], first)
         time.sleep(self.resume_delay_s if first > 1 else 0.0)
+        framing = {"Content-Type": "text/event-stream",
+                   "Transfer-Encoding": "chunked"} if self.framed_streams else {}
         call.send_response(200)
-        for name, value in {**headers, "X-Server-Seal": "s",
-                            "Content-Type": "text/event-stream",
-                            "Transfer-Encoding": "chunked"}.items():
+        for name, value in {**headers, "X-Server-Seal": "s", **framing}.items():
             call.send_header(name, value)
         call.end_headers()
         for number in range(first, 6):
             if self.mode.startswith("break") and number == 3:
-                half = b"id: 3\nda"
-                call.wfile.write(b"%x\r\n%s\r\n" % (len(half), half))
+                self._send_piece(call, b"id: 3\nda")
                 call.wfile.flush()
                 call.drop()
                 return
             time.sleep(self.event_delay_s + silences.get(number, 0.0))
-            event = b"id: %d\ndata: %d\n\n" % (number, number)
-            call.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-        call.wfile.write(b"0\r\n\r\n")
+            self._send_piece(call, b"id: %d\ndata: %d\n\n" % (number, number))
+        if self.framed_streams:
+            call.wfile.write(END)
+        else:
+            call.close_connection = True
+
+    def _send_piece(self, call: _Handler, piece: bytes) -> None:
+        call.wfile.write(chunk(piece) if self.framed_streams else piece)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -65,6 +65,8 @@
             count = self.random.randint(MIN_KINDS, MAX_KINDS)
             self.names = [self.random.choice(STOPS), "server_slow",
                           *self.random.sample(sorted(self.kinds), count)]
+        if fleet.unframed_streams:
+            self.names += ["server_fails"] * len(self.names)
 
     def play(self) -> None:
         """Plays the schedule and returns when the last fault has ended."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,8 @@
 
 Run `soak.py --seeds 1-50 --jobs 3` by hand; `--untimed` (for CI) leaves out the promises that
 a slow machine could break. Seeds from 5000 on stop instances again and again under streams whose
-runners are silent for a while. A seed that fails is added to seeds.txt.
+runners are silent for a while; in seeds from 4000 to 4999 streams end with their connections. A
+seed that fails is added to seeds.txt.
 """
 
 from __future__ import annotations
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -27,6 +27,9 @@
 # Smaller seeds draw only from the original kinds of fault, so that regression seeds keep the
 # schedule with which they failed.
 FIRST_SEED_WITH_ALL_KINDS = 3000
+# In these seeds, runners send streams without a length, chunks or a Content-Type, and servers
+# fail more often.
+UNFRAMED_STREAM_SEEDS = range(4000, 5000)
 QUOTA_RATE = 4000
 QUOTA_BURST = 4000
 MODELS = ("m1", "m2", "m3")
@@ -62,6 +65,7 @@
         self.seed = seed
         self.stop_load = profile_of(seed)
         self.plays_all_kinds = seed >= FIRST_SEED_WITH_ALL_KINDS
+        self.unframed_streams = seed in UNFRAMED_STREAM_SEEDS
         self.proxies = ProxyLoop()
         self.store = Store()
         self.version = 0
@@ -109,7 +113,9 @@
                      lambda address: self.link(name, address).address)
         if self.stop_load and service == "llm":
             return UnevenRunner(*arguments, seed=self.seed, silent=self.stop_load.silent)
-        return BackendServer(*arguments)
+        server = BackendServer(*arguments)
+        server.framed_streams = not self.unframed_streams
+        return server
 
     def add_instance(self, name: str) -> Instance:
         instance = Instance(self.store, name,
