--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -42,8 +42,10 @@
         broken_.push_back({server, signature, now});
 }
 
-void crash_tracker::note_crash(std::string const& server, time_point now)
+std::optional<detected_crash> crash_tracker::note_crash(std::string const& server,
+                                                        time_point now)
 {
+    detected_crash crash;
     std::set<std::uint64_t> signatures;
     std::erase_if(broken_,
                   [&](broken_attempt const& attempt)
@@ -51,7 +53,10 @@
                       if (attempt.server != server)
                           return false;
                       if (now - attempt.at <= crash_detection_window)
+                      {
                           signatures.insert(attempt.signature);
+                          ++crash.broken_attempts;
+                      }
                       return true;
                   });
     for (auto const signature : signatures)
@@ -61,8 +66,15 @@
         auto& entry = counts_[signature];
         ++entry.crashes;
         entry.last = now;
+        crash.most_crashes = std::max(crash.most_crashes, entry.crashes);
         new_reports_.push_back({signature, server});
     }
+    auto const [detected, is_new] = detected_at_.emplace(server, now);
+    if (!is_new && now - detected->second <= same_crash_window &&
+        crash.broken_attempts == 0)
+        return std::nullopt;
+    detected->second = now;
+    return crash;
 }
 
 void crash_tracker::note_cleared(std::uint64_t signature)
@@ -107,6 +119,8 @@
                   { return now - attempt.at > crash_detection_window; });
     std::erase_if(counts_, [&](auto const& entry)
                   { return now - entry.second.last > suspect_retention; });
+    std::erase_if(detected_at_, [&](auto const& entry)
+                  { return now - entry.second > same_crash_window; });
 }
 
 void fleet_crash_tracker::add_reports(std::vector<crash_report> const& crashes,
--- a/src/coordination/entry/crash_tracker.hpp
+++ b/src/coordination/entry/crash_tracker.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,15 @@
                                               std::string_view organisation,
                                               std::string_view body);
 
+/// What an instance knows of a crash of a backend server.
+struct detected_crash
+{
+    /// Attempts of this instance that broke off with the server.
+    std::size_t broken_attempts = 0;
+    /// The highest number of crashes that one of their signatures has reached.
+    std::uint32_t most_crashes = 0;
+};
+
 /// Counts, for each request signature, the backend server crashes during which such a
 /// request was in flight. A request is refused at every instance after a few crashes.
 /// Equal requests in flight at one crash count once, and an answer to one of them clears
@@ -30,8 +40,9 @@
     /// the server turns out to have crashed.
     void note_broken_attempt(std::string const& server, std::uint64_t signature,
                              time_point now);
-    /// Records a crash: the server refuses connections or has a new incarnation.
-    void note_crash(std::string const& server, time_point now);
+    /// Records a crash: the server refuses connections or has a new incarnation. Returns
+    /// nothing if this crash is known already and no further attempt broke off with it.
+    std::optional<detected_crash> note_crash(std::string const& server, time_point now);
     /// Records that a server answered the request, which clears its signature.
     void note_cleared(std::uint64_t signature);
     /// Merges the counts over all instances that the hub sent.
@@ -60,6 +71,8 @@
         time_point last{};
     };
     std::vector<broken_attempt> broken_;
+    /// When each server's latest crash was detected.
+    std::map<std::string, time_point> detected_at_;
     std::map<std::uint64_t, count> counts_;
     std::vector<crash_report> new_reports_;
     std::vector<std::uint64_t> newly_cleared_;
--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -25,6 +25,7 @@
     leaving_announced = 1133,
     backend_paused = 1134,
     backend_word_unclear = 1135,
+    backend_crashed = 1136,
     peer_message_unreadable = 1141,
     hub_found = 1142,
     hub_lost = 1143,
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "protocol/entry/bounded_number.hpp"
 #include "state/entry/time_units.hpp"
+#include "transport/entry/boot_clock.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -177,6 +178,7 @@
         if (failure)
             co_return failed_read(failure);
         head_begun_ = false;
+        head_read_at_ = boot_now();
         auto const head_bytes = std::exchange(head_bytes_, 0);
         if (parser_->get().result_int() < 200)
         {
@@ -206,6 +208,11 @@
     return *content_length;
 }
 
+duration backend_exchange::time_since_head(time_point now) const
+{
+    return head_read() ? now - head_read_at_ : duration::zero();
+}
+
 body_framing backend_exchange::framing() const
 {
     if (!head_read())
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -68,6 +68,8 @@
 
     /// Whether the head of the answer has been read.
     [[nodiscard]] bool head_read() const { return parser_ && parser_->is_header_done(); }
+    /// Time since the head of the answer was read; zero if it was not.
+    [[nodiscard]] duration time_since_head(time_point now) const;
     /// Whether the whole answer has been read.
     [[nodiscard]] bool answer_read() const { return parser_ && parser_->is_done(); }
 
@@ -118,6 +120,7 @@
     std::array<char, 4096> piece_{};
     std::size_t piece_size_ = 0;
     std::uint64_t body_bytes_ = 0;
+    time_point head_read_at_{};
     std::shared_ptr<upload> upload_;
     bool head_request_ = false;
     /// A read of the head was interrupted, so a part of it may have been read.
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "state/entry/time_units.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/caller_session.hpp"
+#include "transport/entry/server_crash.hpp"
 
 #include <csignal>
 #include <set>
@@ -179,7 +180,7 @@
     if (restarted)
     {
         connections_.drop(record.id);
-        crashes_.note_crash(record.id, boot_now());
+        note_server_crash(services_, record.id);
     }
     // Changes of the models alone are not logged: there are many a second, and the hub
     // logs the orders that cause them.
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/request_flow_detail.hpp"
+#include "transport/entry/server_crash.hpp"
 #include "transport/entry/server_notice.hpp"
 
 #include <algorithm>
@@ -42,6 +43,7 @@
          {"framing", entry::name_of(framing)},
          {"body_bytes", exchange ? exchange->body_bytes() : 0},
          {"incomplete_bytes", std::uint64_t{incomplete}},
+         {"begun_ms", exchange ? to_ms(exchange->time_since_head(now)) : 0},
          {"silent_ms", to_ms(now - attempt.last_received)},
          {"elapsed_ms", to_ms(now - arrival_)}});
 }
@@ -59,7 +61,7 @@
     if (connection.socket)
         co_return co_await exchange_heads(std::move(connection));
     services_.backends.note_failure(server_.id, boot_now());
-    services_.crashes.note_crash(server_.id, boot_now());
+    note_server_crash(services_, server_.id);
     excluded_.insert(server_.id);
     co_return attempt_outcome::not_run;
 }
