--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -17,6 +19,8 @@
 from answer_bytes import END, chunk
 from misbehaving_server import WAYS, Closed, Connection, Request
 
+# Interval at which a service checks whether it is to stop, in seconds.
+STOP_POLL_S = 0.05
 # Number of models of the tests' configuration that fit into a runner's memory.
 MAX_LOADED_MODELS = 2
 
@@ -56,6 +60,25 @@
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
+    allow_reuse_address = True
+
+    def __init__(self, *arguments) -> None:
+        self._open_sockets: set[socket.socket] = set()
+        super().__init__(*arguments)
+
+    def process_request(self, request, client_address) -> None:
+        self._open_sockets.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request) -> None:
+        self._open_sockets.discard(request)
+        super().shutdown_request(request)
+
+    def end_connections(self) -> None:
+        """Ends all open connections, as the end of a process does."""
+        for connection in list(self._open_sockets):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
     def handle_error(self, request, client_address) -> None:
         """Ignores errors of a connection: tests make peers close connections early."""
@@ -67,9 +90,13 @@
     def __init__(self) -> None:
         self.lock = threading.Condition()
         self._server = _Server(("127.0.0.1", 0), _Handler)
-        self._server.owner = self
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self._serve()
+
+    def _serve(self) -> None:
+        self._server.owner = self
+        threading.Thread(target=self._server.serve_forever, args=(STOP_POLL_S,),
+                         daemon=True).start()
 
     def close(self) -> None:
         self._server.shutdown()
