Count an attempt that broke off after its head towards a crash

And a crash was noticed only if another request tried the same server within 1.5 s, though the others are preferred then.

Now each attempt whose connection breaks counts, unless its run has gone on for more than a second, and the server is checked with a connection of its own at once. A crash that shows as a new start is waited for 3 s, because restarts take seconds.

--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -14,8 +14,11 @@
 
 /// A request that was in flight at this many crashes is refused.
 constexpr std::uint32_t crash_limit = 3;
-/// A broken connection counts towards a crash that is detected within this time.
-constexpr duration crash_detection_window = std::chrono::milliseconds(1500);
+/// A broken connection counts towards a crash that is detected within this time. A
+/// server that starts again shows its new incarnation after some seconds.
+constexpr duration crash_detection_window = std::chrono::seconds(3);
+/// Further attempts that break off at a server within this time are not checked again.
+constexpr duration check_interval = std::chrono::milliseconds(300);
 /// Reports about one server within this time belong to the same crash: instances detect a
 /// crash at different times, and a restart takes seconds.
 constexpr duration same_crash_window = std::chrono::seconds(3);
@@ -35,11 +38,16 @@
     return stable_hash(body, stable_hash(organisation, stable_hash(target)));
 }
 
-void crash_tracker::note_broken_attempt(std::string const& server,
+bool crash_tracker::note_broken_attempt(std::string const& server,
                                         std::uint64_t signature, time_point now)
 {
+    bool const checked_recently = std::any_of(
+        broken_.begin(), broken_.end(),
+        [&](broken_attempt const& attempt)
+        { return attempt.server == server && now - attempt.at < check_interval; });
     if (broken_.size() < max_broken)
         broken_.push_back({server, signature, now});
+    return !checked_recently;
 }
 
 std::optional<detected_crash> crash_tracker::note_crash(std::string const& server,
--- a/src/coordination/entry/crash_tracker.hpp
+++ b/src/coordination/entry/crash_tracker.hpp
@@ -36,9 +36,10 @@
 class crash_tracker
 {
 public:
-    /// Records that a request's connection broke without an answer. This counts only if
-    /// the server turns out to have crashed.
-    void note_broken_attempt(std::string const& server, std::uint64_t signature,
+    /// Records that an attempt's connection broke without a complete answer. This counts
+    /// only if the server turns out to have crashed. Returns whether that should be
+    /// checked now.
+    bool note_broken_attempt(std::string const& server, std::uint64_t signature,
                              time_point now);
     /// Records a crash: the server refuses connections or has a new incarnation. Returns
     /// nothing if this crash is known already and no further attempt broke off with it.
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -12,6 +12,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace carawayturn::entry
@@ -57,6 +58,19 @@
     return seconds ? from_seconds(*seconds) - keep_alive_margin : default_keep_alive;
 }
 
+/// Whether the other end or the network ended the connection.
+bool ends_connection(boost::system::error_code failure)
+{
+    static std::array<boost::system::error_code, 6> const ends{
+        http::error::end_of_stream,
+        http::error::partial_message,
+        asio::error::eof,
+        asio::error::connection_reset,
+        asio::error::connection_aborted,
+        asio::error::broken_pipe};
+    return std::find(ends.begin(), ends.end(), failure) != ends.end();
+}
+
 } // namespace
 
 std::string_view name_of(body_framing framing)
@@ -245,6 +259,7 @@
 void backend_exchange::note_failure(boost::system::error_code failure)
 {
     failure_ = socket_->expired() ? "deadline passed" : failure.message();
+    connection_broken_ = !socket_->expired() && ends_connection(failure);
 }
 
 task<read_outcome> backend_exchange::read_body()
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -89,6 +89,15 @@
 
     /// Why the exchange failed, for the log; empty if it did not.
     [[nodiscard]] std::string const& failure() const { return failure_; }
+    /// Whether the server or the network ended the connection before the answer was
+    /// complete.
+    [[nodiscard]] bool connection_broken() const { return connection_broken_; }
+    /// Records that an answer without a length was cut by the end of its connection.
+    void set_cut(std::string reason)
+    {
+        failure_ = std::move(reason);
+        connection_broken_ = true;
+    }
     /// Records why the caller of the exchange rejects the answer.
     void set_failure(std::string reason) { failure_ = std::move(reason); }
     void set_deadline(time_point deadline) { socket_->set_deadline(deadline); }
@@ -133,6 +142,7 @@
     bool buffer_parsed_ = false;
     time_point idle_limit_ = time_point::max();
     std::string failure_;
+    bool connection_broken_ = false;
     bool complete_ = false;
 };
 
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -21,12 +21,24 @@
     auto outcome = ended.value_or(attempt_outcome::unknown);
     if (!ended)
         outcome = co_await receive_answer();
+    note_broken_connection();
     log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_});
     exchange_.reset();
     in_flight_.reset();
     co_return outcome;
 }
 
+void request_flow::note_broken_connection()
+{
+    auto const now = boot_now();
+    if (!exchange_ || !exchange_->connection_broken() || interrupted() ||
+        exchange_->time_since_head(now) > max_crash_delay)
+        return;
+    if (services_.crashes.note_broken_attempt(server_.id, signature_, now))
+        services_.tasks.run("check server", server_.id,
+                            check_for_crash(services_, server_.id, server_.address));
+}
+
 void request_flow::log_attempt(attempt_outcome outcome, ended_attempt const& attempt)
 {
     auto const now = boot_now();
@@ -98,10 +110,7 @@
     if (read == read_outcome::failed)
     {
         if (!interrupted())
-        {
             services_.backends.note_failure(server_.id, boot_now());
-            services_.crashes.note_broken_attempt(server_.id, signature_, boot_now());
-        }
         co_return failure_outcome();
     }
     last_received_ = boot_now();
@@ -154,7 +163,7 @@
 {
     auto const& metadata = exchange_->metadata();
     auto const status = exchange_->head().result_int();
-    bool const success = status >= 200 && status < 300;
+    bool const success = is_success(status);
     if (stream_begun_ && !continues_stream())
     {
         if (success)
@@ -379,11 +388,11 @@
     auto const rest = events_.incomplete_event();
     bool const inside_event = has_event_content(rest) || events_.ends_inside_line_end();
     if (inside_event && holds_events(continuation))
-        exchange_->set_failure("the connection ended inside an event");
+        exchange_->set_cut("the connection ended inside an event");
     else if (inside_event || !continuation.run_without_event())
         return false;
     else if (continuation.last_id().empty())
-        exchange_->set_failure("the connection ended before an event");
+        exchange_->set_cut("the connection ended before an event");
     else
         set_continuation_failure(continuation_fault::no_event);
     services_.backends.note_failure(server_.id, boot_now());
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -165,6 +165,9 @@
     [[nodiscard]] task<std::optional<refusal>> spend_units();
     void refund_quota();
     void set_deadlines();
+    /// Records that the attempt's connection broke, if it did, and lets the server be
+    /// checked. A run that has gone on for a while is not suspected.
+    void note_broken_connection();
     [[nodiscard]] task<bool> run_attempts();
     [[nodiscard]] task<std::optional<refusal>> choose_server();
     [[nodiscard]] std::optional<refusal> waiting_refusal(backend_choice const& choice,
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -38,6 +38,9 @@
 /// Longest answer, in bytes, that is forwarded. Without this limit an endless answer
 /// would occupy the process until the request's deadline.
 inline constexpr std::size_t max_relayed_answer = std::size_t{16} << 20U;
+/// A server that crashes under a request does so as it begins to answer. A run that began
+/// to answer longer ago than this is not suspected.
+inline constexpr duration max_crash_delay = std::chrono::milliseconds(1000);
 /// Interval at which a request checks its deadline while it is queued behind others for
 /// the end of a server's pause.
 inline constexpr duration queued_recheck_interval = std::chrono::milliseconds(1000);
@@ -61,6 +64,11 @@
 inline constexpr duration retry_soon = std::chrono::milliseconds(300);
 inline constexpr duration retry_later = std::chrono::milliseconds(1000);
 
+inline bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 /// Whether a caller takes this status as a promise that its request has not run and never
 /// will.
 inline bool promises_not_run(unsigned status)
--- a/src/transport/entry/server_crash.cpp
+++ b/src/transport/entry/server_crash.cpp
@@ -5,6 +5,14 @@
 namespace carawayturn::entry
 {
 
+namespace
+{
+
+/// Time limit for the check of a server.
+constexpr duration check_timeout = std::chrono::milliseconds(400);
+
+} // namespace
+
 void note_server_crash(entry_services& services, std::string const& server)
 {
     auto const crash = services.crashes.note_crash(server, boot_now());
@@ -14,6 +22,19 @@
                        {{"server", server},
                         {"broken_attempts", std::uint64_t{crash->broken_attempts}},
                         {"most_crashes", std::uint64_t{crash->most_crashes}}});
+    if (crash->broken_attempts > 0)
+        services.hub.send_status_soon();
+}
+
+task<void> check_for_crash(entry_services& services, std::string server,
+                           std::string address)
+{
+    auto const opened =
+        co_await services.connections.open(address, boot_now() + check_timeout);
+    if (opened.socket)
+        co_return;
+    services.backends.note_failure(server, boot_now());
+    note_server_crash(services, server);
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -256,7 +256,7 @@
     if (stream_begun_)
         return continues_stream();
     auto const status = exchange_->head().result_int();
-    if (status >= 200 && status < 300)
+    if (is_success(status))
         return metadata.signed_by_server && !metadata.encoded;
     return route_->kind != request_kind::stream && status < 500 &&
            !promises_not_run(status);
@@ -272,6 +272,7 @@
 
 void request_flow::return_to_server(silent_attempt& silent, attempt_outcome outcome)
 {
+    note_broken_connection();
     log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_});
     excluded_.insert(server_.id);
     server_ = std::move(silent.server);
