Count crashes for the parts of prompts, whatever else requests hold

Requests that share one part of their prompts and differ in all else never added up, so nothing was blocked.

Now crashes are counted for each part of the prompt that requests can share, too. Requests with a part are refused after three crashes without an answer in between. Sound requests share the other parts and are in flight at the same crashes; what keeps them served: - an answer to a request clears its parts at all instances; - a part that was answered tolerates two crashes in a row, and crashes of several servers at once count as one; - a run that began more than a second ago is not suspected (as before). Answered parts are remembered in a bounded table. A request that waited for a server is checked again before it is sent.

Random crashes of runners refuse no request.

--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -3,7 +3,6 @@
 #include "state/stable_hash.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace carawayturn::entry
@@ -12,23 +11,34 @@
 namespace
 {
 
-/// A request that was in flight at this many crashes is refused.
+/// A signature that was in flight at this many crashes is refused.
 constexpr std::uint32_t crash_limit = 3;
 /// A broken connection counts towards a crash that is detected within this time. A
 /// server that starts again shows its new incarnation after some seconds.
 constexpr duration crash_detection_window = std::chrono::seconds(3);
 /// Further attempts that break off at a server within this time are not checked again.
 constexpr duration check_interval = std::chrono::milliseconds(300);
+/// Crashes of several servers within this time count once for a part that was not
+/// answered yet: servers that crash under a prompt do so one after the other.
+constexpr duration common_cause_window = std::chrono::milliseconds(100);
 /// Reports about one server within this time belong to the same crash: instances detect a
 /// crash at different times, and a restart takes seconds.
 constexpr duration same_crash_window = std::chrono::seconds(3);
 /// A cleared signature is included in updates for this long, so that every instance
 /// receives it.
 constexpr duration cleared_retention = std::chrono::seconds(10);
-/// Signatures without further crashes are forgotten after this time.
+/// Signatures without further crashes or refused requests are forgotten after this time.
 constexpr duration suspect_retention = std::chrono::seconds(120);
+/// Number of answered parts of prompts that an instance remembers.
+constexpr std::size_t max_answered_parts = 4096;
+/// An answered part clears the counts of other instances for this long.
+constexpr duration sound_retention = std::chrono::seconds(5);
+/// Crashes in a row that are not counted for an answered part of prompts.
+constexpr std::uint32_t tolerated_crashes = 2;
 constexpr std::size_t max_broken = 512;
 constexpr std::size_t max_signatures = 4096;
+/// Limit of the reports that wait for a hub.
+constexpr std::size_t max_reports = 4096;
 
 } // namespace
 
@@ -38,45 +48,84 @@
     return stable_hash(body, stable_hash(organisation, stable_hash(target)));
 }
 
+std::uint64_t part_signature(std::string_view service, std::string_view id)
+{
+    return stable_hash(id, stable_hash(service, stable_hash("prompt part")));
+}
+
+crash_tracker::crash_tracker() : answered_(max_answered_parts, tolerated_crashes) {}
+
 bool crash_tracker::note_broken_attempt(std::string const& server,
-                                        std::uint64_t signature, time_point now)
+                                        crash_signatures const& signatures,
+                                        time_point now)
 {
     bool const checked_recently = std::any_of(
         broken_.begin(), broken_.end(),
         [&](broken_attempt const& attempt)
         { return attempt.server == server && now - attempt.at < check_interval; });
     if (broken_.size() < max_broken)
-        broken_.push_back({server, signature, now});
+        broken_.push_back({server, signatures, now});
     return !checked_recently;
 }
 
+void crash_tracker::count_crash(std::uint64_t signature, std::string const& server,
+                                time_point now, detected_crash& crash)
+{
+    if (counts_.size() >= max_signatures && counts_.count(signature) == 0)
+        return;
+    auto& entry = counts_[signature];
+    if (entry.server == server && now - entry.last <= same_crash_window)
+        return;
+    set_crashes(signature, entry, entry.crashes + 1);
+    entry.last = now;
+    entry.crashed_at = now;
+    entry.server = server;
+    entry.seen_here = true;
+    crash.most_crashes = std::max(crash.most_crashes, entry.crashes);
+    add_report({signature, server});
+}
+
+void crash_tracker::set_crashes(std::uint64_t signature, suspicion& entry,
+                                std::uint32_t crashes)
+{
+    bool const was_blocked = entry.crashes >= crash_limit;
+    entry.crashes = crashes;
+    if (!was_blocked && crashes >= crash_limit && newly_blocked_.size() < max_signatures)
+        newly_blocked_.push_back({signature, crashes});
+}
+
+bool crash_tracker::has_common_cause(std::uint64_t part, time_point now) const
+{
+    auto const found = counts_.find(part);
+    return found != counts_.end() && found->second.seen_here &&
+           now - found->second.crashed_at < common_cause_window;
+}
+
 std::optional<detected_crash> crash_tracker::note_crash(std::string const& server,
                                                         time_point now)
 {
     detected_crash crash;
-    std::set<std::uint64_t> signatures;
+    std::set<std::uint64_t> requests;
+    std::set<std::uint64_t> parts;
     std::erase_if(broken_,
                   [&](broken_attempt const& attempt)
                   {
                       if (attempt.server != server)
                           return false;
-                      if (now - attempt.at <= crash_detection_window)
-                      {
-                          signatures.insert(attempt.signature);
-                          ++crash.broken_attempts;
-                      }
+                      if (now - attempt.at > crash_detection_window)
+                          return true;
+                      ++crash.broken_attempts;
+                      requests.insert(attempt.signatures.request);
+                      parts.insert(attempt.signatures.parts.begin(),
+                                   attempt.signatures.parts.end());
                       return true;
                   });
-    for (auto const signature : signatures)
-    {
-        if (counts_.size() >= max_signatures && counts_.count(signature) == 0)
-            continue;
-        auto& entry = counts_[signature];
-        ++entry.crashes;
-        entry.last = now;
-        crash.most_crashes = std::max(crash.most_crashes, entry.crashes);
-        new_reports_.push_back({signature, server});
-    }
+    for (auto const signature : requests)
+        count_crash(signature, server, now, crash);
+    for (auto const signature : parts)
+        if (!answered_.tolerates_crash(signature, now) &&
+            !has_common_cause(signature, now))
+            count_crash(signature, server, now, crash);
     auto const [detected, is_new] = detected_at_.emplace(server, now);
     if (!is_new && now - detected->second <= same_crash_window &&
         crash.broken_attempts == 0)
@@ -85,12 +134,25 @@
     return crash;
 }
 
-void crash_tracker::note_cleared(std::uint64_t signature)
+void crash_tracker::clear(std::uint64_t signature)
 {
     if (counts_.erase(signature) != 0)
         newly_cleared_.push_back(signature);
 }
 
+void crash_tracker::note_answered(crash_signatures const& signatures, bool success,
+                                  time_point now)
+{
+    clear(signatures.request);
+    if (!success)
+        return;
+    for (auto const part : signatures.parts)
+    {
+        answered_.note_answered(part, now);
+        clear(part);
+    }
+}
+
 void crash_tracker::merge_fleet_counts(std::vector<crash_count> const& crashes,
                                        std::vector<std::uint64_t> const& cleared,
                                        time_point now)
@@ -100,8 +162,14 @@
     for (auto const& crash : crashes)
     {
         auto& entry = counts_[crash.signature];
-        entry.crashes = std::max(entry.crashes, crash.crashes);
-        entry.last = now;
+        if (crash.crashes > entry.crashes)
+        {
+            set_crashes(crash.signature, entry, crash.crashes);
+            entry.last = now;
+        }
+        // The other instances have not heard yet that this part is answered.
+        if (answered_.is_sound(crash.signature, sound_retention, now))
+            clear(crash.signature);
     }
 }
 
@@ -111,11 +179,44 @@
     return found != counts_.end() && found->second.crashes >= crash_limit;
 }
 
+bool crash_tracker::is_blocked(crash_signatures const& signatures) const
+{
+    return is_blocked(signatures.request) ||
+           std::any_of(signatures.parts.begin(), signatures.parts.end(),
+                       [this](std::uint64_t part) { return is_blocked(part); });
+}
+
+void crash_tracker::note_refused(crash_signatures const& signatures, time_point now)
+{
+    auto note = [&](std::uint64_t signature)
+    {
+        auto const found = counts_.find(signature);
+        if (found == counts_.end() || found->second.crashes < crash_limit)
+            return;
+        auto& entry = found->second;
+        entry.last = now;
+        entry.seen_here = true;
+    };
+    note(signatures.request);
+    std::for_each(signatures.parts.begin(), signatures.parts.end(), note);
+}
+
+void crash_tracker::add_report(crash_report report)
+{
+    if (new_reports_.size() < max_reports)
+        new_reports_.push_back(std::move(report));
+}
+
 std::vector<crash_report> crash_tracker::take_new_reports()
 {
     return std::exchange(new_reports_, {});
 }
 
+std::vector<crash_count> crash_tracker::take_newly_blocked()
+{
+    return std::exchange(newly_blocked_, {});
+}
+
 std::vector<std::uint64_t> crash_tracker::take_cleared()
 {
     return std::exchange(newly_cleared_, {});
@@ -131,21 +232,26 @@
                   { return now - entry.second > same_crash_window; });
 }
 
+void fleet_crash_tracker::add_report(crash_report const& report, suspect& entry,
+                                     time_point now)
+{
+    entry.last = now;
+    std::erase_if(entry.servers, [&](auto const& server)
+                  { return now - server.second > same_crash_window; });
+    if (!entry.servers.emplace(report.backend, now).second)
+        return;
+    ++entry.crashes;
+    cleared_.erase(report.signature);
+}
+
 void fleet_crash_tracker::add_reports(std::vector<crash_report> const& crashes,
                                       time_point now)
 {
     for (auto const& crash : crashes)
     {
-        if (suspects_.size() >= max_signatures && suspects_.count(crash.signature) == 0)
-            continue;
-        auto& entry = suspects_[crash.signature];
-        auto const [server, fresh] = entry.servers.emplace(crash.backend, now);
-        if (!fresh && now - server->second <= same_crash_window)
-            continue;
-        server->second = now;
-        ++entry.crashes;
-        entry.last = now;
-        cleared_.erase(crash.signature);
+        bool const known = suspects_.count(crash.signature) != 0;
+        if (known || suspects_.size() < max_signatures)
+            add_report(crash, suspects_[crash.signature], now);
     }
 }
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -434,6 +434,7 @@
             deadlines_.close_expired(now);
         connections_.close_expired(now);
         crashes_.expire(now);
+        log_blocked_signatures();
         link_.update_hub_availability(now);
         if (hub_active_)
             hub_.refresh_fleet(now);
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -94,6 +94,7 @@
     void stop_accepting();
     /// Logs an event with the number of callers' connections in each stage.
     void log_callers(entry_event event, std::string_view reason);
+    void log_blocked_signatures();
     /// Reloads the settings if `forced` or if the file has changed.
     void reload(bool forced);
     [[nodiscard]] bool ready() const;
--- a/src/transport/entry/entry_operation.cpp
+++ b/src/transport/entry/entry_operation.cpp
@@ -196,6 +196,14 @@
          {"closing", std::uint64_t{caller_connections_.count(caller_stage::closing)}}});
 }
 
+void entry_node::log_blocked_signatures()
+{
+    for (auto const& blocked : crashes_.take_newly_blocked())
+        log_.write(entry_event::crashes_blocked,
+                   {{"signature", blocked.signature},
+                    {"crashes", std::uint64_t{blocked.crashes}}});
+}
+
 void entry_node::stop_accepting()
 {
     if (!caller_acceptor_.is_open())
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -34,7 +34,7 @@
     if (!exchange_ || !exchange_->connection_broken() || interrupted() ||
         exchange_->time_since_head(now) > max_crash_delay)
         return;
-    if (services_.crashes.note_broken_attempt(server_.id, signature_, now))
+    if (services_.crashes.note_broken_attempt(server_.id, crash_signatures_, now))
         services_.tasks.run("check server", server_.id,
                             check_for_crash(services_, server_.id, server_.address));
 }
@@ -244,7 +244,8 @@
 {
     release_connection();
     services_.backends.note_success(server_.id, boot_now());
-    services_.crashes.note_cleared(signature_);
+    services_.crashes.note_answered(crash_signatures_,
+                                    is_success(answer_head_.result_int()), boot_now());
     return attempt_outcome::delivered;
 }
 
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -78,11 +78,6 @@
             return current ? refusal{refusal_reason::key_unknown, {}}
                            : refusal{refusal_reason::configuration_stale, retry_soon};
     }
-    signature_ =
-        request_signature({request_.target().data(), request_.target().size()},
-                          organisation_ ? organisation_->name : "", request_.body());
-    if (services_.crashes.is_blocked(signature_))
-        return refusal{refusal_reason::request_crashes_servers, {}};
     std::uint32_t total = 0;
     for (auto const& target : route_->targets)
         total += target.weight;
@@ -96,6 +91,9 @@
     }
     if (service_ == nullptr)
         return refusal{refusal_reason::service_unknown, retry_later};
+    set_crash_signatures();
+    if (blocked_for_crashes())
+        return refusal{refusal_reason::request_crashes_servers, {}};
     if (!service_->engine)
         head_.model = {};
     set_deadlines();
@@ -104,6 +102,25 @@
     return std::nullopt;
 }
 
+void request_flow::set_crash_signatures()
+{
+    crash_signatures_.request =
+        request_signature({request_.target().data(), request_.target().size()},
+                          organisation_ ? organisation_->name : "", request_.body());
+    auto const count = std::min(head_.shared_parts.size(), max_tracked_parts);
+    for (std::size_t i = 0; i < count; ++i)
+        crash_signatures_.parts.push_back(
+            part_signature(service_->name, head_.shared_parts[i]));
+}
+
+bool request_flow::blocked_for_crashes() const
+{
+    if (!services_.crashes.is_blocked(crash_signatures_))
+        return false;
+    services_.crashes.note_refused(crash_signatures_, boot_now());
+    return true;
+}
+
 void request_flow::set_deadlines()
 {
     auto const budget =
@@ -199,11 +216,14 @@
     for (;;)
     {
         auto refused = co_await choose_server();
+        // The request may have been blocked while it waited for a server.
+        if (!refused && blocked_for_crashes())
+            refused = refusal{refusal_reason::request_crashes_servers, {}};
         if (refused)
         {
             if (abandoned_)
                 co_return false;
-            denial_ = stopped_ ? repeat_denial::stopping : repeat_denial::no_server;
+            denial_ = denial_after(refused->reason);
             if (runs_ > 0 || stream_begun_)
                 co_return co_await answer_after(attempt_outcome::unknown);
             co_return co_await refuse(*refused);
@@ -219,6 +239,13 @@
     }
 }
 
+repeat_denial request_flow::denial_after(refusal_reason reason) const
+{
+    if (reason == refusal_reason::request_crashes_servers)
+        return repeat_denial::crashes_servers;
+    return stopped_ ? repeat_denial::stopping : repeat_denial::no_server;
+}
+
 backend_requirements request_flow::criteria() const
 {
     return {service_->name, head_.model, head_.affinity, excluded_};
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -165,6 +165,12 @@
     [[nodiscard]] task<std::optional<refusal>> spend_units();
     void refund_quota();
     void set_deadlines();
+    void set_crash_signatures();
+    /// Whether the request must not be sent, because servers crash under it. Records that
+    /// it came.
+    [[nodiscard]] bool blocked_for_crashes() const;
+    /// Why no further attempt follows if no server was chosen for this reason.
+    [[nodiscard]] repeat_denial denial_after(refusal_reason reason) const;
     /// Records that the attempt's connection broke, if it did, and lets the server be
     /// checked. A run that has gone on for a while is not suspected.
     void note_broken_connection();
@@ -282,8 +288,8 @@
     serving_route const* route_ = nullptr;
     service_config const* service_ = nullptr;
     organisation const* organisation_ = nullptr;
-    /// Equal for repetitions of the same request.
-    std::uint64_t signature_ = 0;
+    /// What crashes of servers under the request are counted for.
+    crash_signatures crash_signatures_;
     /// Units of the organisation's quota that the request costs.
     double units_ = 0;
     bool charged_ = false;
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -41,6 +41,9 @@
 /// A server that crashes under a request does so as it begins to answer. A run that began
 /// to answer longer ago than this is not suspected.
 inline constexpr duration max_crash_delay = std::chrono::milliseconds(1000);
+/// Number of shared parts of a prompt for which crashes are counted. Bounds the memory
+/// that one request can take there.
+inline constexpr std::size_t max_tracked_parts = 256;
 /// Interval at which a request checks its deadline while it is queued behind others for
 /// the end of a server's pause.
 inline constexpr duration queued_recheck_interval = std::chrono::milliseconds(1000);
--- a/src/transport/entry/request_repeat.cpp
+++ b/src/transport/entry/request_repeat.cpp
@@ -34,7 +34,7 @@
 repeat_denial request_flow::find_repeat_denial(attempt_outcome outcome,
                                                time_point now) const
 {
-    if (services_.crashes.is_blocked(signature_))
+    if (blocked_for_crashes())
         return repeat_denial::crashes_servers;
     if (answer_begun_)
         return repeat_denial::answer_begun;
--- a/tests/entry/crashing_prompt_test.py
+++ b/tests/entry/crashing_prompt_test.py
@@ -163,6 +163,28 @@
         self.start_fleet(instances=1, runners=8, points=list(CrashPoint))
         self.play(seconds=20)
 
+    def test_runners_that_crash_for_other_reasons_block_nothing(self) -> None:
+        """Guards against sound requests that are refused because they share a part that is in
+        flight whenever a runner crashes, one alone or several at once."""
+        self.start_fleet(instances=2, runners=8, points=list(CrashPoint))
+        traffic = Traffic(self.instances, seed=4)
+        crashing = threading.Thread(target=self.crash_runners, args=(random.Random(4), 10.0))
+        crashing.start()
+        traffic.play(12.0, harmful_per_s=0.0)
+        crashing.join()
+        self.assertGreater(len(self.crashes()), 2 * CRASHES)
+        outcomes = {ended["outcome"] for instance in self.instances
+                    for ended in instance.events(1100)}
+        self.assertNotIn("request_crashes_servers", outcomes)
+
+    def crash_runners(self, choice: random.Random, seconds: float) -> None:
+        """Crashes one runner after the other and now and then several at once."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for runner in choice.sample(self.runners, choice.choice((1, 1, 4))):
+                threading.Thread(target=runner.crash, daemon=True).start()
+            time.sleep(choice.uniform(0.2, 1.0))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -167,6 +167,24 @@
     EXPECT_NE(head.affinity, 0U);
 }
 
+// Guards against crashes that are counted for the part that belongs to the request alone,
+// or for none because of how the list is written.
+TEST_F(request_codec_test, parts_of_the_prompt_but_the_last_are_shared)
+{
+    auto decode = [&](char const* prefix)
+    {
+        request_.set("X-Prompt-Prefix", prefix);
+        return decode_request(request_).shared_parts;
+    };
+    using ids = std::vector<std::string>;
+    EXPECT_EQ(decode("5c1e:800,91bd:410,e440:250"), (ids{"5c1e", "91bd"}));
+    EXPECT_EQ(decode("5c1e:800 , 91bd:410"), ids{"5c1e"});
+    EXPECT_EQ(decode("5c1e,91bd"), ids{"5c1e"});
+    EXPECT_EQ(decode(",:5,91bd:410"), ids{});
+    EXPECT_EQ(decode("5c1e:800"), ids{});
+    EXPECT_EQ(decode(""), ids{});
+}
+
 // Guards against forwarding an API key, or a header that only carawayturn may set, to a
 // backend server.
 TEST_F(request_codec_test, attempt_carries_neither_key_nor_forged_headers)
