Tell a new hub and later instances which requests are refused

A signature is forgotten when no such request has come for two minutes. An instance reports only what it has seen itself, so that two of them cannot keep it alive. As soon as a signature is blocked the hub pushes that to all instances.

Evidence: the new tests of crash_tracker_test and test_blocked_part_is_known_to_a_new_hub_and_to_later_instances.

--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -29,6 +29,11 @@
 constexpr duration cleared_retention = std::chrono::seconds(10);
 /// Signatures without further crashes or refused requests are forgotten after this time.
 constexpr duration suspect_retention = std::chrono::seconds(120);
+/// How often the hub is told that a signature is still refused. It forgets signatures
+/// after suspect_retention too.
+constexpr duration refusal_report_interval = std::chrono::seconds(10);
+/// How often a hub that does not list a blocked signature is told of it.
+constexpr duration unlisted_report_interval = std::chrono::seconds(1);
 /// Number of answered parts of prompts that an instance remembers.
 constexpr std::size_t max_answered_parts = 4096;
 /// An answered part clears the counts of other instances for this long.
@@ -159,8 +164,10 @@
 {
     for (auto const signature : cleared)
         counts_.erase(signature);
+    std::set<std::uint64_t> listed(cleared.begin(), cleared.end());
     for (auto const& crash : crashes)
     {
+        listed.insert(crash.signature);
         auto& entry = counts_[crash.signature];
         if (crash.crashes > entry.crashes)
         {
@@ -171,6 +178,19 @@
         if (answered_.is_sound(crash.signature, sound_retention, now))
             clear(crash.signature);
     }
+    report_unlisted(listed, now);
+}
+
+void crash_tracker::report_unlisted(std::set<std::uint64_t> const& listed, time_point now)
+{
+    for (auto& [signature, entry] : counts_)
+    {
+        bool const told =
+            entry.reported_at && now - *entry.reported_at < unlisted_report_interval;
+        if (entry.seen_here && entry.crashes >= crash_limit && !told &&
+            listed.count(signature) == 0)
+            report_blocked(signature, entry, now);
+    }
 }
 
 bool crash_tracker::is_blocked(std::uint64_t signature) const
@@ -196,11 +216,20 @@
         auto& entry = found->second;
         entry.last = now;
         entry.seen_here = true;
+        if (!entry.reported_at || now - *entry.reported_at >= refusal_report_interval)
+            report_blocked(signature, entry, now);
     };
     note(signatures.request);
     std::for_each(signatures.parts.begin(), signatures.parts.end(), note);
 }
 
+void crash_tracker::report_blocked(std::uint64_t signature, suspicion& entry,
+                                   time_point now)
+{
+    entry.reported_at = now;
+    add_report({signature, {}});
+}
+
 void crash_tracker::add_report(crash_report report)
 {
     if (new_reports_.size() < max_reports)
@@ -236,6 +265,13 @@
                                      time_point now)
 {
     entry.last = now;
+    // A report without a server says that an instance refuses the signature, perhaps
+    // since a time before this hub.
+    if (report.backend.empty())
+    {
+        entry.crashes = std::max(entry.crashes, crash_limit);
+        return;
+    }
     std::erase_if(entry.servers, [&](auto const& server)
                   { return now - server.second > same_crash_window; });
     if (!entry.servers.emplace(report.backend, now).second)
@@ -244,15 +280,23 @@
     cleared_.erase(report.signature);
 }
 
-void fleet_crash_tracker::add_reports(std::vector<crash_report> const& crashes,
+bool fleet_crash_tracker::add_reports(std::vector<crash_report> const& crashes,
                                       time_point now)
 {
+    bool newly_blocked = false;
     for (auto const& crash : crashes)
     {
         bool const known = suspects_.count(crash.signature) != 0;
-        if (known || suspects_.size() < max_signatures)
-            add_report(crash, suspects_[crash.signature], now);
+        bool const outdated =
+            crash.backend.empty() && cleared_.count(crash.signature) != 0;
+        if (outdated || (!known && suspects_.size() >= max_signatures))
+            continue;
+        auto& entry = suspects_[crash.signature];
+        bool const was_blocked = entry.crashes >= crash_limit;
+        add_report(crash, entry, now);
+        newly_blocked = newly_blocked || (!was_blocked && entry.crashes >= crash_limit);
     }
+    return newly_blocked;
 }
 
 void fleet_crash_tracker::note_cleared(std::vector<std::uint64_t> const& signatures,
--- a/src/coordination/entry/crash_tracker.hpp
+++ b/src/coordination/entry/crash_tracker.hpp
@@ -74,7 +74,8 @@
     /// blocked as long as such requests come.
     void note_refused(crash_signatures const& signatures, time_point now);
 
-    /// Returns the crashes that this instance detected since the last call.
+    /// Returns the reports for the hub since the last call: crashes, and signatures that
+    /// are still refused here, which name no server.
     [[nodiscard]] std::vector<crash_report> take_new_reports();
     /// Returns the suspected signatures that were answered at this instance since the
     /// last call.
@@ -100,6 +101,8 @@
         std::string server;
         /// This instance has seen a crash or has refused a request itself.
         bool seen_here = false;
+        /// When the hub was last told that the signature is blocked.
+        std::optional<time_point> reported_at;
     };
     [[nodiscard]] bool is_blocked(std::uint64_t signature) const;
     /// Whether a crash that was just counted for the part has the same cause as this one.
@@ -109,7 +112,10 @@
     /// Sets the number of crashes of a signature.
     void set_crashes(std::uint64_t signature, suspicion& entry, std::uint32_t crashes);
     void clear(std::uint64_t signature);
+    void report_blocked(std::uint64_t signature, suspicion& entry, time_point now);
     void add_report(crash_report report);
+    /// Tells a hub that does not list them about the signatures that are blocked here.
+    void report_unlisted(std::set<std::uint64_t> const& listed, time_point now);
 
     answered_parts answered_;
     std::vector<broken_attempt> broken_;
@@ -125,7 +131,8 @@
 class fleet_crash_tracker
 {
 public:
-    void add_reports(std::vector<crash_report> const& crashes, time_point now);
+    /// Returns whether a signature is blocked by these reports that was not before.
+    bool add_reports(std::vector<crash_report> const& crashes, time_point now);
     void note_cleared(std::vector<std::uint64_t> const& signatures, time_point now);
     /// Returns the signatures with more than one crash; one crash alone raises no
     /// suspicion.
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -119,8 +119,10 @@
                                           time_point now)
 {
     auto update = answer(status, authority, now);
-    if (!status.complete)
-        directory_.add_changes(status, update);
+    if (status.complete)
+        return update;
+    directory_.add_changes(status, update);
+    add_crash_counts(update, now);
     return update;
 }
 
@@ -149,7 +151,7 @@
     if (authority.current())
         for (auto const& request : status.quota_requests)
             update.quota.push_back(grant(request, *authority.current(), now));
-    crashes_.add_reports(status.crashes, now);
+    crash_alert_ = crashes_.add_reports(status.crashes, now) || crash_alert_;
     crashes_.note_cleared(status.cleared_signatures, now);
     mark_leaving(status.leaving, now);
     update.complete = status.complete;
@@ -170,13 +172,18 @@
     update.peers =
         fleet_.addresses_of_others(status.node, peers_per_update, peer_rotation_++);
     update.exhausted_organisations = quota_.exhausted(now);
-    update.crashes = crashes_.suspects(now);
-    update.cleared_signatures = crashes_.cleared(now);
+    add_crash_counts(update, now);
     for (auto const& [backend, model] : planner_.unloading_models())
         update.unloading_models.push_back({backend, model});
     return update;
 }
 
+void hub_state::add_crash_counts(node_update& update, time_point now)
+{
+    update.crashes = crashes_.suspects(now);
+    update.cleared_signatures = crashes_.cleared(now);
+}
+
 std::vector<runner_order> hub_state::plan(config_authority const& authority,
                                           time_point now)
 {
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carawayturn::entry
@@ -50,6 +51,11 @@
     [[nodiscard]] node_update answer(node_status const& status,
                                      config_authority const& authority, time_point now);
 
+    /// Returns whether requests are blocked since the last call because servers crashed
+    /// under them. All instances should learn that at once.
+    [[nodiscard]] bool take_crash_alert() { return std::exchange(crash_alert_, false); }
+    [[nodiscard]] bool crash_alert() const { return crash_alert_; }
+
     /// Plans the placement of models with the newest demand and returns the orders to
     /// send to runners.
     [[nodiscard]] std::vector<runner_order> plan(config_authority const& authority,
@@ -70,6 +76,7 @@
     /// Marks servers as leaving, even if their entries in the store do not say so.
     void mark_leaving(std::vector<leaving_server> const& servers, time_point now);
     void apply_config(config_authority const& authority, time_point now);
+    void add_crash_counts(node_update& update, time_point now);
     [[nodiscard]] quota_reply grant(quota_request const& request,
                                     serving_config const& config, time_point now);
 
@@ -87,6 +94,7 @@
     placement_planner planner_;
     hub_quota quota_;
     fleet_crash_tracker crashes_;
+    bool crash_alert_ = false;
     /// Announcements of backend servers that they are leaving, as reported by instances.
     server_availability server_availability_;
     std::shared_ptr<serving_config const> config_;
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -193,12 +193,17 @@
     if (!hub_active_)
         return;
     auto const revision = directory_is_current() ? hub_.revision() : 0;
-    if (revision == pushed_revision_ && authority_.version() == pushed_config_)
+    bool const crash_alert = hub_.take_crash_alert();
+    if (revision == pushed_revision_ && authority_.version() == pushed_config_ &&
+        !crash_alert)
         return;
     pushed_revision_ = revision;
     pushed_config_ = authority_.version();
     link_.push_updates();
     apply_update(make_reply(status(false)));
+    // A status of its own brings this instance the crash counts too.
+    if (crash_alert)
+        link_.send_status_soon();
 }
 
 task<void> entry_node::plan_as_hub()
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -261,7 +261,7 @@
         std::any_of(status.demand.begin(), status.demand.end(),
                     [](demand_count const& demand) { return demand.waiting > 0; });
     auto update = hub_.answer(status, authority_, now);
-    if (waiting)
+    if (waiting || hub_.crash_alert())
         plan_due_.notify();
     add_hub_fields(status, update);
     return update;
@@ -404,6 +404,8 @@
         read_policy_.hub_read_failure_received();
     if (update.directory_hub != 0 && (hub_active_ || hub_reads))
         apply_directory(update);
+    if (update.complete || !update.crashes.empty())
+        crashes_.merge_fleet_counts(update.crashes, update.cleared_signatures, now);
     if (update.complete)
     {
         backends_.set_other_requests(update.loads.get());
@@ -412,7 +414,6 @@
                 found != ids_by_short_id_.end() && !found->second.empty())
                 backends_.set_other_requests(found->second, total.requests);
         quota_.set_exhausted(update.exhausted_organisations, now);
-        crashes_.merge_fleet_counts(update.crashes, update.cleared_signatures, now);
         demand_.set_estimates(update.estimates, now);
         for (auto const& retiring : update.unloading_models)
             backends_.avoid_model(retiring.backend, retiring.model, now + retiring_pause);
--- a/tests/entry/crash_tracker_test.cpp
+++ b/tests/entry/crash_tracker_test.cpp
@@ -197,6 +197,55 @@
     EXPECT_FALSE(is_part_blocked(tracker_, "bad"));
 }
 
+// Guards against a new hub, and instances that start after it, that know nothing of what
+// is blocked.
+TEST_F(crash_tracker_test, new_hub_learns_what_is_blocked)
+{
+    block("bad", 0);
+    static_cast<void>(tracker_.take_new_reports());
+    fleet_crash_tracker new_hub;
+    tracker_.merge_fleet_counts(new_hub.suspects(at(5000)), {}, at(5000));
+    EXPECT_TRUE(new_hub.add_reports(tracker_.take_new_reports(), at(5000)));
+    crash_tracker later;
+    later.merge_fleet_counts(new_hub.suspects(at(5100)), {}, at(5100));
+    EXPECT_TRUE(is_part_blocked(later, "bad"));
+}
+
+// Guards against a hub that forgets a part while instances still refuse it.
+TEST_F(crash_tracker_test, hub_keeps_a_part_that_is_still_refused)
+{
+    fleet_crash_tracker hub;
+    block("bad", 0);
+    for (int minute = 0; minute <= 5; ++minute)
+    {
+        tracker_.note_refused(different_request({"bad"}), at(60000 * minute + 500));
+        hub.add_reports(tracker_.take_new_reports(), at(60000 * minute + 500));
+        EXPECT_FALSE(hub.suspects(at(60000 * minute + 59000)).empty()) << minute;
+    }
+    EXPECT_TRUE(hub.suspects(at(60000 * 5 + 122000)).empty());
+}
+
+// Guards against instances that keep a part blocked for ever by telling each other of it.
+TEST_F(crash_tracker_test, instance_does_not_report_what_it_only_heard)
+{
+    tracker_.merge_fleet_counts({{part_signature("service", "bad"), 5}}, {}, at(0));
+    EXPECT_TRUE(is_part_blocked(tracker_, "bad"));
+    tracker_.merge_fleet_counts({}, {}, at(5000));
+    EXPECT_TRUE(tracker_.take_new_reports().empty());
+    tracker_.expire(at(121000));
+    EXPECT_FALSE(is_part_blocked(tracker_, "bad"));
+}
+
+// Guards against a part that is blocked again by an instance that has not heard of its
+// answer.
+TEST_F(crash_tracker_test, hub_ignores_refusals_of_what_was_cleared)
+{
+    fleet_crash_tracker hub;
+    hub.note_cleared({request_.request}, at(0));
+    EXPECT_FALSE(hub.add_reports({{request_.request, ""}}, at(100)));
+    EXPECT_TRUE(hub.suspects(at(200)).empty());
+}
+
 // Guards against refusing what this instance has just answered because the hub has not
 // heard of that.
 TEST_F(crash_tracker_test, answered_part_is_cleared_at_the_hub)
--- a/tests/entry/crashing_prompt_test.py
+++ b/tests/entry/crashing_prompt_test.py
@@ -163,6 +163,25 @@
         self.start_fleet(instances=1, runners=8, points=list(CrashPoint))
         self.play(seconds=20)
 
+    def test_blocked_part_is_known_to_a_new_hub_and_to_later_instances(self) -> None:
+        """Guards against harmful requests that reach runners again after the hub has ended, or
+        at an instance that was not there when the runners crashed."""
+        self.start_fleet(instances=2, runners=8, points=list(CrashPoint))
+        Traffic(self.instances, seed=2).play(6.0)
+        self.assertTrue(all(instance.events(1137) for instance in self.instances))
+        hub = wait_until(lambda: next((each for each in self.instances if is_hub(each)), None),
+                         "an instance is the hub")
+        hub.stop()
+        remaining = next(each for each in self.instances if each is not hub)
+        wait_until(lambda: is_hub(remaining), "the other instance is the hub")
+        later = self.start_instance()
+        wait_until(lambda: later.events(1137), "the later instance knows of the part", 5)
+        for runner in self.runners:
+            runner.harmful_arrivals.clear()
+        Traffic([remaining, later], seed=3).play(4.0)
+        self.assertEqual([runner.harmful_arrivals for runner in self.runners],
+                         [[] for _ in self.runners])
+
     def test_runners_that_crash_for_other_reasons_block_nothing(self) -> None:
         """Guards against sound requests that are refused because they share a part that is in
         flight whenever a runner crashes, one alone or several at once."""
@@ -186,5 +205,9 @@
             time.sleep(choice.uniform(0.2, 1.0))
 
 
+def is_hub(instance: Instance) -> bool:
+    return instance.state().get("hub", {}).get("this_instance", False)
+
+
 if __name__ == "__main__":
     unittest.main()
