Test requests that arrive until the grace time of a planned stop ends

Not seen here: requests that must not be repeated, one each 100 ms after SIGTERM on new and on kept connections, runs of 0.5 and 2.5 s: each that a server ran has a complete answer, none of them 503.

--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -183,8 +183,8 @@
     /// The directory changes. Updates with the same changes share the parts, so that each
     /// part is built and encoded once.
     std::vector<std::shared_ptr<directory_part const>> directory;
-    /// Whether the lists below are present, other than the quota replies and, in an update
-    /// that is no reply, the crash counts and cleared signatures.
+    /// Whether the lists below are present, other than the quota replies and, in an
+    /// update that is no reply, the crash counts and cleared signatures.
     bool complete = true;
     std::shared_ptr<fleet_loads const> loads;
     /// Replaces the counts in `loads` for the backend servers at which the receiver has
--- a/tests/entry/planned_stop_case.py
+++ b/tests/entry/planned_stop_case.py
@@ -45,7 +45,11 @@
         if receive_buffer:
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.socket.settimeout(HANG_LIMIT_S)
-        self.socket.connect(("127.0.0.1", instance.front_port))
+        try:
+            self.socket.connect(("127.0.0.1", instance.front_port))
+        except OSError:
+            self.socket.close()
+            raise
 
     def send(self, text: str) -> None:
         self.socket.sendall(text.encode())
--- a/tests/entry/planned_stop_test.py
+++ b/tests/entry/planned_stop_test.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import signal
+import threading
 import time
 import unittest
+from collections.abc import Callable
 
 from planned_stop_case import (GRACE_S, HANG_LIMIT_S, INTAKE_CLOSED_AFTER_S, SERVICE_TIME_S,
-                               PlannedStopCase, head, wait_until)
+                               BackendServer, Caller, PlannedStopCase, head, wait_until)
 
 
 class PlannedStopTest(PlannedStopCase):
@@ -167,5 +170,62 @@
         self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
 
 
+class LateRequestTest(PlannedStopCase):
+    """Requests arrive one after the other until the grace time has ended."""
+
+    # Service times of the two servers, in seconds.
+    service_times_s = (0.5, 2.5)
+    interval_s = 0.1
+
+    def send_until_the_end(self, callers: Callable[[int], Caller]) -> dict[str, bytes]:
+        """Sends a request that must not be repeated at each interval, on the caller with its
+        number; returns the answers by the requests' ids."""
+        answers: dict[str, bytes] = {}
+
+        def exchange(number: int) -> None:
+            with contextlib.suppress(OSError):
+                caller = callers(number)
+                caller.send(head(id=f"r{number}") + "x")
+                answers[f"r{number}"] = caller.answer()
+
+        self.terminate()
+        began = time.monotonic()
+        threads = []
+        for number in range(round(GRACE_S / self.interval_s)):
+            time.sleep(max(0.0, began + number * self.interval_s - time.monotonic()))
+            threads.append(threading.Thread(target=exchange, args=(number,)))
+            threads[-1].start()
+        for thread in threads:
+            thread.join(HANG_LIMIT_S)
+        self.assertEqual(self.instance.process.wait(HANG_LIMIT_S), 0)
+        return answers
+
+    def check_answers(self, callers: Callable[[int], Caller]) -> None:
+        """Checks that each request that a server ran has an answer, and that none of these says
+        that it did not run."""
+        self.plain.answer_delay_s = self.service_times_s[0]
+        slow = BackendServer(self.store, "p1", "plain")
+        self.addCleanup(slow.close)
+        slow.answer_delay_s = self.service_times_s[1]
+        self.instance.wait_until_serving(servers=3)
+        answers = self.send_until_the_end(callers)
+        ran = {run["id"] for server in (self.plain, slow) for run in server.ran}
+        self.assertGreater(len(ran & answers.keys()), 10)
+        for name in sorted(ran & answers.keys()):
+            with self.subTest(request=name):
+                self.assertRegex(answers[name], rb"(?s)^HTTP/1.1 (200|502) .*\r\n\r\n.")
+        self.assertEqual({name for name in ran if name.startswith("r")} - answers.keys(), set())
+
+    def test_request_on_a_new_connection_late_in_the_grace_time_is_not_lost(self) -> None:
+        """Guards against a request that is taken after SIGTERM, passed on, and cut without an
+        answer as the grace time ends."""
+        self.check_answers(lambda _: self.caller())
+
+    def test_request_on_a_kept_connection_late_in_the_grace_time_is_not_lost(self) -> None:
+        """Guards against the same on connections that were open before SIGTERM."""
+        kept = [self.caller() for _ in range(round(GRACE_S / self.interval_s))]
+        self.check_answers(lambda number: kept[number])
+
+
 if __name__ == "__main__":
     unittest.main()
