Count crashes of several servers at once as one, and none of leaving servers

A server that had announced its end counted as crashed too.

Servers that crash under a request do so one after the other, so crashes within 100 ms count once, at each instance and at the hub. Between two statuses the hub pushes only what is blocked, not all suspicions.

--- a/src/coordination/entry/backend_selector.cpp
+++ b/src/coordination/entry/backend_selector.cpp
@@ -287,6 +287,12 @@
     availability_.note_pause(id, born_ms, pause, loads_[id].own, now);
 }
 
+bool backend_selector::is_leaving(std::string const& id) const
+{
+    auto const* const record = find(id);
+    return record != nullptr && (record->draining || availability_.is_leaving(*record));
+}
+
 bool backend_selector::may_send(backend_record const& record, time_point now) const
 {
     return !availability_.is_leaving(record) && !availability_.paused_until(record, now);
--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -18,8 +18,8 @@
 constexpr duration crash_detection_window = std::chrono::seconds(3);
 /// Further attempts that break off at a server within this time are not checked again.
 constexpr duration check_interval = std::chrono::milliseconds(300);
-/// Crashes of several servers within this time count once for a part that was not
-/// answered yet: servers that crash under a prompt do so one after the other.
+/// Crashes of several servers within this time count once. Servers that crash under a
+/// request do so one after the other; several at once have another cause.
 constexpr duration common_cause_window = std::chrono::milliseconds(100);
 /// Reports about one server within this time belong to the same crash: instances detect a
 /// crash at different times, and a restart takes seconds.
@@ -79,7 +79,11 @@
     if (counts_.size() >= max_signatures && counts_.count(signature) == 0)
         return;
     auto& entry = counts_[signature];
-    if (entry.server == server && now - entry.last <= same_crash_window)
+    bool const same_crash =
+        entry.server == server && now - entry.crashed_at <= same_crash_window;
+    bool const common_cause =
+        entry.seen_here && now - entry.crashed_at < common_cause_window;
+    if (same_crash || common_cause)
         return;
     set_crashes(signature, entry, entry.crashes + 1);
     entry.last = now;
@@ -99,13 +103,6 @@
         newly_blocked_.push_back({signature, crashes});
 }
 
-bool crash_tracker::has_common_cause(std::uint64_t part, time_point now) const
-{
-    auto const found = counts_.find(part);
-    return found != counts_.end() && found->second.seen_here &&
-           now - found->second.crashed_at < common_cause_window;
-}
-
 std::optional<detected_crash> crash_tracker::note_crash(std::string const& server,
                                                         time_point now)
 {
@@ -128,8 +125,7 @@
     for (auto const signature : requests)
         count_crash(signature, server, now, crash);
     for (auto const signature : parts)
-        if (!answered_.tolerates_crash(signature, now) &&
-            !has_common_cause(signature, now))
+        if (!answered_.tolerates_crash(signature, now))
             count_crash(signature, server, now, crash);
     auto const [detected, is_new] = detected_at_.emplace(server, now);
     if (!is_new && now - detected->second <= same_crash_window &&
@@ -274,9 +270,12 @@
     }
     std::erase_if(entry.servers, [&](auto const& server)
                   { return now - server.second > same_crash_window; });
-    if (!entry.servers.emplace(report.backend, now).second)
+    bool const common_cause =
+        entry.crashes > 0 && now - entry.crashed_at < common_cause_window;
+    if (!entry.servers.emplace(report.backend, now).second || common_cause)
         return;
     ++entry.crashes;
+    entry.crashed_at = now;
     cleared_.erase(report.signature);
 }
 
@@ -309,6 +308,15 @@
     }
 }
 
+std::vector<crash_count> fleet_crash_tracker::blocked() const
+{
+    std::vector<crash_count> found;
+    for (auto const& [signature, entry] : suspects_)
+        if (entry.crashes >= crash_limit)
+            found.push_back({signature, entry.crashes});
+    return found;
+}
+
 std::vector<std::uint64_t> fleet_crash_tracker::cleared(time_point now)
 {
     std::erase_if(cleared_, [&](auto const& entry)
--- a/src/coordination/entry/crash_tracker.hpp
+++ b/src/coordination/entry/crash_tracker.hpp
@@ -105,8 +105,6 @@
         std::optional<time_point> reported_at;
     };
     [[nodiscard]] bool is_blocked(std::uint64_t signature) const;
-    /// Whether a crash that was just counted for the part has the same cause as this one.
-    [[nodiscard]] bool has_common_cause(std::uint64_t part, time_point now) const;
     void count_crash(std::uint64_t signature, std::string const& server, time_point now,
                      detected_crash& crash);
     /// Sets the number of crashes of a signature.
@@ -137,6 +135,8 @@
     /// Returns the signatures with more than one crash; one crash alone raises no
     /// suspicion.
     [[nodiscard]] std::vector<crash_count> suspects(time_point now);
+    /// Returns the signatures that have reached the limit of crashes.
+    [[nodiscard]] std::vector<crash_count> blocked() const;
     /// Returns the signatures that were cleared recently.
     [[nodiscard]] std::vector<std::uint64_t> cleared(time_point now);
 
@@ -144,7 +144,10 @@
     struct suspect
     {
         std::uint32_t crashes = 0;
+        /// The last report.
         time_point last{};
+        /// The last crash that was counted.
+        time_point crashed_at{};
         /// When each server last crashed with such a request in flight.
         std::map<std::string, time_point> servers;
     };
--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -122,7 +122,10 @@
     if (status.complete)
         return update;
     directory_.add_changes(status, update);
-    add_crash_counts(update, now);
+    // Only what is blocked: the whole list may be long, and this update may be one of
+    // many.
+    update.crashes = crashes_.blocked();
+    update.cleared_signatures = crashes_.cleared(now);
     return update;
 }
 
@@ -172,18 +175,13 @@
     update.peers =
         fleet_.addresses_of_others(status.node, peers_per_update, peer_rotation_++);
     update.exhausted_organisations = quota_.exhausted(now);
-    add_crash_counts(update, now);
+    update.crashes = crashes_.suspects(now);
+    update.cleared_signatures = crashes_.cleared(now);
     for (auto const& [backend, model] : planner_.unloading_models())
         update.unloading_models.push_back({backend, model});
     return update;
 }
 
-void hub_state::add_crash_counts(node_update& update, time_point now)
-{
-    update.crashes = crashes_.suspects(now);
-    update.cleared_signatures = crashes_.cleared(now);
-}
-
 std::vector<runner_order> hub_state::plan(config_authority const& authority,
                                           time_point now)
 {
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -76,7 +76,6 @@
     /// Marks servers as leaving, even if their entries in the store do not say so.
     void mark_leaving(std::vector<leaving_server> const& servers, time_point now);
     void apply_config(config_authority const& authority, time_point now);
-    void add_crash_counts(node_update& update, time_point now);
     [[nodiscard]] quota_reply grant(quota_request const& request,
                                     serving_config const& config, time_point now);
 
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -31,8 +31,10 @@
 void request_flow::note_broken_connection()
 {
     auto const now = boot_now();
+    // A server that is leaving may end under any request.
     if (!exchange_ || !exchange_->connection_broken() || interrupted() ||
-        exchange_->time_since_head(now) > max_crash_delay)
+        exchange_->time_since_head(now) > max_crash_delay ||
+        services_.backends.is_leaving(server_.id))
         return;
     if (services_.crashes.note_broken_attempt(server_.id, crash_signatures_, now))
         services_.tasks.run("check server", server_.id,
