Do not count the end of a removed server as a crash

Some servers never announce that they leave: their entry is removed, they go on for a while and end with what they still run.

backend_selector_test.server_that_drains_or_is_removed_is_leaving.

--- a/src/coordination/entry/backend_selector.cpp
+++ b/src/coordination/entry/backend_selector.cpp
@@ -290,7 +290,7 @@
 bool backend_selector::is_leaving(std::string const& id) const
 {
     auto const* const record = find(id);
-    return record != nullptr && (record->draining || availability_.is_leaving(*record));
+    return record == nullptr || record->draining || availability_.is_leaving(*record);
 }
 
 bool backend_selector::may_send(backend_record const& record, time_point now) const
--- a/src/coordination/entry/backend_selector.hpp
+++ b/src/coordination/entry/backend_selector.hpp
@@ -106,7 +106,7 @@
     void note_sent(std::string const& id);
     void note_finished(std::string const& id);
     /// Returns whether the server's entry or the server itself has said that it is
-    /// leaving.
+    /// leaving, or the entry was removed.
     [[nodiscard]] bool is_leaving(std::string const& id) const;
     void note_failure(std::string const& id, time_point now);
     void note_success(std::string const& id, time_point now);
--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -81,8 +81,7 @@
     auto& entry = counts_[signature];
     bool const same_crash =
         entry.server == server && now - entry.crashed_at <= same_crash_window;
-    bool const common_cause =
-        entry.seen_here && now - entry.crashed_at < common_cause_window;
+    bool const common_cause = now - entry.crashed_at < common_cause_window;
     if (same_crash || common_cause)
         return;
     set_crashes(signature, entry, entry.crashes + 1);
--- a/tests/entry/backend_selector_test.cpp
+++ b/tests/entry/backend_selector_test.cpp
@@ -51,6 +51,17 @@
     EXPECT_EQ(choose().backend->id, "b2");
 }
 
+// Guards against the planned end of a server that counts as a crash under its requests.
+TEST_F(backend_selector_test, server_that_drains_or_is_removed_is_leaving)
+{
+    add("b1");
+    add("b2", {}, true);
+    EXPECT_FALSE(backends_.is_leaving("b1"));
+    EXPECT_TRUE(backends_.is_leaving("b2"));
+    backends_.remove("b1");
+    EXPECT_TRUE(backends_.is_leaving("b1"));
+}
+
 // Guards against requests that accumulate at one of several equal servers.
 TEST_F(backend_selector_test, equal_servers_share_the_load)
 {
