--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -125,7 +125,8 @@
         self.closed = threading.Event()
         self.ends: list[float] = []
         self._start()
-        threading.Thread(target=self._supervise, daemon=True).start()
+        self.supervisor = threading.Thread(target=self._supervise, daemon=True)
+        self.supervisor.start()
 
     def _start(self) -> None:
         self.boots += 1
@@ -178,6 +179,8 @@
 
     def close(self) -> None:
         self.closed.set()
+        # A process that the supervisor is just starting has to be ended too.
+        self.supervisor.join()
         self.process.kill()
         self.process.wait()
 
