--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,8 +11,10 @@
 from fleet import BROKEN, HELD, TROUBLE, Fleet, play  # noqa: E402
 
 SERVERS = 7
-# One of seven servers is within the share of 0.15, and 0.4 of its requests fail.
-FAILURE_SHARE = 0.4
+# One of seven servers is within the share of 0.15. Two in each five of its requests fail (0.4).
+FAILING = (1, 3)
+FAILING_S = 5.0
+TIME_BUDGET_MS = 3000
 FAILURE_BYTES = int(sys.argv[1]) if len(sys.argv) > 1 else 100_000
 TRAFFIC_S = 5.0
 BOOKINGS_PER_S = 30
@@ -21,7 +23,7 @@
 
 def story(fleet: Fleet) -> tuple[int, str]:
     for number in range(SERVERS):
-        grey = {"failure_share": FAILURE_SHARE, "failure_bytes": FAILURE_BYTES}
+        grey = {"failing": FAILING, "failing_s": FAILING_S, "failure_bytes": FAILURE_BYTES}
         fleet.add_runner(f"d{number}", "dispatch", 6, work_s=0.06,
                          **(grey if TROUBLE and number == 0 else {}))
     fleet.start_instances(3)
@@ -31,14 +33,16 @@
     def book(number: int) -> None:
         """A booking; the client repeats it once, at another machine, after a promise that it has
         not run and never will."""
+        began = time.monotonic()
         for attempt in range(2):
+            left_ms = TIME_BUDGET_MS - int(1000 * (time.monotonic() - began))
             request_id = f"booking-{number}-{attempt}"
             status, _, answer = fleet.call((number + attempt) % 3, "POST", f"/book/{number}",
-                                           request_id, b"booking %d" % number)
+                                           request_id, b"booking %d" % number, left_ms)
             statuses[request_id] = status
             if status not in PROMISES_NOT_RUN:
                 return
-            time.sleep(min(float(answer.get("Retry-After", 0)), 1.0))
+            time.sleep(min(float(answer.get("Retry-After", 0)), left_ms / 3000))
 
     clients = []
     for number in range(int(TRAFFIC_S * BOOKINGS_PER_S)):
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,6 +11,7 @@
 import http.client
 import json
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -31,6 +32,9 @@
 HEARTBEAT_S = 1.2
 DOWN_S = 3.0
 CONTACT_S = 3.0
+# A case that isn't done by then could not run.
+LIMIT_S = 110.0
+LOAD_S = 9.0
 # Exit codes of a case.
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 # Settings of a small deployment, beside those that entry_fleet.py writes.
@@ -91,18 +95,24 @@
 
 
 def configuration() -> dict:
-    """Routes like those of the sheet of Nile Rest; one tenant without a limit."""
+    """Routes like those of the sheets: visits and summaries as at Nile Rest, minutes as at
+    Mthunzi. One tenant without a limit."""
     return {
         "version": 7,
         "routes": [
             route("book", "non_idempotent", "dispatch", timeout_ms=1500, target_latency_ms=300),
             route("status", "idempotent", "dispatch", timeout_ms=1500, target_latency_ms=300,
                   max_attempts=2),
-            route("hotel", "streaming", "scribe", timeout_ms=35000, target_latency_ms=4000),
-            route("crew", "streaming", "scribe", resumable=True, max_attempts=2)],
+            route("filing", "non_idempotent", "registry", timeout_ms=800,
+                  target_latency_ms=150),
+            route("lookup", "idempotent", "registry", timeout_ms=800, target_latency_ms=150,
+                  max_attempts=2),
+            route("hotel", "streaming", "scribe", timeout_ms=35000, target_latency_ms=4000)],
         "services": [
             {"name": "dispatch", "health_path": "/health", "max_conns": 214, "protocol": "h1",
              "tls": False},
+            {"name": "registry", "health_path": "/health", "max_conns": 200, "protocol": "h1",
+             "tls": False},
             {"name": "scribe", "health_path": "/health", "max_conns": 643, "protocol": "h1",
              "tls": False,
              "engine": {"slots": 48, "kv_capacity": 119408, "weights_mb": 230000,
@@ -115,6 +125,25 @@
         "tenants": [{"name": "t1", "api_keys": ["k1"], "rate_per_s": 0, "burst": 0}]}
 
 
+# All processes that were started, so that each of them is ended in any case.
+started: list[subprocess.Popen] = []
+
+
+def end_processes() -> None:
+    for process in started:
+        process.kill()
+    for process in started:
+        process.wait()
+
+
+class FrontInstance(Instance):
+    """An instance of carawayturn-entry."""
+
+    def start(self) -> None:
+        super().start()
+        started.append(self.process)
+
+
 class Runner:
     """A runner's process and its entry in the store. Starts again after it has ended."""
 
@@ -137,6 +166,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-B", str(ROOT / "review/common/runner.py"), self.id, str(port),
              str(self.fleet.arrivals_file), json.dumps(self.options), str(self.born)])
+        started.append(self.process)
         wait_until(self._listens, f"{self.id} listens")
         self._check_in()
 
@@ -153,9 +183,16 @@
             connection.close()
 
     def _check_in(self) -> None:
+        connection = http.client.HTTPConnection(self.address, timeout=1)
+        try:
+            connection.request("GET", "/report")
+            models = json.loads(connection.getresponse().read())["models"]
+        except (OSError, http.client.HTTPException):
+            # The process has just ended, and says nothing more.
+            return
+        finally:
+            connection.close()
         self.last_check_in = time.monotonic()
-        models = [{"name": name, "version": 1, "adapters": []}
-                  for name in self.options.get("models", [])]
         self.fleet.store.put("servers", self.id, {
             "service": self.service, "address": self.address, "zone": "a", "version": "v1",
             "slots": self.slots, "state": "ready", "cold_left_ms": 0, "stage": "colocated",
@@ -174,6 +211,8 @@
             threading.Timer(max(expiry, 0), self.fleet.store.remove, ("servers", former)).start()
             if self.closed.wait(DOWN_S):
                 return
+            # Runners restart empty.
+            self.options = {**self.options, "models": []}
             self._start()
             self.fleet.note(f"runner {self.id} is up in its place")
 
@@ -181,8 +220,6 @@
         self.closed.set()
         # A process that the supervisor is just starting has to be ended too.
         self.supervisor.join()
-        self.process.kill()
-        self.process.wait()
 
 
 class Fleet:
@@ -211,23 +248,19 @@
 
     def start_instances(self, count: int) -> None:
         for number in range(count):
-            self.instances.append(Instance(self.store, f"front-a-{number + 1}",
-                                           more_settings=SETTINGS))
+            self.instances.append(FrontInstance(self.store, f"front-a-{number + 1}",
+                                                more_settings=SETTINGS))
         for instance in self.instances:
             instance.wait_until_serving(servers=len(self.runners))
         wait_until(lambda: any(each.state().get("hub", {}).get("this_instance", False)
                                for each in self.instances), "an instance is the hub")
 
-    def _runner_lines(self) -> list[dict]:
-        return [json.loads(line) for line in self.arrivals_file.read_text().splitlines()]
-
     def arrivals(self) -> list[dict]:
         """The requests that runners began to run."""
-        return [line for line in self._runner_lines() if "path" in line]
+        return [json.loads(line) for line in self.arrivals_file.read_text().splitlines()]
 
-    def cuts(self) -> list[dict]:
-        """The streams that runners ended inside an event."""
-        return [line for line in self._runner_lines() if "cut" in line]
+    def crashes(self) -> list[float]:
+        return sorted(at for runner in self.runners for at in runner.ends)
 
     def call(self, instance: int, method: str, path: str, request_id: str, body: bytes = b"",
              deadline_ms: int = 3000, **headers: str) -> tuple[int | None, bytes, dict]:
@@ -257,9 +290,6 @@
         return status, received, answer_headers
 
     def finish(self, result: int, summary: str) -> int:
-        for cut in self.cuts():
-            self.note(f"runner {cut['server']} ends the stream of id {cut['id']} inside an event",
-                      cut["at"])
         for arrival in self.arrivals():
             self.note(f"runner {arrival['server']} begins to run {arrival['path']} id "
                       f"{arrival['id']}"
@@ -286,7 +316,17 @@
 
 
 def play(case: str, story) -> None:
-    """Runs `story`, which gets the fleet and returns the exit code and a summary."""
+    """Runs `story`, which gets the fleet and returns the exit code and a summary. All processes
+    that were started are ended in any case, also if this one is told to end."""
+    def give_up(*_) -> None:
+        end_processes()
+        os._exit(COULD_NOT_RUN)
+
+    for each in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(each, give_up)
+    limit = threading.Timer(LIMIT_S, give_up)
+    limit.daemon = True
+    limit.start()
     fleet = None
     try:
         fleet = Fleet(case)
@@ -294,8 +334,10 @@
     except Exception as failure:  # pylint: disable=broad-except
         print(f"the case could not run: {failure!r}", file=sys.stderr)
         code = COULD_NOT_RUN
-    finally:
+    try:
         if fleet:
             fleet.close()
-    sys.stdout.flush()
-    os._exit(code)
+    finally:
+        end_processes()
+        sys.stdout.flush()
+        os._exit(code)
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -1,15 +1,17 @@
 """A stand-in of a runner or of a server of a plain service, as a process of its own.
 
-Usage: runner.py ID PORT RECORD OPTIONS, where OPTIONS is a JSON object:
-  models        names of the models that the runner holds; empty for a plain service
-  events        number of events of a stream
-  event_gap_s   seconds between two events
-  work_s        seconds of work for a plain request
-  crash_path    the process ends when it begins to run a request with this path
-  crash_part    the process ends when it begins to answer a prompt with this part (not the last)
-  failure_share share of the plain requests that fail after they have run, with status 503,
-  failure_bytes without X-Not-Executed and with a body of this length
-  cut_share     share of the streams that end in the middle of their third event
+Usage: runner.py ID PORT RECORD OPTIONS BORN, where OPTIONS is a JSON object:
+  is_runner        whether it is a model runner; it answers every request with a stream
+  models           names of the models that it holds at its start
+  load_s           seconds that it takes to load a model
+  events           number of events of a stream
+  event_gap_s      seconds between two events
+  work_s           seconds of work for a plain request
+  crash_path       the process ends when it begins to run a request with this path
+  crash_part       the process ends when it begins to answer a prompt with this part (not the last)
+  failing          numbers, in each five plain requests, of those that fail after they have run,
+  failing_s        for so many seconds from the first request on, with status 503, without
+  failure_bytes    X-Not-Executed and with a body of this length
 
 Each arrival of a request is appended to RECORD as a line of JSON before anything else happens.
 """
@@ -18,7 +20,6 @@
 
 import json
 import os
-import random
 import sys
 import threading
 import time
@@ -28,10 +29,12 @@
 OPTIONS = json.loads(sys.argv[4])
 BORN = int(sys.argv[5])
 SEAL = "X-Server-Seal"
-CUT_EVENT = 3
 record_lock = threading.Lock()
 record_file = os.open(RECORD, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
-state = {"seq": 0, "active": 0, "random": random.Random(SERVER_ID)}
+# Orders accepted, whether one is under way, models held, and plain requests run so far.
+state = {"seq": 0, "busy": False, "models": list(OPTIONS.get("models", [])), "requests": 0,
+         "first_request_at": None}
+state_lock = threading.Lock()
 
 
 def record(**fields) -> None:
@@ -39,8 +42,41 @@
     os.write(record_file, line.encode())
 
 
-def record_cut(request_id: str) -> None:
-    record(id=request_id, cut=True)
+def fails() -> bool:
+    """Counts a plain request and returns whether it fails after it has run."""
+    with state_lock:
+        state["first_request_at"] = state["first_request_at"] or time.monotonic()
+        number = state["requests"] % 5
+        state["requests"] += 1
+        left = state["first_request_at"] + OPTIONS.get("failing_s", 0) - time.monotonic()
+    return number in OPTIONS.get("failing", []) and left > 0
+
+
+def carry_out(order: dict) -> int:
+    """Begins to carry an order out and returns the status of the answer."""
+    if order.get("op_type") not in ("model_load", "model_unload") or "adapter" in order or not (
+            order.get("holder") and order.get("fencing_token")):
+        return 400
+    model, loads = order["model"], order["op_type"] == "model_load"
+    with state_lock:
+        if state["busy"] or order.get("expected", state["seq"]) != state["seq"]:
+            return 409
+        if (model in state["models"]) == loads:
+            return 200
+        state["seq"] += 1
+        if not loads:
+            state["models"].remove(model)
+            return 202
+        state["busy"] = True
+
+    def load() -> None:
+        time.sleep(OPTIONS["load_s"])
+        with state_lock:
+            state["models"].append(model)
+            state["busy"] = False
+
+    threading.Thread(target=load, daemon=True).start()
+    return 202
 
 
 def crash() -> None:
@@ -78,13 +114,13 @@
             self.answer(421, X_Instance_Id=SERVER_ID)
         elif self.path == "/report":
             models = [{"name": name, "version": 1, "adapters": []}
-                      for name in OPTIONS.get("models", [])]
-            report = {"stage": "colocated", "models": models, "busy": False,
+                      for name in state["models"]]
+            report = {"stage": "colocated", "models": models, "busy": state["busy"],
                       "seq": state["seq"], "born": BORN, "queued": 0,
-                      "active": state["active"], "kv_used": 0, "kv_total": 90000, "handles": 0}
+                      "active": 0, "kv_used": 0, "kv_total": 90000, "handles": 0}
             self.answer(200, json.dumps(report).encode(), Content_Type="application/json")
         elif self.path == "/order":
-            self.answer(409, b"{}", Content_Type="application/json")
+            self.answer(carry_out(json.loads(body)), b"{}", Content_Type="application/json")
         elif self.path == "/health":
             self.answer(200, X_Instance_Id=SERVER_ID)
         else:
@@ -100,17 +136,17 @@
         parts = [part.partition(":")[0].strip()
                  for part in (self.headers.get("X-Prompt-Prefix") or "").split(",")]
         model = (self.headers.get("X-Model") or "").partition("/")[0]
-        if model and model not in OPTIONS.get("models", []):
+        if model and model not in state["models"]:
             self.answer(421, X_Instance_Id=SERVER_ID)
             return
         record(id=request_id, path=self.path, resumed=self.headers.get("Last-Event-Id"))
         if self.path == OPTIONS.get("crash_path") or OPTIONS.get("crash_part") in parts[:-1]:
             crash()
-        if OPTIONS.get("models"):
+        if OPTIONS.get("is_runner"):
             self.stream()
             return
         time.sleep(OPTIONS.get("work_s", 0.02))
-        if "failure_bytes" in OPTIONS and state["random"].random() < OPTIONS["failure_share"]:
+        if fails():
             self.answer(503, b"x" * OPTIONS["failure_bytes"],
                         X_Server_Seal=f"seal-{request_id}")
             return
@@ -129,13 +165,8 @@
                             "Transfer-Encoding": "chunked"}.items():
             self.send_header(name, value)
         self.end_headers()
-        cut = state["random"].random() < OPTIONS.get("cut_share", 0)
         for number in range(first, OPTIONS.get("events", 5) + 1):
             time.sleep(OPTIONS.get("event_gap_s", 0.02))
-            if cut and number == CUT_EVENT:
-                record_cut(self.headers["X-Request-Id"])
-                self.piece(b"id: %d\ndata: tok" % number)
-                break
             self.piece(b"id: %d\ndata: token %d\n\n" % (number, number))
         self.wfile.write(b"0\r\n\r\n")
         self.wfile.flush()
