Judge a server's 408, 429 or 503 by the head of its answer

Callers saw: a server ran a booking and answered 503 with a body of 100,000 bytes, without stating that the request had not run.

Cause: receive_answer() looked at the status after it had buffered the body, and left for relay_answer() as soon as more than 64 KB had come. relay_answer() forwards the head as it is.

Change: the status is judged as soon as the head is known. The body is read only if it is short and arrives within 50 ms, to keep the connection. The decision can no longer depend on the length or speed of the body, which is why other lengths, framings and routes cannot differ.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -180,6 +180,8 @@
     }
     if (success && route_->kind == request_kind::stream)
         co_return co_await relay_stream();
+    if (promises_not_run(status))
+        co_return co_await reject_promise();
     exchange_->set_deadline(deadline_);
     answer_head_ = platform::encode_caller_answer(exchange_->head());
     answer_body_.clear();
@@ -197,14 +199,6 @@
         services_.backends.note_failure(server_.id, boot_now());
         co_return failure_outcome();
     }
-    // The caller would take this status as a promise that the request did not run, which
-    // the server did not give, so the answer is not forwarded.
-    if (promises_not_run(status))
-    {
-        release_connection();
-        services_.backends.note_failure(server_.id, boot_now());
-        co_return failure_outcome();
-    }
     if (status < 500)
         co_return handle_delivery();
     failure_answer_ = {answer_head_, std::move(answer_body_)};
@@ -213,6 +207,30 @@
     co_return attempt_outcome::server_failure;
 }
 
+task<request_flow::attempt_outcome> request_flow::reject_promise()
+{
+    auto const outcome = failure_outcome();
+    exchange_->set_failure("the status promises that the request has not run");
+    services_.backends.note_failure(server_.id, boot_now());
+    co_await discard_body();
+    co_return outcome;
+}
+
+task<void> request_flow::discard_body()
+{
+    if (exchange_->length().value_or(0) > max_discarded_body)
+        co_return;
+    exchange_->set_idle_limit(boot_now() + max_discard_time);
+    while (exchange_->body_bytes() <= max_discarded_body)
+    {
+        auto const read = co_await exchange_->read_body();
+        if (read == read_outcome::complete)
+            release_connection();
+        if (read != read_outcome::more)
+            co_return;
+    }
+}
+
 bool request_flow::continues_stream() const
 {
     auto const fault = find_head_fault(platform::decode_answer_form(answer_head_),
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -197,6 +197,13 @@
     [[nodiscard]] task<read_outcome> read_answer_head();
     void log_attempt(attempt_outcome outcome, ended_attempt const& attempt);
     [[nodiscard]] task<attempt_outcome> receive_answer();
+    /// Ends an attempt whose answer has a status that the caller would take as a promise
+    /// that the request has not run. The server did not give that promise, so the answer
+    /// is not forwarded. The head decides this, whatever the body is.
+    [[nodiscard]] task<attempt_outcome> reject_promise();
+    /// Reads the rest of an answer that is not forwarded, so that its connection can be
+    /// reused. A long or slow body is left unread, and the connection is then closed.
+    [[nodiscard]] task<void> discard_body();
     /// Whether the answer's head lets it continue the stream that has begun. If not,
     /// records the reason as the exchange's failure.
     [[nodiscard]] bool continues_stream() const;
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -38,6 +38,10 @@
 /// Longest answer, in bytes, that is forwarded. Without this limit an endless answer
 /// would occupy the process until the request's deadline.
 inline constexpr std::size_t max_relayed_answer = std::size_t{16} << 20U;
+/// Longest body, in bytes, of an answer that is read although it is not forwarded, and
+/// the longest time that this takes. Opening a connection costs less than reading on.
+inline constexpr std::size_t max_discarded_body = std::size_t{64} * 1024;
+inline constexpr duration max_discard_time = std::chrono::milliseconds(50);
 /// A server that crashes under a request does so as it begins to answer. A run that began
 /// to answer longer ago than this is not suspected.
 inline constexpr duration max_crash_delay = std::chrono::milliseconds(1000);
