Bound the memory for answers of all servers together

Cause: each answer had a limit, and nothing counted all of them. http_call() held up to 4 MB of any answer, a limit made for pages of the store, and the hub asks all runners for reports within half a second. A request holds up to 64 KB of an answer and 256 KB of an event.

Without memory, a plain answer is forwarded as it arrives, and an event fails like one that exceeds its limit. Free bytes keep sound servers independent of faulty ones.

--- a/src/coordination/entry/byte_budget.cpp
+++ b/src/coordination/entry/byte_budget.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/byte_budget.hpp"
 
+#include <algorithm>
+
 namespace carawayturn::entry
 {
 
@@ -13,11 +15,18 @@
 
 bool byte_reservation::grow_to(std::uint64_t bytes)
 {
-    if (bytes <= held_)
-        return true;
-    if (!budget_.take(bytes - held_))
+    auto const charged = bytes - std::min(bytes, free_bytes_);
+    return charged <= taken_ || resize(bytes);
+}
+
+bool byte_reservation::resize(std::uint64_t bytes)
+{
+    auto const charged = bytes - std::min(bytes, free_bytes_);
+    if (charged > taken_ && !budget_.take(charged - taken_))
         return false;
-    held_ = bytes;
+    if (charged < taken_)
+        budget_.release(taken_ - charged);
+    taken_ = charged;
     return true;
 }
 
--- a/src/coordination/entry/byte_budget.hpp
+++ b/src/coordination/entry/byte_budget.hpp
@@ -6,7 +6,8 @@
 {
 
 /// Limits the bytes that all requests of a process hold together. Handles the load
-/// pattern "many callers send long bodies at once, each within its own limit".
+/// patterns "many callers send long bodies at once" and "many servers send long answers
+/// at once", each within its own limit.
 class byte_budget
 {
 public:
@@ -28,18 +29,27 @@
 class byte_reservation
 {
 public:
-    explicit byte_reservation(byte_budget& budget) : budget_(budget) {}
+    /// The first `free_bytes` of what is held are not taken from the budget.
+    explicit byte_reservation(byte_budget& budget, std::uint64_t free_bytes = 0)
+        : budget_(budget), free_bytes_(free_bytes)
+    {
+    }
     byte_reservation(byte_reservation const&) = delete;
     byte_reservation& operator=(byte_reservation const&) = delete;
-    ~byte_reservation() { budget_.release(held_); }
+    ~byte_reservation() { budget_.release(taken_); }
 
     /// Grows the reservation to `bytes` in total. Returns false, leaving it unchanged, if
     /// the budget does not suffice.
     [[nodiscard]] bool grow_to(std::uint64_t bytes);
+    /// Sets the reservation to `bytes` in total. Returns false, leaving it unchanged, if
+    /// it would grow and the budget does not suffice.
+    [[nodiscard]] bool resize(std::uint64_t bytes);
 
 private:
     byte_budget& budget_;
-    std::uint64_t held_ = 0;
+    std::uint64_t free_bytes_;
+    /// Bytes taken from the budget.
+    std::uint64_t taken_ = 0;
 };
 
 } // namespace carawayturn::entry
--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -26,6 +26,8 @@
     /// Returns whether the events of the last take_events() contain data or an id.
     /// Comment lines count as neither.
     [[nodiscard]] bool last_taken_has_data() const { return last_taken_has_data_; }
+    /// Returns the number of received bytes that were not taken.
+    [[nodiscard]] std::size_t size() const { return pending_.size(); }
     /// Returns whether the bytes that were not taken exceed max_event_bytes.
     [[nodiscard]] bool exceeds_limit() const { return pending_.size() > max_event_bytes; }
 
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -22,6 +22,11 @@
 constexpr duration plan_pause_per_instance = std::chrono::microseconds(400);
 constexpr duration order_timeout = std::chrono::milliseconds(1000);
 constexpr duration report_timeout = std::chrono::milliseconds(500);
+/// Maximum length of a runner's answer to a call, in bytes, and the part of it for which
+/// there is always memory, whatever other runners send. A report lists the models,
+/// adapters and runs of one runner.
+constexpr std::size_t max_runner_answer = std::size_t{256} * 1024;
+constexpr std::size_t free_runner_answer = std::size_t{16} * 1024;
 
 } // namespace
 
@@ -102,6 +107,11 @@
     return known == nullptr || backends_.may_send(*known, boot_now());
 }
 
+call_answer_limits entry_node::runner_answer_limits()
+{
+    return {max_runner_answer, &runner_calls_, free_runner_answer};
+}
+
 task<void> entry_node::send_order(runner_order order, std::int64_t born_ms)
 {
     call_request call;
@@ -112,6 +122,7 @@
     call.body = platform::encode_order(order, settings_.name, lease_.fence());
     call.server_id = order.runner;
     call.dedicated_connection = true;
+    call.answer_limits = runner_answer_limits();
     auto const target = order.target.str();
     bool const load = order.operation == runner_order::action::load;
     // An order that was not sent has changed nothing at the runner.
@@ -161,6 +172,7 @@
     call.target = platform::report_target;
     call.server_id = id;
     call.timeout = report_timeout;
+    call.answer_limits = runner_answer_limits();
     metrics_.count("reports_total");
     auto const answer = co_await http_call(connections_, std::move(call));
     if (answer)
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -110,6 +110,7 @@
     void plan_orders();
     /// Whether the server has not announced that it is leaving or pausing.
     [[nodiscard]] bool may_call(std::string const& server) const;
+    [[nodiscard]] call_answer_limits runner_answer_limits();
     [[nodiscard]] task<void> send_order(runner_order order, std::int64_t born_ms);
     [[nodiscard]] task<void> request_report(std::string id);
     void handle_report(std::string const& id, std::optional<call_answer> const& answer);
@@ -130,6 +131,9 @@
     // Declared before the I/O context: requests that are open when the process ends refer
     // to these until the context is destroyed.
     byte_budget bodies_;
+    byte_budget answers_;
+    /// Memory budget for the answers to calls to runners.
+    byte_budget runner_calls_;
     caller_connections caller_connections_;
     wait_queue waiting_;
     asio::io_context io_;
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -63,6 +63,8 @@
     deadline_monitor& deadlines;
     /// Memory budget for request bodies.
     byte_budget& bodies;
+    /// Memory budget for the parts of answers that requests hold.
+    byte_budget& answers;
     config_authority& authority;
     backend_selector& backends;
     backend_connections& connections;
--- a/src/transport/entry/http_call.cpp
+++ b/src/transport/entry/http_call.cpp
@@ -10,9 +10,26 @@
 namespace
 {
 
-/// Maximum length of the answer to a call, in bytes. A page from the store holds at most
-/// 1 MB before its values are encoded.
-constexpr std::size_t max_call_answer = std::size_t{4} << 20U;
+/// Reads the body of the answer. If it exceeds the limits, empties `body` and returns
+/// `more`.
+task<read_outcome> read_call_body(backend_exchange& exchange,
+                                  call_answer_limits const& limits, std::string& body)
+{
+    std::optional<byte_reservation> memory;
+    if (limits.memory != nullptr)
+        memory.emplace(*limits.memory, limits.free_bytes);
+    for (;;)
+    {
+        auto const read = co_await exchange.read_body();
+        if (read != read_outcome::more)
+            co_return read;
+        body.append(exchange.body());
+        if (body.size() <= limits.max_bytes && (!memory || memory->grow_to(body.size())))
+            continue;
+        body = {};
+        co_return read;
+    }
+}
 
 } // namespace
 
@@ -39,26 +56,17 @@
     bool const sent = co_await exchange.send(std::move(head), request.body);
     if (!sent)
         co_return std::nullopt;
-    auto read = co_await exchange.read_head();
-    if (read == read_outcome::failed)
+    auto const head_read = co_await exchange.read_head();
+    if (head_read == read_outcome::failed)
         co_return std::nullopt;
     call_answer answer;
     answer.status = exchange.head().result_int();
     answer.notice = exchange.metadata().notice;
-    while (read == read_outcome::more)
-    {
-        read = co_await exchange.read_body();
-        if (read == read_outcome::more)
-            answer.body.append(exchange.body());
-        if (answer.body.size() > max_call_answer)
-        {
-            answer.body.clear();
-            co_return answer;
-        }
-    }
+    auto const read =
+        co_await read_call_body(exchange, request.answer_limits, answer.body);
     if (read == read_outcome::failed)
         co_return std::nullopt;
-    if (request.dedicated_connection)
+    if (read == read_outcome::more || request.dedicated_connection)
         co_return answer;
     duration keep_alive{};
     if (auto kept = exchange.take_connection(keep_alive))
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/byte_budget.hpp"
 #include "state/entry/server_notice.hpp"
 #include "transport/entry/backend_connections.hpp"
 
@@ -12,6 +13,20 @@
 namespace carawayturn::entry
 {
 
+/// Maximum length of the answer to a call, in bytes. A page from the store holds at most
+/// 1 MB before its values are encoded.
+inline constexpr std::size_t max_call_answer = std::size_t{4} << 20U;
+
+/// Limits for the body of the answer to a call.
+struct call_answer_limits
+{
+    /// Maximum length in bytes.
+    std::size_t max_bytes = max_call_answer;
+    /// If set, the budget from which memory is taken beyond the first `free_bytes`.
+    byte_budget* memory = nullptr;
+    std::size_t free_bytes = 0;
+};
+
 struct call_request
 {
     /// Key of the peer in the pool of idle connections.
@@ -32,6 +47,7 @@
     /// reset discards bytes that the peer has not received, so that they do not arrive
     /// after the call has failed.
     bool dedicated_connection = false;
+    call_answer_limits answer_limits;
 };
 
 struct call_answer
@@ -41,9 +57,9 @@
     server_notice notice;
 };
 
-/// Makes one call. Returns nothing if no complete answer arrived in time. The body of an
-/// answer that is too long is left out. The peer may
-/// then have performed the call, or may still perform it.
+/// Makes one call. Returns nothing if no complete answer arrived in time; the peer may
+/// then have performed the call, or may still perform it. The body of an answer that is
+/// too long, or for which there is no memory, is left out.
 [[nodiscard]] task<std::optional<call_answer>> http_call(backend_connections& connections,
                                                          call_request request);
 
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -205,14 +205,16 @@
 task<read_outcome> request_flow::buffer_body()
 {
     answer_body_.clear();
-    auto read = read_outcome::more;
-    while (read == read_outcome::more && answer_body_.size() <= max_buffered_answer)
+    for (;;)
     {
-        read = co_await exchange_->read_body();
-        if (read == read_outcome::more)
-            keep_piece();
+        auto const read = co_await exchange_->read_body();
+        if (read != read_outcome::more)
+            co_return read;
+        last_received_ = boot_now();
+        answer_body_.append(exchange_->body());
+        if (answer_body_.size() > max_buffered_answer || !reserve_answer_memory())
+            co_return read;
     }
-    co_return read;
 }
 
 task<request_flow::attempt_outcome> request_flow::reject_promise()
@@ -254,10 +256,24 @@
     exchange_->set_failure("no continuation: " + std::string(entry::name_of(fault)));
 }
 
-void request_flow::keep_piece()
+bool request_flow::reserve_answer_memory()
 {
-    last_received_ = boot_now();
-    answer_body_.append(exchange_->body());
+    auto held = answer_body_.size() + events_.size();
+    if (failure_answer_)
+        held += failure_answer_->body.size();
+    if (silent_)
+        held += silent_->events.size();
+    return answer_memory_.resize(held);
+}
+
+bool request_flow::events_exceed_limits()
+{
+    bool const too_long = events_.exceeds_limit();
+    if (!too_long && reserve_answer_memory())
+        return false;
+    exchange_->set_failure(too_long ? "an event exceeds the size limit"
+                                    : "no memory for the rest of an event");
+    return true;
 }
 
 void request_flow::release_connection()
@@ -292,16 +308,20 @@
     }
     answer_begun_ = true;
     bool written = co_await writer_.begin(answer_head_, length);
-    std::size_t passed = 0;
+    if (written)
+        written = co_await writer_.append(answer_body_);
+    answer_body_ = {};
+    failure_answer_.reset();
+    static_cast<void>(reserve_answer_memory());
     auto read = read_outcome::more;
-    while (written && read == read_outcome::more && passed <= max_relayed_answer)
+    while (written && read == read_outcome::more &&
+           exchange_->body_bytes() <= max_relayed_answer)
     {
-        written = co_await writer_.append(answer_body_);
-        passed += answer_body_.size();
-        answer_body_.clear();
         read = co_await exchange_->read_body();
-        if (read == read_outcome::more)
-            keep_piece();
+        if (read != read_outcome::more)
+            break;
+        last_received_ = boot_now();
+        written = co_await writer_.append(exchange_->body());
     }
     if (written && read == read_outcome::complete)
         written = co_await writer_.end();
@@ -346,9 +366,8 @@
                 co_return co_await finish_stream();
             last_received_ = boot_now();
             events_.append(exchange_->body());
-            if (events_.exceeds_limit())
+            if (events_exceed_limits())
             {
-                exchange_->set_failure("an event exceeds the size limit");
                 services_.backends.note_failure(server_.id, boot_now());
                 co_return failure_outcome();
             }
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -23,7 +23,8 @@
                            http::request<http::string_body>& request,
                            answer_writer& writer, time_point arrival)
     : services_(services), request_(request), writer_(writer), arrival_(arrival),
-      head_(platform::decode_request(request)), turn_signal_(services.io)
+      head_(platform::decode_request(request)), turn_signal_(services.io),
+      answer_memory_(services.answers, free_answer_bytes)
 {
 }
 
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -197,7 +197,8 @@
     [[nodiscard]] task<read_outcome> read_answer_head();
     void log_attempt(attempt_outcome outcome, ended_attempt const& attempt);
     [[nodiscard]] task<attempt_outcome> receive_answer();
-    /// Buffers the body of the answer. Returns `more` if it is too long.
+    /// Buffers the body of the answer. Returns `more` if it is too long or there is no
+    /// memory for more of it.
     [[nodiscard]] task<read_outcome> buffer_body();
     /// Ends an attempt whose answer has a status that the caller would take as a promise
     /// that the request has not run. The server did not give that promise, so the answer
@@ -214,8 +215,12 @@
     [[nodiscard]] attempt_outcome reject_continuation(continuation_fault fault);
     /// Forwards an answer that is too long to buffer, piece by piece as it arrives.
     [[nodiscard]] task<attempt_outcome> relay_answer();
-    /// Appends the piece of the body that was read to the buffered answer.
-    void keep_piece();
+    /// Adjusts the reserved memory to the parts of answers that the request holds.
+    /// Returns false if the memory for the answers of all requests does not suffice.
+    [[nodiscard]] bool reserve_answer_memory();
+    /// Whether the events that are held exceed the limit for one event or the memory for
+    /// answers. If so, records that as the exchange's failure.
+    [[nodiscard]] bool events_exceed_limits();
     /// Returns the connection for reuse if the exchange left it usable.
     void release_connection();
     [[nodiscard]] attempt_outcome handle_delivery();
@@ -249,7 +254,7 @@
     [[nodiscard]] task<bool> check_silent_server();
     /// Reads what has arrived of the silent server's stream. Returns whether that is an
     /// event with data or the end of the answer; comments and parts of events are kept.
-    [[nodiscard]] static task<bool> read_silent_stream(silent_attempt& silent);
+    [[nodiscard]] task<bool> read_silent_stream(silent_attempt& silent);
     /// Whether the head of the answer is one that may be passed on.
     [[nodiscard]] bool accepts_answer() const;
     void leave_server(silent_attempt& silent);
@@ -349,6 +354,7 @@
     /// begin_run() was called for the current exchange.
     bool run_begun_ = false;
     std::string answer_body_;
+    byte_reservation answer_memory_;
     /// The latest complete answer with an error status of a server.
     std::optional<buffered_answer> failure_answer_;
     /// The head of a long answer has been sent to the caller.
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -35,6 +35,9 @@
 /// sent to the caller, so that another attempt can replace an answer that breaks off. A
 /// longer answer is forwarded as it arrives.
 inline constexpr std::size_t max_buffered_answer = std::size_t{64} * 1024;
+/// Bytes of answers for which each request always has memory, so that short answers and
+/// events do not depend on what other servers send.
+inline constexpr std::size_t free_answer_bytes = std::size_t{8} * 1024;
 /// Longest answer, in bytes, that is forwarded. Without this limit an endless answer
 /// would occupy the process until the request's deadline.
 inline constexpr std::size_t max_relayed_answer = std::size_t{16} << 20U;
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -202,9 +202,7 @@
 
 std::optional<bool> request_flow::check_first_events(read_outcome read)
 {
-    if (events_.exceeds_limit())
-        exchange_->set_failure("an event exceeds the size limit");
-    if (read == read_outcome::failed || events_.exceeds_limit())
+    if (read == read_outcome::failed || events_exceed_limits())
     {
         if (!interrupted())
             services_.backends.note_failure(server_.id, boot_now());
@@ -243,8 +241,9 @@
 task<bool> request_flow::read_silent_stream(silent_attempt& silent)
 {
     auto& exchange = *silent.exchange;
-    // The size limit also bounds comments that arrive without end.
-    while (exchange.has_unread_input() && !silent.events.exceeds_limit())
+    // The limits also bound comments that arrive without end.
+    while (exchange.has_unread_input() && !silent.events.exceeds_limit() &&
+           reserve_answer_memory())
     {
         exchange.set_idle_limit(boot_now());
         auto const read = co_await exchange.read_body();
--- a/tests/entry/byte_budget_test.cpp
+++ b/tests/entry/byte_budget_test.cpp
@@ -52,5 +52,29 @@
     EXPECT_EQ(budget.taken(), 0U);
 }
 
+// Guards against short answers that depend on the memory which long ones have taken.
+TEST(byte_budget_test, free_bytes_need_no_budget)
+{
+    byte_budget budget(0);
+    byte_reservation answer(budget, 100);
+    EXPECT_TRUE(answer.resize(100));
+    EXPECT_FALSE(answer.resize(101));
+    EXPECT_FALSE(answer.grow_to(101));
+    EXPECT_EQ(budget.taken(), 0U);
+}
+
+// Guards against a stream that keeps the memory of its longest event until it ends.
+TEST(byte_budget_test, shrinking_reservation_releases_bytes)
+{
+    byte_budget budget(1000);
+    byte_reservation answer(budget, 100);
+    EXPECT_TRUE(answer.resize(600));
+    EXPECT_EQ(budget.taken(), 500U);
+    EXPECT_TRUE(answer.resize(150));
+    EXPECT_EQ(budget.taken(), 50U);
+    EXPECT_TRUE(answer.resize(0));
+    EXPECT_EQ(budget.taken(), 0U);
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/http_call_test.cpp
+++ b/tests/entry/http_call_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
 
 #include <array>
 
@@ -41,15 +42,29 @@
         // Closing the connection here makes the call fail.
     }
 
+    task<void> send_answer()
+    {
+        auto [failure, socket] = co_await server_.async_accept(use_task);
+        std::string const answer =
+            "HTTP/1.1 202 Accepted\r\nContent-Length: " + std::to_string(body_.size()) +
+            "\r\n\r\n" + body_;
+        if (!failure)
+            co_await asio::async_write(socket, asio::buffer(answer), use_task);
+    }
+
     task<void> call()
     {
-        answered_ = (co_await http_call(connections_, request_)).has_value();
+        answer_ = co_await http_call(connections_, request_);
+        answered_ = answer_.has_value();
         server_.close();
     }
 
     void run()
     {
-        asio::co_spawn(io_, count_bytes(), asio::detached);
+        if (body_.empty())
+            asio::co_spawn(io_, count_bytes(), asio::detached);
+        else
+            asio::co_spawn(io_, send_answer(), asio::detached);
         asio::co_spawn(io_, call(), asio::detached);
         io_.run();
     }
@@ -59,6 +74,9 @@
     backend_connections connections_{io_, deadlines_};
     tcp_acceptor server_{io_};
     call_request request_;
+    /// Body of the server's answer; if empty, the server closes the connection.
+    std::string body_;
+    std::optional<call_answer> answer_;
     std::size_t received_ = 0;
     bool answered_ = true;
     bool check_called_ = false;
@@ -82,5 +100,41 @@
     EXPECT_FALSE(answered_);
 }
 
+// Guards against a runner whose answer is held up to a limit that was made for the store.
+TEST_F(http_call_test, answer_beyond_its_limit_is_left_out)
+{
+    body_.assign(10'000, 'a');
+    request_.answer_limits.max_bytes = 9'999;
+    run();
+    ASSERT_TRUE(answered_);
+    EXPECT_EQ(answer_->status, 202U);
+    EXPECT_EQ(answer_->body, "");
+}
+
+// Guards against answers of many runners that fill the memory together.
+TEST_F(http_call_test, answer_beyond_the_memory_for_all_is_left_out)
+{
+    byte_budget memory(4'000);
+    body_.assign(10'000, 'a');
+    request_.answer_limits.memory = &memory;
+    request_.answer_limits.free_bytes = 5'000;
+    run();
+    ASSERT_TRUE(answered_);
+    EXPECT_EQ(answer_->body, "");
+    EXPECT_EQ(memory.taken(), 0U);
+}
+
+// Guards against short answers that are left out because others have taken the memory.
+TEST_F(http_call_test, short_answer_needs_no_memory_budget)
+{
+    byte_budget memory(0);
+    body_.assign(5'000, 'a');
+    request_.answer_limits.memory = &memory;
+    request_.answer_limits.free_bytes = 5'000;
+    run();
+    ASSERT_TRUE(answered_);
+    EXPECT_EQ(answer_->body, body_);
+}
+
 } // namespace
 } // namespace carawayturn::entry
