Limit a run of a stream to the length of any other answer

Cause: plain answers are cut after 16 MB, for this reason; relay_stream() had limits for one event only.

Change: a run of a stream may have as many bytes as any other answer. Beyond that its server counts as failed and the stream is broken off.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -266,13 +266,16 @@
     return answer_memory_.resize(held);
 }
 
-bool request_flow::events_exceed_limits()
+bool request_flow::stream_exceeds_limits()
 {
-    bool const too_long = events_.exceeds_limit();
-    if (!too_long && reserve_answer_memory())
+    if (exchange_->body_bytes() > max_relayed_answer)
+        exchange_->set_failure("the stream exceeds the size limit");
+    else if (events_.exceeds_limit())
+        exchange_->set_failure("an event exceeds the size limit");
+    else if (!reserve_answer_memory())
+        exchange_->set_failure("no memory for the rest of an event");
+    else
         return false;
-    exchange_->set_failure(too_long ? "an event exceeds the size limit"
-                                    : "no memory for the rest of an event");
     return true;
 }
 
@@ -366,7 +369,7 @@
                 co_return co_await finish_stream();
             last_received_ = boot_now();
             events_.append(exchange_->body());
-            if (events_exceed_limits())
+            if (stream_exceeds_limits())
             {
                 services_.backends.note_failure(server_.id, boot_now());
                 co_return failure_outcome();
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -218,9 +218,10 @@
     /// Adjusts the reserved memory to the parts of answers that the request holds.
     /// Returns false if the memory for the answers of all requests does not suffice.
     [[nodiscard]] bool reserve_answer_memory();
-    /// Whether the events that are held exceed the limit for one event or the memory for
-    /// answers. If so, records that as the exchange's failure.
-    [[nodiscard]] bool events_exceed_limits();
+    /// Whether the stream exceeds the limit for a whole answer, or the events that are
+    /// held exceed the limit for one event or the memory for answers. If so, records that
+    /// as the exchange's failure.
+    [[nodiscard]] bool stream_exceeds_limits();
     /// Returns the connection for reuse if the exchange left it usable.
     void release_connection();
     [[nodiscard]] attempt_outcome handle_delivery();
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -38,8 +38,8 @@
 /// Bytes of answers for which each request always has memory, so that short answers and
 /// events do not depend on what other servers send.
 inline constexpr std::size_t free_answer_bytes = std::size_t{8} * 1024;
-/// Longest answer, in bytes, that is forwarded. Without this limit an endless answer
-/// would occupy the process until the request's deadline.
+/// Longest answer, in bytes, that is forwarded, streams included. Without this limit an
+/// endless answer would occupy the process until the request's deadline.
 inline constexpr std::size_t max_relayed_answer = std::size_t{16} << 20U;
 /// Longest body, in bytes, of an answer that is read although it is not forwarded, and
 /// the longest time that this takes. Opening a connection costs less than reading on.
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -202,7 +202,7 @@
 
 std::optional<bool> request_flow::check_first_events(read_outcome read)
 {
-    if (read == read_outcome::failed || events_exceed_limits())
+    if (read == read_outcome::failed || stream_exceeds_limits())
     {
         if (!interrupted())
             services_.backends.note_failure(server_.id, boot_now());
--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -358,6 +358,17 @@
         time.sleep(TRICKLE_PAUSE_S)
 
 
+def stream_of_comments_without_end(connection: Connection, request: Request) -> None:
+    """Sends comment lines without end, as fast as the caller reads them."""
+    connection.send(head(request.id, STREAM) + chunk(event(1)))
+    connection.repeat(chunk(COMMENT * 1000))
+
+
+def stream_of_events_without_end(connection: Connection, request: Request) -> None:
+    connection.send(head(request.id, STREAM) + chunk(event(1)))
+    connection.repeat(chunk(b"data: x\n\n" * 1000))
+
+
 def slow_stream(connection: Connection, request: Request) -> None:
     """Sends a valid stream with a pause longer than the limit for a stalled stream, which is 1.5 s:
     five times the default gap objective of a route (300 ms)."""
@@ -378,7 +389,8 @@
     no_answer, no_bytes_then_end, no_bytes_then_reset, trickled_head, trickled_body, stream,
     stream_without_end_of_event, stream_without_first_event, trickled_stream,
     stream_cut_in_first_event,
-    commented_stream, slow_stream)}
+    commented_stream, stream_of_comments_without_end, stream_of_events_without_end,
+    slow_stream)}
 
 # Builds a complete answer with `own_body` in each framing. `cut_answer` sends a part of one.
 # An unframed answer has no length and no chunks, and ends when the connection is closed.
--- a/tests/entry/long_failure_test.py
+++ b/tests/entry/long_failure_test.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import http.client
 import itertools
 import sys
 import time
@@ -41,11 +42,26 @@
     return sends(more + lines, pieces, status=status)
 
 
+# What frames the body of a failure without end, the bytes that it begins with, and those that
+# follow without end.
+ENDLESS = {
+    "chunked": (CHUNKED, b"", chunk(b"f" * PIECE)),
+    "unframed": ("", b"", b"f" * PIECE),
+    "length": (f"Content-Length: {10 ** 15}\r\n", b"", b"f" * PIECE),
+    "extension": (CHUNKED, b"5;x=", b"f" * PIECE),
+    "trailers": (CHUNKED, chunk(b"f") + b"0\r\n", b"X-Trailer: f\r\n" * 1000),
+    "head": ("X-Long: ", b"", b"f" * PIECE),
+}
+
+
 def endless_failure(status: int, framing: str):
-    """Returns a way to answer: a failure whose body does not end."""
+    """Returns a way to answer: a failure whose body or head does not end."""
+    lines, begin, rest = ENDLESS[framing]
+
     def play(connection: Connection, request: Request) -> None:
-        connection.send(head(request.id, CHUNKED if framing == "chunked" else "", status))
-        connection.repeat(chunk(b"f" * PIECE) if framing == "chunked" else b"f" * PIECE)
+        answer = head(request.id, lines, status)
+        connection.send((answer[:-4] if framing == "head" else answer) + begin)
+        connection.repeat(rest)
     return play
 
 
@@ -125,7 +141,7 @@
         """Guards against a caller that waits for a body, or a process that keeps one, of which
         it gets nothing."""
         ways = {**{f"{status} {framing}": endless_failure(status, framing)
-                   for status in PROMISES for framing in ("chunked", "unframed")},
+                   for status in PROMISES for framing in ENDLESS},
                 "stalled": stalled_failure}
         for title, way in ways.items():
             with self.subTest(way=title):
@@ -173,6 +189,20 @@
         self.remove_servers(self.servers[1])
         check("status")
 
+    def test_error_without_end_is_cut_at_a_bound(self) -> None:
+        """Guards against an error's bytes that are kept or forwarded without end, or an error
+        that looks complete."""
+        for framing in ENDLESS:
+            with self.subTest(framing=framing):
+                try:
+                    status, _, _ = self.call("book", endless_failure(500, framing))
+                    self.assertEqual(status, 502)
+                except (OSError, http.client.HTTPException):
+                    pass
+                self.assertEqual([server.unbounded for server in self.servers],
+                                 [[]] * len(self.servers))
+                self.assertIsNone(self.instance.process.poll())
+
     def test_server_with_long_errors_is_avoided(self) -> None:
         """Guards against long errors that count as successes: a server that fails fast then
         receives most requests."""
--- a/tests/entry/misbehaving_server_test.py
+++ b/tests/entry/misbehaving_server_test.py
@@ -240,6 +240,19 @@
         caller."""
         self.assert_stream_ends("stream_without_first_event", b"")
 
+    def test_stream_without_end_is_cut_at_a_bound(self) -> None:
+        """Guards against a stream that takes all of an instance's processor time until its
+        route's timeout, because whole events or comments arrive without end."""
+        for way in ("stream_of_comments_without_end", "stream_of_events_without_end"):
+            with self.subTest(way=way):
+                before = self.instance.memory_peak()
+                outcome, _ = self.stream(way)
+                self.assertEqual(outcome, BROKEN)
+                self.assertEqual(self.runner.unbounded, [])
+                self.runner.play("stream")
+                self.assert_next_caller_is_served("draft", WHOLE_STREAM, **{"X-Model": "m1"})
+                self.assert_memory_is_bounded(before)
+
     def assert_stream_continues_on_another_server(self, way: str) -> None:
         """Checks that a second runner finishes the stream long before the route's timeout."""
         config = plain_configuration()
