Refuse a late-read stream that the end of the grace time would cut

Cause: shutdown_plan::may_begin() looks at the first byte alone, so a slow body passes the line after which no request is begun that may outlast the grace time.

Change: a stream whose request has been read after the line is begun only if its deadline lies before the cut; otherwise it is refused at once as not run, and another instance serves it whole. Plain requests are served as before: one that is still open at the cut gets 502, which is an answer.

--- a/src/coordination/entry/shutdown_plan.cpp
+++ b/src/coordination/entry/shutdown_plan.cpp
@@ -42,7 +42,7 @@
       end_at_(began.latest + grace - scaled(end_margin, grace)),
       intake_end_(
           std::min(began.latest + scaled(notice_time, grace), cut_unanswered_at_)),
-      last_first_byte_(std::min(intake_end_ + idle_close_delay_, cut_unanswered_at_))
+      last_begin_(std::min(intake_end_ + idle_close_delay_, cut_unanswered_at_))
 {
 }
 
@@ -65,7 +65,12 @@
 
 bool shutdown_plan::may_begin(time_point first_byte, time_point now) const
 {
-    return first_byte < last_first_byte_ && now < cut_unanswered_at_ - min_service_time_;
+    return first_byte < last_begin_ && now < cut_unanswered_at_ - min_service_time_;
+}
+
+bool shutdown_plan::may_begin_stream(time_point read_at, time_point deadline) const
+{
+    return read_at < last_begin_ || deadline <= cut_unanswered_at_;
 }
 
 std::string_view shutdown_plan::end_reason(time_point now) const
--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -71,6 +71,12 @@
     /// cut.
     [[nodiscard]] bool may_begin(time_point first_byte, time_point now) const;
 
+    /// Returns whether a stream is begun whose request had been read at `read_at` and
+    /// that may go on until `deadline`. A caller counts on the answer to a request that
+    /// it sent late in the grace time, so such a stream must not be cut; another instance
+    /// can serve it whole.
+    [[nodiscard]] bool may_begin_stream(time_point read_at, time_point deadline) const;
+
     /// Returns the time without traffic after which an idle connection is closed.
     [[nodiscard]] duration idle_close_delay() const { return idle_close_delay_; }
 
@@ -84,7 +90,7 @@
     time_point cut_at_;
     time_point end_at_;
     time_point intake_end_;
-    time_point last_first_byte_;
+    time_point last_begin_;
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -100,6 +100,9 @@
     set_deadlines();
     if (start_deadline_ <= now)
         return refusal{refusal_reason::deadline_unreachable, {}};
+    if (services_.draining() && route_->kind == request_kind::stream &&
+        !services_.shutdown->may_begin_stream(arrival_, deadline_))
+        return refusal{refusal_reason::draining, retry_elsewhere};
     return std::nullopt;
 }
 
--- a/tests/entry/planned_stop_test.py
+++ b/tests/entry/planned_stop_test.py
@@ -134,6 +134,51 @@
         self.assertLess(ended - began, 1000 * GRACE_S / 2)
 
 
+class LateBodyTest(PlannedStopCase):
+    """The last byte of a request arrives later after SIGTERM than a new request may."""
+
+    resumable = False
+    # Later than 3 s after SIGTERM, up to which a client counts on a request being finished.
+    last_byte_after_s = 3.2
+
+    def answer_to_late_body(self, path: str, deadline_ms: int) -> bytes:
+        """Sends a request but for its last byte before SIGTERM, and that byte late."""
+        request = head(path, id="late").replace("X-Deadline-Ms: 60000",
+                                                f"X-Deadline-Ms: {deadline_ms}")
+        caller = self.caller()
+        caller.send(request)
+        self.terminate()
+        began = time.monotonic()
+        time.sleep(max(0.0, began + self.last_byte_after_s - time.monotonic()))
+        caller.send("x")
+        return caller.answer()
+
+    def test_stream_that_may_outlast_the_grace_time_is_refused(self) -> None:
+        """Guards against a stream whose request ends late after SIGTERM, is passed on because
+        its first byte came early, and is cut as the grace time ends."""
+        self.runner.silences_s = {2: 2.0 * GRACE_S}
+        answer = self.answer_to_late_body("/draft/a", 60_000)
+        self.assertRegex(answer, rb"^HTTP/1.1 503 ")
+        self.assertIn(b'"draining"', answer)
+        self.assertEqual(self.runner.ran, [])
+        self.assert_stopped_cleanly()
+
+    def test_stream_that_ends_within_the_grace_time_is_served(self) -> None:
+        """Guards against a refusal of what can still be served."""
+        answer = self.answer_to_late_body("/draft/a", 2000)
+        self.assertEqual(answer.count(b"data:"), 5, answer)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"), answer)
+        self.assert_stopped_cleanly()
+
+    def test_plain_request_is_answered(self) -> None:
+        """Guards against a refusal where the caller would get an answer in any case: a plain
+        request that is still open as the grace time ends gets 502."""
+        self.plain.answer_delay_s = SERVICE_TIME_S
+        answer = self.answer_to_late_body("/book/a", 60_000)
+        self.assertTrue(answer.endswith(b"done by p0"), answer)
+        self.assert_stopped_cleanly()
+
+
 class ShortGraceTimeTest(PlannedStopCase):
     """The grace time is shorter than the usual steps of a stop."""
 
--- a/tests/entry/shutdown_plan_test.cpp
+++ b/tests/entry/shutdown_plan_test.cpp
@@ -105,6 +105,22 @@
     EXPECT_FALSE(may_begin(100, 6400));
 }
 
+// Guards against a stream that is passed on because the first byte of its request came in
+// time, though its last byte came late, and that is cut as the grace time ends.
+TEST_F(shutdown_plan_test, stream_that_may_be_cut_begins_only_if_it_was_read_in_time)
+{
+    auto const may_begin_stream = [this](int read_ms, int deadline_ms)
+    {
+        return plan_.may_begin_stream(begin + milliseconds(read_ms),
+                                      begin + milliseconds(deadline_ms));
+    };
+    EXPECT_TRUE(may_begin_stream(2899, 60000));
+    EXPECT_FALSE(may_begin_stream(2900, 60000));
+    EXPECT_FALSE(may_begin_stream(2900, 7401));
+    EXPECT_TRUE(may_begin_stream(2900, 7400));
+    EXPECT_TRUE(may_begin_stream(6000, 7400));
+}
+
 // Guards against steps of fixed length that overlap in a short grace time, refuse all
 // requests, and leave no time between the cut and the kill.
 TEST_F(shutdown_plan_test, short_grace_time_shortens_each_step_in_proportion)
