--- a/src/coordination/entry/byte_budget.cpp
+++ b/src/coordination/entry/byte_budget.cpp
@@ -13,20 +13,24 @@
     return true;
 }
 
+std::uint64_t byte_reservation::charge_for(std::uint64_t bytes) const
+{
+    return bytes - std::min(bytes, free_bytes_);
+}
+
 bool byte_reservation::grow_to(std::uint64_t bytes)
 {
-    auto const charged = bytes - std::min(bytes, free_bytes_);
-    return charged <= taken_ || resize(bytes);
+    return charge_for(bytes) <= taken_ || resize(bytes);
 }
 
 bool byte_reservation::resize(std::uint64_t bytes)
 {
-    auto const charged = bytes - std::min(bytes, free_bytes_);
-    if (charged > taken_ && !budget_.take(charged - taken_))
+    auto const charge = charge_for(bytes);
+    if (charge > taken_ && !budget_.take(charge - taken_))
         return false;
-    if (charged < taken_)
-        budget_.release(taken_ - charged);
-    taken_ = charged;
+    if (charge < taken_)
+        budget_.release(taken_ - charge);
+    taken_ = charge;
     return true;
 }
 
--- a/src/coordination/entry/byte_budget.hpp
+++ b/src/coordination/entry/byte_budget.hpp
@@ -46,6 +46,9 @@
     [[nodiscard]] bool resize(std::uint64_t bytes);
 
 private:
+    /// Returns how much of `bytes` is taken from the budget.
+    [[nodiscard]] std::uint64_t charge_for(std::uint64_t bytes) const;
+
     byte_budget& budget_;
     std::uint64_t free_bytes_;
     /// Bytes taken from the budget.
--- a/src/coordination/entry/shutdown_plan.hpp
+++ b/src/coordination/entry/shutdown_plan.hpp
@@ -71,10 +71,9 @@
     /// cut.
     [[nodiscard]] bool may_begin(time_point first_byte, time_point now) const;
 
-    /// Returns whether a stream is begun whose request had been read at `read_at` and
-    /// that may go on until `deadline`. A caller counts on the answer to a request that
-    /// it sent late in the grace time, so such a stream must not be cut; another instance
-    /// can serve it whole.
+    /// Returns whether a stream is begun whose request was read completely at `read_at`
+    /// and that may last until `deadline`. One that was read late has to end before open
+    /// requests are cut; otherwise another instance can serve it whole.
     [[nodiscard]] bool may_begin_stream(time_point read_at, time_point deadline) const;
 
     /// Returns the time without traffic after which an idle connection is closed.
@@ -90,6 +89,7 @@
     time_point cut_at_;
     time_point end_at_;
     time_point intake_end_;
+    /// Requests that may still be open at the cut have to arrive before this time.
     time_point last_begin_;
 };
 
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -130,9 +130,10 @@
     std::uint64_t incarnation_;
     // Declared before the I/O context: requests that are open when the process ends refer
     // to these until the context is destroyed.
+    // The memory budgets are for request bodies, for parts of answers that requests hold,
+    // and for runners' answers to calls.
     byte_budget bodies_;
     byte_budget answers_;
-    /// Memory budget for the answers to calls to runners.
     byte_budget runner_calls_;
     caller_connections caller_connections_;
     wait_queue waiting_;
