Wait in answer_memory_test for sends that have ended, not for bytes that were sent

Cause, shown by a trace (a run beside three others, one send failed with a reset): the instance closes the streams for whose events it has no memory, at times before the runner's send has ended; the stand-in counts only sends that end well, so the condition was never met. The instance does what it should.

The tests wait now until each send has ended, either way, and then until the instance's memory is steady, so that what lies in the system's buffers has been read before the peak is compared. The checks and bounds are unchanged.

--- a/tests/entry/answer_memory_test.py
+++ b/tests/entry/answer_memory_test.py
@@ -32,17 +32,8 @@
 BODY = b"a" * 60_000
 # Enough time for several reports of each runner.
 REPORTING_S = 4.0
-
-
-def event_without_end(connection: Connection, request: Request) -> None:
-    """Sends one event and a long part of the next one, and nothing more."""
-    connection.send(head(request.id, STREAM) + chunk(event(1)) + chunk(b"d" * LONG_EVENT))
-    connection.wait_for_close()
-
-
-def first_event_without_end(connection: Connection, request: Request) -> None:
-    connection.send(head(request.id, STREAM) + chunk(b"d" * LONG_EVENT))
-    connection.wait_for_close()
+# Time without growth after which the memory of an instance counts as steady.
+STEADY_S = 0.5
 
 
 class EndlessReporter(MisbehavingServer):
@@ -99,21 +90,42 @@
         if not FREED_MEMORY_IS_HELD:
             self.assertLess(self.instance.memory_peak(), MEMORY_MB * 1024 * 1024)
 
-    def hold_streams(self, way) -> list[MisbehavingServer]:
-        """Opens streams that hold the part of an event each."""
+    def hold_streams(self, *whole_events: bytes) -> list[MisbehavingServer]:
+        """Opens streams that hold a part of an event each, after these whole events. Returns the
+        runners once the instance has read that part of each stream or closed its connection,
+        which it does if it has no memory for it."""
+        ended: list[str] = []
+
+        def event_without_end(connection: Connection, request: Request) -> None:
+            try:
+                connection.send(head(request.id, STREAM) +
+                                b"".join(map(chunk, whole_events)) + chunk(b"d" * LONG_EVENT))
+            finally:
+                ended.append(request.id)
+            connection.wait_for_close()
+
         runners = [MisbehavingServer(self.store, f"r{number}", "llm", ["m1"])
                    for number in range(SERVERS)]
         for runner in runners:
-            runner.play(way)
+            runner.play(event_without_end)
         self.add_servers(runners)
         for number in range(CALLERS):
             self.call("draft", number)
-        wait_until(lambda: sum(len(runner.ran) for runner in runners) == CALLERS,
-                   "all streams are at their runners")
-        wait_until(lambda: sum(runner.sent for runner in runners) >= CALLERS * LONG_EVENT,
-                   "the runners have sent their events")
+        wait_until(lambda: len(ended) == CALLERS, "the runners have sent their events")
+        self.wait_until_memory_is_steady()
         return runners
 
+    def wait_until_memory_is_steady(self) -> None:
+        """Waits until the instance has read what lies in the system's buffers."""
+        peaks: list[int] = []
+
+        def is_steady() -> bool:
+            time.sleep(STEADY_S)
+            peaks.append(self.instance.memory_peak())
+            return len(peaks) > 1 and peaks[-1] == peaks[-2]
+
+        wait_until(is_steady, "the memory is steady")
+
     def test_reports_of_many_runners_without_end_keep_the_memory_limit(self) -> None:
         """Guards against reports that are each held up to a limit of megabytes: 30 runners took
         120 MB of a process that has 160 to 180 MB."""
@@ -131,18 +143,18 @@
     def test_events_without_end_in_many_streams_keep_the_memory_limit(self) -> None:
         """Guards against streams that each hold the part of an event within its limit, and
         together fill the memory of the process."""
-        self.hold_streams(event_without_end)
+        self.hold_streams(event(1))
         self.assert_memory_limit_is_kept()
 
     def test_first_events_without_end_in_many_streams_keep_the_memory_limit(self) -> None:
         """Guards against the same before the stream has reached its caller."""
-        self.hold_streams(first_event_without_end)
+        self.hold_streams()
         self.assert_memory_limit_is_kept()
 
     def test_sound_answers_are_served_while_others_hold_the_memory(self) -> None:
         """Guards against sound servers' answers that fail because faulty ones hold all memory:
         short events need none of it, and a long answer is forwarded as it arrives."""
-        runners = self.hold_streams(event_without_end)
+        runners = self.hold_streams(event(1))
         for runner in runners:
             runner.play(stream)
         received, complete, _ = self.instance.stream("/draft/sound", "m1", "sound")
@@ -156,7 +168,7 @@
     def test_memory_is_available_again_after_the_callers_have_left(self) -> None:
         """Guards against memory that stays reserved: an answer that breaks off would reach its
         caller in part instead of becoming 502."""
-        self.hold_streams(event_without_end)
+        self.hold_streams(event(1))
         self.leave()
         plain = MisbehavingServer(self.store, "p1", "plain")
         self.add_servers([plain])
