Skip the wait for a steady memory peak where freed memory is held

The peak is not compared in that build (FREED_MEMORY_IS_HELD), so the tests wait for a fixed time there instead. Other builds are checked as before.

--- a/tests/entry/answer_memory_test.py
+++ b/tests/entry/answer_memory_test.py
@@ -116,7 +116,11 @@
         return runners
 
     def wait_until_memory_is_steady(self) -> None:
-        """Waits until the instance has read what lies in the system's buffers."""
+        """Waits until the instance has read what lies in the system's buffers. Where freed memory
+        is held, the memory grows with all that an instance does, and its peak is not checked."""
+        if FREED_MEMORY_IS_HELD:
+            time.sleep(STEADY_S)
+            return
         peaks: list[int] = []
 
         def is_steady() -> bool:
