--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,61 @@
+"""Prompts crash runners at the first event, over a second after the head of the answer."""
+
+import random
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "common-2"))
+from fleet import (BROKEN, CONTACT_S, HELD, Fleet, Runner, configuration, own_part,  # noqa: E402
+                   route, run_case, stream_headers)
+
+FIRST_PART = "5a5a0001"
+HARMFUL_PART = "bad0bad0"
+CALM_S, PLAY_S = 5.0, 40.0
+SOUND_PER_S = 5.0
+# Time between two requests with the harmful part.
+HARMFUL_GAP_S = (1.8, 2.6)
+
+
+def main() -> int:
+    chooser = random.Random(48)
+    fleet = Fleet(FOLDER)
+    routes = [route("draft", "streaming", "llm", timeout_ms=20000, target_latency_ms=4000,
+                    gap_target_ms=300)]
+    fleet.store.put("op", "config", configuration(["k1"], routes))
+    # The head comes when the request is accepted, the first event when its prompt has been read:
+    # well within the objective of 4,000 ms.
+    fleet.runners = [Runner(fleet.store, fleet.record, f"r{number}", harmful_part=HARMFUL_PART,
+                            events=30, pace_s=0.1, prefill_s=1.5, early_head=True)
+                     for number in range(12)]
+    fleet.start_instances(3, len(fleet.runners))
+    began = time.monotonic()
+    calm_end, end = began + CALM_S, began + CALM_S + PLAY_S
+    number = 0
+    next_harmful = calm_end
+    while time.monotonic() < end:
+        time.sleep(chooser.expovariate(SOUND_PER_S))
+        number += 1
+        harmful = time.monotonic() >= next_harmful
+        if harmful:
+            next_harmful += chooser.uniform(*HARMFUL_GAP_S)
+        parts = [FIRST_PART, *([HARMFUL_PART] if harmful else []), own_part(chooser)]
+        fleet.send(chooser.choice(fleet.instances), f"/draft/{number}", f"c{number:04d}",
+                   stream_headers(parts, 20000), "harmful" if harmful else "sound")
+    fleet.join()
+    crashes = fleet.crashes()
+    if len(crashes) < 5:
+        fleet.record.result(f"{len(crashes)} crashes: nothing is bound")
+        return HELD
+    limit = crashes[4] + CONTACT_S
+    late = fleet.harmful_arrivals_after(limit)
+    lost = sum(at > limit for runner in fleet.runners for at, _ in runner.cut_off)
+    fleet.record.result(
+        f"{len(crashes)} crashes, the fifth at {crashes[4] - fleet.record.began:.2f}; "
+        f"{len(late)} requests with the part reached runners later than contact_ms after it, and "
+        f"their crashes cut off {lost} sound streams")
+    return BROKEN if len(late) > 3 else HELD
+
+
+run_case(main)
