--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -109,12 +109,19 @@
         # Whether the head of a stream is sent before the prompt has been read.
         self.early_head = options.get("early_head", False)
         self.harmful_part = options.get("harmful_part", "")
+        # Whether the harmful part crashes the runner yet.
+        self.harms = options.get("harms", True)
+        # Whether streams have neither a length nor chunks and end with their connections.
+        self.unframed = options.get("unframed", False)
+        # Whole events that are written before a crash.
+        self.events_before_crash = options.get("events_before_crash", 0)
         self.away_s = options.get("away_s", 2.0)
         # Time that the load of a model takes, which the configuration states too.
         self.load_s = options.get("load_s", 1.0)
         self.loading = ""
         self.crashes: list[float] = []
-        # Time and request id of each request that arrived, and whether it has the harmful part.
+        # Time and request id of each request that arrived and was not rejected with 421, and
+        # whether it has the harmful part.
         self.reached: list[tuple[float, str, bool]] = []
         # Ids of the sound streams that a crash has broken off.
         self.cut_off: list[tuple[float, str]] = []
@@ -183,13 +190,13 @@
         parts = [part.partition(":")[0]
                  for part in call.headers.get("X-Prompt-Prefix", "").split(",")]
         harmful = bool(self.harmful_part) and self.harmful_part in parts[:-1]
-        self.reached.append((time.monotonic(), request_id, harmful))
         model = call.headers.get("X-Model", "").split("/")[0]
         headers = {"X-Request-Id": request_id}
         if model not in self.models:
             self.log.line(f"runner {self.name}: {request_id} arrived, 421 (no such model here)")
             call.answer(421, b"", {**headers, "X-Instance-Id": self.name})
             return
+        self.reached.append((time.monotonic(), request_id, harmful))
         self.log.line(f"runner {self.name}: {request_id} arrived"
                       f"{', harmful' if harmful else ''}")
         self.open[request_id] = harmful
@@ -205,22 +212,29 @@
         if self.early_head:
             self._head(call, headers)
         time.sleep(self.prefill_s)
-        if harmful and TROUBLE:
-            self.crash()
-            call.close_connection = True
-            raise OSError
-        if not self.early_head:
+        crashes = harmful and self.harms and TROUBLE
+        if not self.early_head and (not crashes or self.events_before_crash > 0):
             self._head(call, headers)
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, self.events + 1):
-            call.wfile.write(chunk(b"id: %d\ndata: %d\n\n" % (number, number)))
+            if crashes and number == first + self.events_before_crash:
+                self.crash()
+                call.close_connection = True
+                raise OSError
+            event = b"id: %d\ndata: %d\n\n" % (number, number)
+            call.wfile.write(event if self.unframed else chunk(event))
+            call.wfile.flush()
             time.sleep(self.pace_s)
-        call.wfile.write(END)
+        if self.unframed:
+            call.close_connection = True
+        else:
+            call.wfile.write(END)
 
     def _head(self, call: _Handler, headers: dict[str, str]) -> None:
+        framing = {"Connection": "close"} if self.unframed else {"Transfer-Encoding": "chunked"}
         call.send_response(200)
         for name, value in {**headers, "X-Server-Seal": "s", "Content-Type": "text/event-stream",
-                            "Transfer-Encoding": "chunked"}.items():
+                            **framing}.items():
             call.send_header(name, value)
         call.end_headers()
         call.wfile.flush()
@@ -374,6 +388,24 @@
                       for at, request_id, harmful in runner.reached if harmful and at > limit)
 
 
+def judge_containment(fleet: Fleet) -> int:
+    """The rule BUDGET on a part that crashes runners: no more than three requests with it reach
+    runners later than contact_ms after the fifth crash. No instance has any trouble of its own, so
+    all are in touch."""
+    crashes = fleet.crashes()
+    if len(crashes) < 5:
+        fleet.record.result(f"{len(crashes)} crashes: nothing is bound")
+        return HELD
+    limit = crashes[4] + CONTACT_S
+    late = fleet.harmful_arrivals_after(limit)
+    lost = sum(at > limit for runner in fleet.runners for at, _ in runner.cut_off)
+    fleet.record.result(
+        f"{len(crashes)} crashes, the fifth at {crashes[4] - fleet.record.began:.2f}; "
+        f"{len(late)} requests with the part reached runners later than contact_ms after it, and "
+        f"the crashes then cut off {lost} sound streams")
+    return BROKEN if len(late) > 3 else HELD
+
+
 def stream_headers(parts: list[str], deadline_ms: int, key: str = "k1",
                    model: str = "m1") -> dict[str, str]:
     return {"X-Model": model, "X-Token-Count": "1460,171", "Authorization": f"Token {key}",
@@ -396,5 +428,5 @@
 
 
 __all__ = ["BROKEN", "CANNOT_RUN", "CONTACT_S", "HELD", "TROUBLE", "Answer", "Fleet", "Instance",
-           "Record", "Runner", "Store", "configuration", "own_part", "route", "run_case",
-           "stream_headers", "wait_until"]
+           "Record", "Runner", "Store", "configuration", "judge_containment", "own_part", "route",
+           "run_case", "stream_headers", "wait_until"]
