--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -113,6 +113,8 @@
         self.harms = options.get("harms", True)
         # Whether streams have neither a length nor chunks and end with their connections.
         self.unframed = options.get("unframed", False)
+        # Whether the part crashes the runner without the trouble of the case too.
+        self.crashes_always = options.get("crashes_always", False)
         # Whole events that are written before a crash.
         self.events_before_crash = options.get("events_before_crash", 0)
         self.away_s = options.get("away_s", 2.0)
@@ -212,7 +214,7 @@
         if self.early_head:
             self._head(call, headers)
         time.sleep(self.prefill_s)
-        crashes = harmful and self.harms and TROUBLE
+        crashes = harmful and self.harms and (TROUBLE or self.crashes_always)
         if not self.early_head and (not crashes or self.events_before_crash > 0):
             self._head(call, headers)
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
