--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,8 +12,8 @@
 
 FIRST_PART = "5a5a0001"
 HARMFUL_PART = "bad0bad0"
-# Parts of a conversation before the harmful one. Each request has its own.
-EARLIER_PARTS = 300
+# Conversations, and the parts of each. Requests of one conversation share them.
+CONVERSATIONS, EARLIER_PARTS = 40, 300
 CALM_S, PLAY_S = 5.0, 40.0
 SOUND_PER_S = 5.0
 # Time between two requests with the harmful part.
@@ -30,6 +30,8 @@
     fleet.runners = [Runner(fleet.store, fleet.record, f"r{number}", harmful_part=HARMFUL_PART,
                             events=20, pace_s=0.1, prefill_s=0.05) for number in range(12)]
     fleet.start_instances(3, len(fleet.runners))
+    conversations = [[own_part(chooser) for _ in range(EARLIER_PARTS)]
+                     for _ in range(CONVERSATIONS)]
     began = time.monotonic()
     calm_end, end = began + CALM_S, began + CALM_S + PLAY_S
     next_harmful = calm_end
@@ -40,8 +42,8 @@
         harmful = time.monotonic() >= next_harmful
         if harmful:
             next_harmful += chooser.uniform(*HARMFUL_GAP_S)
-        earlier = [own_part(chooser) for _ in range(EARLIER_PARTS)]
-        parts = [FIRST_PART, *earlier, *([HARMFUL_PART] if harmful else []), own_part(chooser)]
+        parts = [FIRST_PART, *chooser.choice(conversations),
+                 *([HARMFUL_PART] if harmful else []), own_part(chooser)]
         fleet.send(chooser.choice(fleet.instances), f"/draft/{number}", f"c{number:04d}",
                    stream_headers(parts, 20000), "harmful" if harmful else "sound")
     fleet.join()
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -109,12 +109,12 @@
         # Whether the head of a stream is sent before the prompt has been read.
         self.early_head = options.get("early_head", False)
         self.harmful_part = options.get("harmful_part", "")
-        # Whether the harmful part crashes the runner yet.
+        # Version of the weights, which answers and entries carry.
+        self.weights_version = 1
+        # Whether the harmful part crashes the runner with this version.
         self.harms = options.get("harms", True)
         # Whether streams have neither a length nor chunks and end with their connections.
         self.unframed = options.get("unframed", False)
-        # Whether the part crashes the runner without the trouble of the case too.
-        self.crashes_always = options.get("crashes_always", False)
         # Whole events that are written before a crash.
         self.events_before_crash = options.get("events_before_crash", 0)
         self.away_s = options.get("away_s", 2.0)
@@ -146,6 +146,9 @@
             "version": "v1", "slots": self.slots_told, "state": state, "cold_left_ms": 0,
             "stage": "colocated", "seq": self.beats, "born": self.born, "models": self._models()})
 
+    def _models(self) -> list[dict]:
+        return [{**model, "version": self.weights_version} for model in super()._models()]
+
     def close(self) -> None:
         self.closed = True
         with contextlib.suppress(OSError):
@@ -214,7 +217,7 @@
         if self.early_head:
             self._head(call, headers)
         time.sleep(self.prefill_s)
-        crashes = harmful and self.harms and (TROUBLE or self.crashes_always)
+        crashes = harmful and self.harms and TROUBLE
         if not self.early_head and (not crashes or self.events_before_crash > 0):
             self._head(call, headers)
         first = int(call.headers.get("Last-Event-Id") or 0) + 1
@@ -236,7 +239,7 @@
         framing = {"Connection": "close"} if self.unframed else {"Transfer-Encoding": "chunked"}
         call.send_response(200)
         for name, value in {**headers, "X-Server-Seal": "s", "Content-Type": "text/event-stream",
-                            **framing}.items():
+                            "X-Weight-Versions": str(self.weights_version), **framing}.items():
             call.send_header(name, value)
         call.end_headers()
         call.wfile.flush()
