--- a/review/9/case.py
+++ b/review/9/case.py
@@ -45,7 +45,8 @@
         parts = [FIRST_PART, *chooser.choice(conversations),
                  *([HARMFUL_PART] if harmful else []), own_part(chooser)]
         fleet.send(chooser.choice(fleet.instances), f"/draft/{number}", f"c{number:04d}",
-                   stream_headers(parts, 20000), "harmful" if harmful else "sound")
+                   stream_headers(parts, 20000, part_tokens=12, prompt_tokens=4500),
+                   "harmful" if harmful else "sound")
     fleet.join()
     return judge_containment(fleet)
 
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -411,11 +411,15 @@
     return BROKEN if len(late) > 3 else HELD
 
 
-def stream_headers(parts: list[str], deadline_ms: int, key: str = "k1",
-                   model: str = "m1") -> dict[str, str]:
-    return {"X-Model": model, "X-Token-Count": "1460,171", "Authorization": f"Token {key}",
-            "X-Deadline-Ms": str(deadline_ms),
-            "X-Prompt-Prefix": ",".join(f"{part}:350" for part in parts)}
+def stream_headers(parts: list[str], deadline_ms: int, key: str = "k1", model: str = "m1",
+                   part_tokens: int = 350, prompt_tokens: int = 1460) -> dict[str, str]:
+    """The tokens of the parts add up to those of the prompt; the last part has the rest."""
+    shared = len(parts) - 1
+    prefix = [f"{part}:{part_tokens}" for part in parts[:-1]]
+    prefix.append(f"{parts[-1]}:{prompt_tokens - shared * part_tokens}")
+    return {"X-Model": model, "X-Token-Count": f"{prompt_tokens},171",
+            "Authorization": f"Token {key}", "X-Deadline-Ms": str(deadline_ms),
+            "X-Prompt-Prefix": ",".join(prefix)}
 
 
 def own_part(chooser: random.Random) -> str:
