Reject answers whose status is none, in every reader of answers

A status from 600 to 999 was passed on as it was, with its head and body, and with the header that denies a run it became the promise 503 for a request that may have run. carawayturnd passed all of them on.

Cause: Beast's parser takes any three digits, and what read an answer only compared the status with 200. No place decided whether bytes are an answer.

Beast rejects what is wrong with version, form of the status, reason, names, values and line ends by itself; the range of the status is all that it leaves open there.

Change: answer_parser (src/protocol) is the one place of the rule. It is Beast's parser with the status checked at the status line, and it takes the place of the bare one for backend servers, reports, orders, the store, carawayturnd's servers and table, operators' commands and the load tool. Instances do not speak HTTP to each other. Such bytes are a failure of the server like a connection that breaks: nothing of them is used, the connection is closed, a request that may be repeated goes to another server, and any other one gets 502. One line says why, with up to 64 bytes escaped: 1101 for a request, 1105 (new) for a call of carawayturn-entry, 706 (new) in carawayturnd.

Why it works: a status that is none ends the reading where the status line does, before anything can take it for informational or final.

--- a/fuzz/entry_answer_fuzz.cpp
+++ b/fuzz/entry_answer_fuzz.cpp
@@ -2,6 +2,7 @@
 #include "http_head.hpp"
 #include "platform/order_codec.hpp"
 #include "platform/request_codec.hpp"
+#include "protocol/answer_parser.hpp"
 #include "protocol/entry/bounded_number.hpp"
 
 using namespace carawayturn;
@@ -36,6 +37,7 @@
         fuzz_check(passed.find(name) == passed.end(),
                    "framing headers are not forwarded");
     fuzz_check(passed.result_int() == head.result_int(), "the status is forwarded");
+    fuzz_check(!find_status_fault(passed.result_int()), "the status is one");
 }
 
 } // namespace
@@ -44,7 +46,7 @@
 // for the caller.
 int fuzz_one(std::uint8_t const* data, std::size_t size)
 {
-    http::response_parser<http::string_body> parser;
+    answer_parser<http::string_body> parser;
     if (!read_head(parser, header_limit, data, size))
         return 0;
     auto const& head = parser.get();
--- a/src/entry.cmake
+++ b/src/entry.cmake
@@ -10,6 +10,7 @@
 add_library(carawayturn_entry STATIC ${entry_sources}
   ${CMAKE_SOURCE_DIR}/src/state/result.cpp
   ${CMAKE_SOURCE_DIR}/src/state/log_catalogue.cpp
+  ${CMAKE_SOURCE_DIR}/src/protocol/answer_parser.cpp
   ${CMAKE_SOURCE_DIR}/src/state/stable_hash.cpp)
 target_link_libraries(carawayturn_entry PUBLIC carawayturn_options Threads::Threads)
 target_include_directories(carawayturn_entry PUBLIC ${CMAKE_SOURCE_DIR})
--- /dev/null
+++ b/src/protocol/answer_parser.cpp
@@ -0,0 +1,95 @@
+#include "protocol/answer_parser.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace carawayturn
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr unsigned first_status = 100;
+constexpr unsigned last_status = 599;
+
+/// Most bytes of a malformed answer that are logged.
+constexpr std::size_t max_described_bytes = 64;
+
+/// Texts of the faults, in the order of the enumeration.
+constexpr std::array<char const*, 2> fault_texts{"no fault", "status out of range"};
+
+class fault_category final : public boost::system::error_category
+{
+public:
+    [[nodiscard]] char const* name() const noexcept override
+    {
+        return "carawayturn.answer";
+    }
+    [[nodiscard]] std::string message(int fault) const override
+    {
+        return fault_texts.at(static_cast<std::size_t>(fault));
+    }
+};
+
+/// Errors with which Beast rejects bytes of an answer.
+constexpr std::array<http::error, 12> syntax_errors{http::error::bad_line_ending,
+                                                    http::error::bad_version,
+                                                    http::error::bad_status,
+                                                    http::error::bad_reason,
+                                                    http::error::bad_field,
+                                                    http::error::bad_value,
+                                                    http::error::bad_content_length,
+                                                    http::error::multiple_content_length,
+                                                    http::error::bad_transfer_encoding,
+                                                    http::error::bad_chunk,
+                                                    http::error::bad_chunk_extension,
+                                                    http::error::bad_obs_fold};
+
+void append_escaped(std::string& text, char byte)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    if (byte > ' ' - 1 && byte < '\x7f' && byte != '\\' && byte != '"')
+    {
+        text += byte;
+        return;
+    }
+    auto const value = static_cast<unsigned char>(byte);
+    text += "\\x";
+    text += digits[value >> 4U];
+    text += digits[value & 0xfU];
+}
+
+} // namespace
+
+boost::system::error_category const& answer_fault_category()
+{
+    static fault_category const category;
+    return category;
+}
+
+std::optional<answer_fault> find_status_fault(unsigned status)
+{
+    if (status < first_status || status > last_status)
+        return answer_fault::status_out_of_range;
+    return std::nullopt;
+}
+
+bool is_malformed_answer(boost::system::error_code failure)
+{
+    return failure.category() == answer_fault_category() ||
+           std::find(syntax_errors.begin(), syntax_errors.end(), failure) !=
+               syntax_errors.end();
+}
+
+std::string describe_malformed_answer(boost::system::error_code failure,
+                                      std::string_view unread)
+{
+    std::string text = "malformed answer, " + failure.message() + ": ";
+    for (char const byte : unread.substr(0, max_described_bytes))
+        append_escaped(text, byte);
+    return text;
+}
+
+} // namespace carawayturn
--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -14,6 +14,7 @@
     request_malformed = 1102,
     server_silent = 1103,
     request_hedged = 1104,
+    call_answer_malformed = 1105,
     client_limited = 1108,
     configuration_in_force = 1110,
     configuration_unreadable = 1111,
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -74,6 +74,7 @@
     {703, warning, "instance_list_unavailable"},
     {704, warning, "backend_poll_failed"},
     {705, info, "admin_request"},
+    {706, warning, "answer_malformed"},
 
     // 800: process
     {801, info, "process_started"},
@@ -88,6 +89,7 @@
     {1102, info, "request_malformed"},
     {1103, info, "server_silent"},
     {1104, info, "request_hedged"},
+    {1105, warning, "call_answer_malformed"},
     {1108, warning, "client_limited"},
     {1110, info, "configuration_in_force"},
     {1111, error, "configuration_unreadable"},
--- a/src/transport/backend_client.cpp
+++ b/src/transport/backend_client.cpp
@@ -104,10 +104,10 @@
 struct backend_client::state
 {
     state(backend_limits set, event_sink& raised, answer_sink& output,
-          address_book const& known, token_counter counter)
+          address_book const& known, event_log& log, token_counter counter)
         : limits(set), events(raised), answers(output), addresses(known),
           count_tokens(std::move(counter)),
-          pool(thread.executor(), set.idle_connections_per_backend)
+          pool(thread.executor(), set.idle_connections_per_backend, log)
     {
     }
 
@@ -379,8 +379,8 @@
 
 backend_client::backend_client(backend_limits limits, event_sink& events,
                                answer_sink& answers, address_book const& addresses,
-                               token_counter count_tokens)
-    : state_(std::make_unique<state>(limits, events, answers, addresses,
+                               event_log& log, token_counter count_tokens)
+    : state_(std::make_unique<state>(limits, events, answers, addresses, log,
                                      std::move(count_tokens)))
 {
 }
--- a/src/transport/backend_client.hpp
+++ b/src/transport/backend_client.hpp
@@ -4,6 +4,7 @@
 #include "transport/address_book.hpp"
 #include "transport/answer_sink.hpp"
 #include "transport/core_loop.hpp"
+#include "transport/event_log.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -34,7 +35,8 @@
     using token_counter = std::function<void(token_count)>;
 
     backend_client(backend_limits limits, event_sink& events, answer_sink& answers,
-                   address_book const& addresses, token_counter count_tokens);
+                   address_book const& addresses, event_log& log,
+                   token_counter count_tokens);
     ~backend_client();
     backend_client(backend_client const&) = delete;
     backend_client& operator=(backend_client const&) = delete;
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -194,7 +194,7 @@
         head_begun_ = false;
         head_read_at_ = boot_now();
         auto const head_bytes = std::exchange(head_bytes_, 0);
-        if (parser_->get().result_int() < 200)
+        if (is_informational(parser_->get().result_int()))
         {
             informational_bytes_ += head_bytes;
             if (informational_bytes_ <= max_informational_bytes)
@@ -248,6 +248,12 @@
     return read_outcome::failed;
 }
 
+std::string_view backend_exchange::unread_bytes() const
+{
+    auto const bytes = buffer_.cdata();
+    return {static_cast<char const*>(bytes.data()), bytes.size()};
+}
+
 bool backend_exchange::has_unread_input()
 {
     char byte = 0;
@@ -258,8 +264,12 @@
 
 void backend_exchange::note_failure(boost::system::error_code failure)
 {
-    failure_ = socket_->expired() ? "deadline passed" : failure.message();
     connection_broken_ = !socket_->expired() && ends_connection(failure);
+    malformed_ = !socket_->expired() && is_malformed_answer(failure);
+    if (malformed_)
+        failure_ = describe_malformed_answer(failure, unread_bytes());
+    else
+        failure_ = socket_->expired() ? "deadline passed" : failure.message();
 }
 
 task<read_outcome> backend_exchange::read_body()
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "platform/request_codec.hpp"
+#include "protocol/answer_parser.hpp"
 #include "transport/entry/io.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <array>
 #include <memory>
@@ -89,6 +89,8 @@
 
     /// Why the exchange failed, for the log; empty if it did not.
     [[nodiscard]] std::string const& failure() const { return failure_; }
+    /// Whether the bytes that were read are no answer.
+    [[nodiscard]] bool malformed() const { return malformed_; }
     /// Whether the server or the network ended the connection before the answer was
     /// complete.
     [[nodiscard]] bool connection_broken() const { return connection_broken_; }
@@ -120,11 +122,13 @@
     /// the reason and returns `failed`.
     [[nodiscard]] read_outcome failed_read(boost::system::error_code failure);
     void note_failure(boost::system::error_code failure);
+    /// Bytes that the parser has not consumed.
+    [[nodiscard]] std::string_view unread_bytes() const;
 
     std::shared_ptr<deadline_socket> socket_;
     std::string request_id_;
     boost::beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::buffer_body>> parser_;
+    std::optional<answer_parser<http::buffer_body>> parser_;
     platform::answer_metadata metadata_;
     std::array<char, 4096> piece_{};
     std::size_t piece_size_ = 0;
@@ -142,6 +146,7 @@
     bool buffer_parsed_ = false;
     time_point idle_limit_ = time_point::max();
     std::string failure_;
+    bool malformed_ = false;
     bool connection_broken_ = false;
     bool complete_ = false;
 };
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -136,6 +136,7 @@
     call.server_id = order.runner;
     call.dedicated_connection = true;
     call.answer_limits = runner_answer_limits();
+    call.log = &log_;
     auto const target = order.target.str();
     bool const load = order.operation == runner_order::action::load;
     // An order that was not sent has changed nothing at the runner.
@@ -186,6 +187,7 @@
     call.server_id = id;
     call.timeout = report_timeout;
     call.answer_limits = runner_answer_limits();
+    call.log = &log_;
     call.may_send = [this, id] { return may_call(id); };
     metrics_.count("reports_total");
     auto const answer = co_await http_call(connections_, std::move(call));
--- a/src/transport/entry/http_call.cpp
+++ b/src/transport/entry/http_call.cpp
@@ -31,6 +31,16 @@
     }
 }
 
+/// Returns no answer. Logs the reason if the peer has sent bytes that are none.
+std::optional<call_answer> fail_call(backend_exchange const& exchange,
+                                     call_request const& request)
+{
+    if (exchange.malformed() && request.log != nullptr)
+        request.log->write(entry_event::call_answer_malformed,
+                           {{"peer", request.peer}, {"detail", exchange.failure()}});
+    return std::nullopt;
+}
+
 } // namespace
 
 task<std::optional<call_answer>> http_call(backend_connections& connections,
@@ -58,14 +68,14 @@
         co_return std::nullopt;
     auto const head_read = co_await exchange.read_head();
     if (head_read == read_outcome::failed)
-        co_return std::nullopt;
+        co_return fail_call(exchange, request);
     call_answer answer;
     answer.status = exchange.head().result_int();
     answer.notice = exchange.metadata().notice;
     auto const read =
         co_await read_call_body(exchange, request.answer_limits, answer.body);
     if (read == read_outcome::failed)
-        co_return std::nullopt;
+        co_return fail_call(exchange, request);
     if (read == read_outcome::more || request.dedicated_connection)
         co_return answer;
     duration keep_alive{};
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/byte_budget.hpp"
 #include "state/entry/server_notice.hpp"
 #include "transport/entry/backend_connections.hpp"
+#include "transport/entry/decision_log.hpp"
 
 #include <boost/beast/http/verb.hpp>
 
@@ -48,6 +49,8 @@
     /// after the call has failed.
     bool dedicated_connection = false;
     call_answer_limits answer_limits;
+    /// If set, malformed answers are logged.
+    decision_log* log = nullptr;
 };
 
 struct call_answer
@@ -57,9 +60,9 @@
     server_notice notice;
 };
 
-/// Makes one call. Returns nothing if no complete answer arrived in time; the peer may
-/// then have performed the call, or may still perform it. The body of an answer that is
-/// too long, or for which there is no memory, is left out.
+/// Makes one call. Returns nothing if no complete answer arrived in time, or bytes that
+/// are no answer; the peer may then have performed the call, or may still perform it. The
+/// body of an answer that is too long, or for which there is no memory, is left out.
 [[nodiscard]] task<std::optional<call_answer>> http_call(backend_connections& connections,
                                                          call_request request);
 
--- a/src/transport/entry/store_client.cpp
+++ b/src/transport/entry/store_client.cpp
@@ -36,6 +36,7 @@
     http.target = std::move(request.target);
     http.body = std::move(request.body);
     http.timeout = timeout;
+    http.log = &services_.log;
     services_.metrics.count("store_calls_total");
     auto const answer = co_await http_call(services_.connections, std::move(http));
     bool const refused = answer && (answer->status == 503 || answer->status == 429);
--- a/src/transport/event_log.hpp
+++ b/src/transport/event_log.hpp
@@ -38,6 +38,7 @@
 inline constexpr std::uint16_t instance_list_unavailable = 703;
 inline constexpr std::uint16_t backend_poll_failed = 704;
 inline constexpr std::uint16_t admin_request = 705;
+inline constexpr std::uint16_t answer_malformed = 706;
 inline constexpr std::uint16_t process_started = 801;
 inline constexpr std::uint16_t process_stopped = 803;
 inline constexpr std::uint16_t start_failed = 805;
--- a/src/transport/http_call.cpp
+++ b/src/transport/http_call.cpp
@@ -1,12 +1,13 @@
 #include "transport/http_call.hpp"
 
+#include "protocol/answer_parser.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -107,6 +108,15 @@
     }
 
     [[nodiscard]] std::string const& step() const { return step_; }
+    /// Returns why run() failed with this error.
+    [[nodiscard]] std::string describe(boost::system::error_code failure) const
+    {
+        if (!is_malformed_answer(failure))
+            return failure.message();
+        auto const unread = buffer_.cdata();
+        return describe_malformed_answer(
+            failure, {static_cast<char const*>(unread.data()), unread.size()});
+    }
     [[nodiscard]] http::response<http::string_body> release()
     {
         return parser_.release();
@@ -140,7 +150,7 @@
     beast::tcp_stream stream_;
     duration timeout_;
     beast::flat_buffer buffer_;
-    http::response_parser<http::string_body> parser_;
+    answer_parser<http::string_body> parser_;
     std::string step_ = "http.connect";
     boost::system::error_code failure_;
 };
@@ -191,7 +201,7 @@
     failure = running.run();
     if (failure)
         return error{code_of(failure, running.step()), running.step(), peer,
-                     failure.message()};
+                     running.describe(failure)};
     return to_answer(running.release());
 }
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_client.hpp"
 
+#include "protocol/answer_parser.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,6 +27,11 @@
 
 constexpr std::uint32_t max_answer_header_bytes = 64U << 10U;
 
+std::string to_text(endpoint const& peer)
+{
+    return peer.address + ":" + std::to_string(peer.port);
+}
+
 http::request<http::string_body> make_message(client_request const& request,
                                               endpoint const& peer)
 {
@@ -34,7 +41,7 @@
     message.target(request.target);
     for (auto const& header : request.headers)
         message.insert(header.name, header.value);
-    message.set(http::field::host, peer.address + ":" + std::to_string(peer.port));
+    message.set(http::field::host, to_text(peer));
     message.body() = request.body;
     message.prepare_payload();
     return message;
@@ -44,20 +51,33 @@
 
 struct client_connection::state
 {
-    state(asio::any_io_executor const& executor, endpoint server)
-        : stream(executor), peer(std::move(server))
+    state(asio::any_io_executor const& executor, endpoint server, event_log& events_log)
+        : stream(executor), peer(std::move(server)), log(events_log)
+    {
+    }
+
+    /// Logs the failure of a read if the server has sent bytes that are no answer.
+    void log_failure(beast::error_code failure)
     {
+        if (!is_malformed_answer(failure))
+            return;
+        auto const unread = buffer.cdata();
+        log.write(log_number::answer_malformed, to_text(peer),
+                  describe_malformed_answer(
+                      failure, {static_cast<char const*>(unread.data()), unread.size()}));
     }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     endpoint peer;
-    std::optional<http::response_parser<http::string_body>> input;
+    event_log& log;
+    std::optional<answer_parser<http::string_body>> input;
     bool read_whole = false;
 };
 
-client_connection::client_connection(asio::any_io_executor const& executor, endpoint peer)
-    : state_(std::make_unique<state>(executor, std::move(peer)))
+client_connection::client_connection(asio::any_io_executor const& executor, endpoint peer,
+                                     event_log& log)
+    : state_(std::make_unique<state>(executor, std::move(peer), log))
 {
 }
 
@@ -117,6 +137,7 @@
     state_->stream.expires_at(deadline);
     auto const [failure, size] = co_await http::async_read_header(
         state_->stream, state_->buffer, *state_->input, as_result);
+    state_->log_failure(failure);
     if (failure)
         co_return std::nullopt;
     auto const& message = state_->input->get();
@@ -136,6 +157,7 @@
     {
         auto const [failure, size] = co_await http::async_read_some(
             state_->stream, state_->buffer, input, as_result);
+        state_->log_failure(failure);
         if (failure)
             co_return std::nullopt;
     }
@@ -161,8 +183,8 @@
 }
 
 connection_pool::connection_pool(asio::any_io_executor executor,
-                                 std::size_t idle_per_server)
-    : executor_(std::move(executor)), idle_per_server_(idle_per_server)
+                                 std::size_t idle_per_server, event_log& log)
+    : executor_(std::move(executor)), idle_per_server_(idle_per_server), log_(log)
 {
 }
 
@@ -178,7 +200,7 @@
             candidate.connection->idle_and_open())
             co_return std::move(candidate.connection);
     }
-    auto fresh = std::make_unique<client_connection>(executor_, std::move(server));
+    auto fresh = std::make_unique<client_connection>(executor_, std::move(server), log_);
     bool const connected = co_await fresh->connect(deadline);
     if (!connected)
         fresh.reset();
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include "state/fleet.hpp"
 #include "state/time.hpp"
+#include "transport/event_log.hpp"
 #include "transport/http_types.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -31,10 +32,12 @@
 
 /// One HTTP/1.1 connection to a server; one exchange at a time. All calls are made on the
 /// executor's thread; an operation that is overdue or whose connection is closed fails.
+/// Bytes that are no answer count as a broken connection and are logged.
 class client_connection
 {
 public:
-    client_connection(boost::asio::any_io_executor const& executor, endpoint peer);
+    client_connection(boost::asio::any_io_executor const& executor, endpoint peer,
+                      event_log& log);
     ~client_connection();
     client_connection(client_connection const&) = delete;
     client_connection& operator=(client_connection const&) = delete;
@@ -81,7 +84,8 @@
     /// Longest time that a connection stays idle; below the servers' usual limits.
     static constexpr auto max_idle = std::chrono::seconds(4);
 
-    connection_pool(boost::asio::any_io_executor executor, std::size_t idle_per_server);
+    connection_pool(boost::asio::any_io_executor executor, std::size_t idle_per_server,
+                    event_log& log);
 
     /// Returns an idle connection or a new one; null if the server refuses.
     [[nodiscard]] boost::asio::awaitable<std::unique_ptr<client_connection>>
@@ -102,6 +106,7 @@
 
     boost::asio::any_io_executor executor_;
     std::size_t idle_per_server_;
+    event_log& log_;
     std::map<endpoint, std::vector<idle_connection>> idle_;
 };
 
--- a/src/transport/instance_server.cpp
+++ b/src/transport/instance_server.cpp
@@ -95,12 +95,12 @@
 
 instance_server::state::state(server_settings set, event_log& events_log)
     : settings(std::move(set)), log(events_log), loop(settings.ring_capacity),
-      backends(settings.backends, loop, callers, addresses,
+      backends(settings.backends, loop, callers, addresses, log,
                [this](token_count tokens) { counters.tokens_used(tokens); }),
       callers(settings.caller_limits, make_id_prefix(settings), loop, registry, counters),
       peers(settings.peers, loop, log),
       admin(settings.admin, loop, log, [this] { callers.begin_drain(); }),
-      platform_connections(platform_thread.executor(), idle_platform_connections),
+      platform_connections(platform_thread.executor(), idle_platform_connections, log),
       platform{platform_thread, platform_connections, loop, log, addresses},
       table(make_http_table(settings.table, platform)),
       orders(make_http_engine_orders(settings.orders, platform)),
--- a/standins/misbehaving_store.py
+++ b/standins/misbehaving_store.py
@@ -35,9 +35,10 @@
 class Call:
     """One call of an instance, as passed to a fault."""
 
-    def __init__(self, store: MisbehavingStore, handler) -> None:
+    def __init__(self, store: MisbehavingStore, handler, body: bytes) -> None:
         self.store = store
         self.handler = handler
+        self.body = body
         # Head and body are written separately; without this option the body would wait for the
         # acknowledgement of the head.
         handler.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -151,6 +152,22 @@
     call.send(bytes(range(256)) * 64)
 
 
+def status_that_is_none(call: Call) -> None:
+    call.send(b"HTTP/1.1 000 Said\r\nContent-Length: 2\r\n\r\n{}")
+    call.wait_for_close()
+
+
+def answer_behind_status_that_is_none(call: Call) -> None:
+    """Sends a sound answer to the call behind a head that is none."""
+    call.send(b"HTTP/1.1 000 Said\r\n\r\n")
+    Store.handle(call.store, call.handler, call.body)
+
+
+def blank_in_name(call: Call) -> None:
+    call.send(OK + b'X Ab: 1\r\nContent-Length: 27\r\n\r\n{"rows":[],"row_version":9}')
+    call.wait_for_close()
+
+
 def no_json(call: Call) -> None:
     call.answer(b'{"rows":[{"key"')
 
@@ -248,7 +265,8 @@
 FAULTS = {fault.__name__: fault for fault in (
     no_end_of_head, no_end_of_header_lines, no_end_of_informational, no_end_of_chunks,
     no_end_of_chunk_extension, no_end_of_trailers, no_end_of_length, no_end_of_unframed,
-    no_answer, trickled_body, length_too_great, length_too_small, no_http, no_json,
+    no_answer, trickled_body, length_too_great, length_too_small, no_http,
+    status_that_is_none, answer_behind_status_that_is_none, blank_in_name, no_json,
     other_types, deep_answer, deep_value, many_small_values, many_empty_rows,
     many_small_values_in_value, row_of_ten_megabytes, value_with_torn_base64, versions_back,
     versions_far_ahead, pages_without_end, pages_in_a_circle, feed_pages_without_end,
@@ -309,7 +327,7 @@
             super().handle(call, body, seen)
             return
         try:
-            FAULTS[fault](Call(self, call))
+            FAULTS[fault](Call(self, call, body))
         except OSError:
             call.close_connection = True
         finally:
--- a/tests/entry/http_call_test.cpp
+++ b/tests/entry/http_call_test.cpp
@@ -20,14 +20,28 @@
 {
 protected:
     http_call_test()
+    {
+        listen();
+        request_.peer = "s1";
+        request_.target = "/order";
+        request_.timeout = std::chrono::seconds(60);
+    }
+
+    void listen()
     {
         server_.open(asio::ip::tcp::v4());
         server_.bind({asio::ip::address_v4::loopback(), 0});
         server_.listen();
-        request_.peer = "s1";
         request_.address = "127.0.0.1:" + std::to_string(server_.local_endpoint().port());
-        request_.target = "/order";
-        request_.timeout = std::chrono::seconds(60);
+    }
+
+    /// Lets run() make another call.
+    void restart()
+    {
+        if (server_.is_open())
+            server_.close();
+        listen();
+        io_.restart();
     }
 
     task<void> count_bytes()
@@ -45,11 +59,16 @@
     task<void> send_answer()
     {
         auto [failure, socket] = co_await server_.async_accept(use_task);
-        std::string const answer =
-            "HTTP/1.1 202 Accepted\r\nContent-Length: " + std::to_string(body_.size()) +
-            "\r\n\r\n" + body_;
-        if (!failure)
-            co_await asio::async_write(socket, asio::buffer(answer), use_task);
+        std::string const answer = head_ +
+                                   "\r\nContent-Length: " + std::to_string(body_.size()) +
+                                   "\r\n\r\n" + body_;
+        if (failure)
+            co_return;
+        // A connection that is closed with unread bytes is reset, which discards the
+        // answer.
+        std::array<char, 1024> piece{};
+        static_cast<void>(co_await socket.async_read_some(asio::buffer(piece), use_task));
+        co_await asio::async_write(socket, asio::buffer(answer), use_task);
     }
 
     task<void> call()
@@ -74,6 +93,8 @@
     backend_connections connections_{io_, deadlines_};
     tcp_acceptor server_{io_};
     call_request request_;
+    /// Beginning of the server's answer.
+    std::string head_ = "HTTP/1.1 202 Accepted";
     /// Body of the server's answer; if empty, the server closes the connection.
     std::string body_;
     std::optional<call_answer> answer_;
@@ -136,5 +157,34 @@
     EXPECT_EQ(answer_->body, body_);
 }
 
+// Guards against an order or a report that is believed on a status which is none, or on
+// the answer behind it.
+TEST_F(http_call_test, answer_with_a_status_that_is_none_is_no_answer)
+{
+    for (auto const* const head :
+         {"HTTP/1.1 000 Said", "HTTP/1.1 099 Said", "HTTP/1.1 600 Said",
+          "HTTP/1.1 000 Said\r\n\r\nHTTP/1.1 202 Accepted"})
+    {
+        head_ = head;
+        body_ = "{}";
+        restart();
+        run();
+        EXPECT_FALSE(answered_) << head;
+    }
+}
+
+TEST_F(http_call_test, answer_with_an_unknown_status_is_an_answer)
+{
+    for (auto const status : {299U, 599U})
+    {
+        head_ = "HTTP/1.1 " + std::to_string(status) + " Said";
+        body_ = "{}";
+        restart();
+        run();
+        ASSERT_TRUE(answered_);
+        EXPECT_EQ(answer_->status, status);
+    }
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/misbehaving_store_test.py
+++ b/tests/entry/misbehaving_store_test.py
@@ -39,6 +39,9 @@
     "pages_without_end", "pages_in_a_circle", "feed_pages_with_rows_without_end", "many_servers"}
 # Number of the log event for a configuration that cannot be decoded.
 CONFIGURATION_UNREADABLE_EVENT = 1111
+# Numbers of the log events for bytes that are no answer, and for a store that does not answer.
+CALL_ANSWER_MALFORMED_EVENT = 1105
+STORE_LOST_EVENT = 1120
 # Upper limit for the calls of an instance per second, with a wide margin: each of its three readers
 # pauses or long-polls, and the longest list of servers takes 22 pages of the stand-in.
 CALLS_PER_S = 100
@@ -132,6 +135,27 @@
             with self.subTest(fault=fault):
                 self.check_fault(fault)
 
+    def assert_counts_as_lost(self, fault: str) -> None:
+        """Checks that the store's answers count as none, and that the log says why."""
+        self.store.set_fault(fault)
+        wait_until(lambda: self.instance.events(STORE_LOST_EVENT), "the store counts as lost", 15)
+        lines = wait_until(lambda: self.instance.events(CALL_ANSWER_MALFORMED_EVENT),
+                           "the malformed answer is logged", 15)
+        self.assertIn("malformed answer", lines[0]["detail"])
+        self.assert_recovers()
+
+    def test_answer_with_a_status_that_is_none_counts_as_lost(self) -> None:
+        """Guards against a status that is believed though it is none."""
+        self.assert_counts_as_lost("status_that_is_none")
+
+    def test_answer_behind_a_status_that_is_none_counts_as_lost(self) -> None:
+        """Guards against rows that are believed though they follow bytes that are no answer."""
+        self.assert_counts_as_lost("answer_behind_status_that_is_none")
+
+    def test_answer_with_a_blank_in_a_name_counts_as_lost(self) -> None:
+        """Guards against rows that are believed though they stand in no answer."""
+        self.assert_counts_as_lost("blank_in_name")
+
     def test_list_without_end_stops_at_the_room_for_servers(self) -> None:
         """Guards against reading and keeping an endless list of servers: the memory of an instance
         grew by 34 MB per second."""
--- a/tests/tools/load_test.py
+++ b/tests/tools/load_test.py
@@ -3,11 +3,14 @@
 Usage: load_test.py LOAD_TOOL FOLDER_OF_STANDINS
 """
 
+import contextlib
 import json
 import os
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
@@ -16,6 +19,25 @@
 LOAD_TOOL = ""
 
 
+class MalformedServer:
+    """Says that it is ready, and answers all else with a status that is none."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                with connection:
+                    ready = b"/readyz" in connection.recv(65536)
+                    connection.sendall(b"HTTP/1.1 %s Said\r\nConnection: close\r\n"
+                                       b"Content-Length: 0\r\n\r\n"
+                                       % (b"200" if ready else b"000"))
+
+
 class LoadTest(standins_test.StandinCase):
     def replay(self, trace, *standins, flags=()):
         """Returns the printed figures and the answers by id."""
@@ -58,6 +80,13 @@
         self.assertEqual((answers["1"]["whole"], answers["1"]["code"]),
                          (False, "connection_lost"))
 
+    def test_status_that_is_none_is_no_answer(self):
+        server = MalformedServer()
+        self.addCleanup(server.listener.close)
+        _, answers = self.replay([{"path": "/a", "id": "x"}], server)
+        self.assertEqual((answers["x"]["status"], answers["x"]["code"]),
+                         (0, "malformed_answer"))
+
     def test_answer_lost_is_not_sent_again(self):
         first = self.start("plain_service")
         second = self.start("plain_service")
--- a/tests/transport/http_call_test.cpp
+++ b/tests/transport/http_call_test.cpp
@@ -104,6 +104,18 @@
                  error_code::unknown_outcome, "http.receive");
 }
 
+// Guards against a command that reports a status which is none.
+TEST_F(http_call_test, call_malformed_answer_has_unknown_outcome)
+{
+    for (std::string const status : {"000", "099", "600", "999"})
+    {
+        auto const outcome = call_with_answer("HTTP/1.1 " + status +
+                                              " Said\r\nContent-Length: 2\r\n\r\n[]");
+        expect_error(outcome, error_code::unknown_outcome, "http.receive");
+        EXPECT_EQ(std::get<error>(outcome).detail.find("malformed answer, status"), 0U);
+    }
+}
+
 TEST_F(http_call_test, call_answer_above_limit_is_refused)
 {
     call_.max_answer_bytes = 2;
--- a/tests/transport/platform_test.cpp
+++ b/tests/transport/platform_test.cpp
@@ -61,7 +61,7 @@
     no_actions sink_;
     core_loop loop_{64};
     duty_thread thread_;
-    connection_pool connections_{thread_.executor(), 4};
+    connection_pool connections_{thread_.executor(), 4, log_};
     address_book addresses_;
     platform_parts parts_{thread_, connections_, loop_, log_, addresses_};
     std::unique_ptr<table_service> table_;
@@ -94,6 +94,27 @@
     EXPECT_TRUE(std::holds_alternative<outcome_unknown>(answer.outcome));
 }
 
+// Guards against bytes of a table service that are believed though they are no answer.
+TEST_F(platform_test, commit_with_malformed_answer_is_unknown)
+{
+    make_table(std::chrono::seconds(60));
+    auto const answer =
+        message("HTTP/1.1 200 OK",
+                R"({"committed":true,"versions":[{"key":"key","version":3}]})");
+    std::size_t commits = 0;
+    for (std::string const head : {"HTTP/1.1 000 Said\r\n\r\n", "HTTP/1.1 700 Said\r\n",
+                                   "HTTP/1.1 200 OK\r\nX Ab: 1\r\n"})
+    {
+        table_->commit(some_commit());
+        auto connection = server_.accept();
+        connection.read_message();
+        connection.send(head + answer);
+        auto const answered = script_->wait_for<table_answered>(++commits);
+        EXPECT_TRUE(std::holds_alternative<outcome_unknown>(answered.outcome)) << head;
+        EXPECT_TRUE(connection.read_to_end());
+    }
+}
+
 TEST_F(platform_test, commit_answered_after_timeout_is_unknown_and_not_raised_again)
 {
     make_table(std::chrono::milliseconds(300));
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -54,6 +54,21 @@
         return {};
     }
 
+    /// Refuses requests whose attempt has ended, without a word on whether they have run.
+    void refuse_after_attempt()
+    {
+        override_ = [](event const& input) -> actions
+        {
+            auto const* const ended = std::get_if<dispatch_ended>(&input);
+            if (ended == nullptr)
+                return {};
+            refusal reason;
+            reason.code = refusal_code::backend_failed;
+            reason.ran = execution::unknown;
+            return {refuse_request{ended->request, reason}};
+        };
+    }
+
     [[nodiscard]] dispatch_request attempt(request_id const& id, std::uint32_t number,
                                            std::uint64_t offset = 0) const
     {
@@ -276,6 +291,67 @@
     EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
 }
 
+// Guards against bytes that are no answer and reach the caller as one.
+TEST_F(request_path_test, malformed_answer_is_not_shown_and_reported_as_broken)
+{
+    refuse_after_attempt();
+    std::size_t requests = 0;
+    for (std::string const head :
+         {"HTTP/1.1 000 Said", "HTTP/1.1 099 Said", "HTTP/1.1 600 Said",
+          "HTTP/1.1 999 Said", "HTTP/2.0 200 OK", "HTTP/1.1 200 OK\r\nX Ab: forged",
+          "HTTP/1.1 200 OK\r\nX-A\x01: forged", "HTTP/1.1 200 OK\nX-Ab: forged"})
+    {
+        auto caller = call(chat_request_text("r" + std::to_string(++requests)));
+        auto backend = backend_.accept();
+        backend.read_message();
+        backend.send(message(head, "forged") + message("HTTP/1.1 200 OK", "forged"));
+        auto const answer = caller.read_message();
+        EXPECT_NE(answer.find("502 Bad Gateway"), std::string::npos) << head;
+        EXPECT_NE(answer.find("\"ran\":\"unknown\""), std::string::npos) << head;
+        EXPECT_EQ(answer.find("forged"), std::string::npos) << head;
+        EXPECT_EQ(script_->wait_for<dispatch_ended>(requests).outcome,
+                  dispatch_outcome::broken);
+        EXPECT_TRUE(backend.read_to_end());
+    }
+    server_.reset();
+    EXPECT_NE(log_text_.str().find("answer_malformed"), std::string::npos);
+    EXPECT_NE(log_text_.str().find("status out of range: HTTP/1.1 000 Said"),
+              std::string::npos);
+}
+
+// Guards against the same at the head of a stream.
+TEST_F(request_path_test, malformed_head_of_stream_is_not_shown)
+{
+    refuse_after_attempt();
+    auto caller = call(chat_request_text("r1", stream_body));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send("HTTP/1.1 000 Said\r\nContent-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n0\r\n\r\n");
+    EXPECT_NE(caller.read_message().find("502 Bad Gateway"), std::string::npos);
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
+}
+
+// Guards against a check that rejects what the protocol allows.
+TEST_F(request_path_test, unusual_status_and_field_are_passed_on)
+{
+    std::size_t requests = 0;
+    for (std::string const status : {"299", "418", "599"})
+    {
+        auto caller = call(chat_request_text("r" + std::to_string(++requests)));
+        auto backend = backend_.accept();
+        backend.read_message();
+        backend.send(message("HTTP/1.1 " + status +
+                                 " Said\r\nConnection: close\r\n"
+                                 "!#$%&'*+-.^_`|~: \xff",
+                             "own"));
+        auto const answer = caller.read_message();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 " + status)) << answer;
+        EXPECT_NE(answer.find("!#$%&'*+-.^_`|~: \xff"), std::string::npos);
+        EXPECT_TRUE(answer.ends_with("own"));
+    }
+}
+
 // Guards against a stream that its connection has cut and that is taken for complete
 // because the server omits its Content-Type.
 TEST_F(request_path_test, unframed_stream_without_its_last_event_is_broken)
--- a/tools/load_client.cpp
+++ b/tools/load_client.cpp
@@ -1,5 +1,7 @@
 #include "load_client.hpp"
 
+#include "protocol/answer_parser.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -22,7 +24,7 @@
 {
 
 using request_message = http::request<http::string_body>;
-using response_parser = http::response_parser<http::string_body>;
+using response_parser = answer_parser<http::string_body>;
 
 request_message make_message(traced_request const& request)
 {
@@ -149,7 +151,8 @@
             boost::system::error_code failed;
             http::read_some(socket, buffer, parser, failed);
             if (failed)
-                return "connection_lost";
+                return is_malformed_answer(failed) ? "malformed_answer"
+                                                   : "connection_lost";
             if (answer.first_byte.count() == 0 && !parser.get().body().empty())
                 answer.first_byte = since(sent);
         }
--- a/tools/load_client.hpp
+++ b/tools/load_client.hpp
@@ -22,7 +22,8 @@
     /// 0 if no answer was received.
     unsigned status = 0;
     /// Refusal code, also of an error event within a stream; "no_connection" if nothing
-    /// was sent, "connection_lost" or "timeout" if the answer is missing or incomplete.
+    /// was sent, "connection_lost", "malformed_answer" or "timeout" if
+    /// the answer is missing, incomplete or none.
     std::string code;
     /// "not-run", "unknown" or "ran" as the refusal says it.
     std::string ran;
