Reject an answer that switches protocols

The 101 was skipped as informational, and bytes behind it that look like an answer reached the caller as one.

Cause: 101 is below 200, and everything below 200 was skipped. After a 101 the bytes of another protocol follow, and only a request that asks for it may be answered so (RFC 9110, sections 7.8 and 15.2.2). No request that carawayturn sends can: Upgrade is a header of one connection and never forwarded.

Evidence: malformed_answer_test plays 101 in front of a sound answer; on the commit before the caller gets 200.

Change: answer_parser rejects 101 as it does a status out of range. Other informational statuses, 100, 102, 103 and unknown ones, are skipped as before.

--- a/src/protocol/answer_parser.cpp
+++ b/src/protocol/answer_parser.cpp
@@ -12,13 +12,15 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned first_status = 100;
+constexpr unsigned switching_protocols = 101;
 constexpr unsigned last_status = 599;
 
 /// Most bytes of a malformed answer that are logged.
 constexpr std::size_t max_described_bytes = 64;
 
 /// Texts of the faults, in the order of the enumeration.
-constexpr std::array<char const*, 2> fault_texts{"no fault", "status out of range"};
+constexpr std::array<char const*, 3> fault_texts{"no fault", "status out of range",
+                                                 "protocol switch"};
 
 class fault_category final : public boost::system::error_category
 {
@@ -73,6 +75,8 @@
 {
     if (status < first_status || status > last_status)
         return answer_fault::status_out_of_range;
+    if (status == switching_protocols)
+        return answer_fault::protocol_switched;
     return std::nullopt;
 }
 
--- a/src/protocol/answer_parser.hpp
+++ b/src/protocol/answer_parser.hpp
@@ -20,7 +20,11 @@
 {
     /// The status is not between 100 and 599 (RFC 9110, section 15). It is neither
     /// informational nor final.
-    status_out_of_range = 1
+    status_out_of_range = 1,
+    /// Status 101: other bytes than HTTP follow (RFC 9110, section 15.2.2). Only a
+    /// request that asks for it may be answered so, and carawayturn passes no such
+    /// request on.
+    protocol_switched
 };
 
 /// Returns the category of the error codes of answer_fault.
--- a/standins/malformed_answers.py
+++ b/standins/malformed_answers.py
@@ -58,6 +58,7 @@
     **{f"status {code}": status(code) for code in STATUSES_THAT_ARE_NONE},
     **{f"status {code!r}": status(code)
        for code in ("", "2", "20", "2000", "2x0", "-20", "+20", " 200", "0x1")},
+    "switched protocols": status("101"),
     "no status": Start(b"HTTP/1.1"),
     "two blanks": Start(b"HTTP/1.1  200 OK"),
     **{f"version {version}": Start(version.encode() + b" 200 OK") for version in (
--- a/tests/entry/malformed_answer_test.py
+++ b/tests/entry/malformed_answer_test.py
@@ -142,7 +142,7 @@
 
     def test_answer_behind_a_status_that_is_none_is_not_passed_on(self) -> None:
         """Guards against a status below 100 that is skipped as if it were informational."""
-        for code in LOW_STATUSES:
+        for code in (*LOW_STATUSES, "101"):
             with self.subTest(status=code):
                 way = sends_head_before_answer(f"HTTP/1.1 {code} Said".encode())
                 self.assert_fails("/book/a", self.plain[0], way)
--- a/tests/protocol/answer_parser_test.cpp
+++ b/tests/protocol/answer_parser_test.cpp
@@ -84,7 +84,7 @@
 };
 
 // Guards against a status that is none and reaches a caller.
-TEST_F(answer_parser_test, status_of_three_digits_is_accepted_from_100_to_599)
+TEST_F(answer_parser_test, status_of_three_digits_is_accepted_from_100_to_599_but_101)
 {
     for (int status = 0; status < 1000; ++status)
     {
@@ -96,6 +96,12 @@
             EXPECT_EQ(parse_bytes(bytes), answer_fault::status_out_of_range) << digits;
             continue;
         }
+        if (status == 101)
+        {
+            EXPECT_EQ(parse(bytes), answer_fault::protocol_switched);
+            EXPECT_EQ(parse_bytes(bytes), answer_fault::protocol_switched);
+            continue;
+        }
         expect_answer(bytes);
         EXPECT_EQ(parser_->get().result_int(), status);
         EXPECT_EQ(parser_->get().reason(), "Said");
