Skip informational answers in carawayturnd, its commands and the load tool

Cause: client_connection::read_head(), call_http() and the load tool took the first head that arrived for the final one. carawayturn-entry skips informational answers.

Evidence: request_path_test with a server that sends 100, 103 and then 201: the caller gets 100 on the commit before; http_call_test gets status 100 with an empty body.

Change: each of them reads on while is_informational() holds, the function that carawayturn-entry uses. The first two give up beyond the same limit of 64 KB, which now stands beside the rule; the load tool has its time limit alone.

--- a/src/protocol/answer_parser.hpp
+++ b/src/protocol/answer_parser.hpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +36,11 @@
     return {static_cast<int>(fault), answer_fault_category()};
 }
 
+/// Maximum length of all informational answers before the final one, in bytes. Their
+/// number is not limited: a server may send one now and then while it works, until the
+/// request's deadline.
+inline constexpr std::size_t max_informational_bytes = std::size_t{64} << 10U;
+
 /// Whether another answer follows the one with this status (RFC 9110, section 15.2).
 [[nodiscard]] constexpr bool is_informational(unsigned status)
 {
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -26,10 +26,6 @@
 /// Maximum number of bytes read but not yet parsed. Bounds chunk extensions and trailers,
 /// for which the parser has no limit.
 constexpr std::size_t answer_buffer_limit = std::size_t{64} * 1024;
-/// Maximum length of all informational answers (1xx) before the final one, in bytes.
-/// Their number is not limited: a server may send one now and then while it works, until
-/// the request's deadline.
-constexpr std::size_t max_informational_bytes = std::size_t{64} * 1024;
 /// Request bodies longer than this are written while the answer is read.
 constexpr std::size_t inline_body_bytes = std::size_t{16} * 1024;
 /// Maximum number of late answers to other requests that are skipped before the exchange
--- a/src/transport/http_call.cpp
+++ b/src/transport/http_call.cpp
@@ -92,10 +92,9 @@
 public:
     exchange(http_call const& call, asio::ip::tcp::endpoint address)
         : address_(std::move(address)), request_(make_request(call)), stream_(context_),
-          timeout_(call.timeout)
+          timeout_(call.timeout), max_answer_bytes_(call.max_answer_bytes),
+          answers_head_(call.method == "HEAD")
     {
-        parser_.body_limit(call.max_answer_bytes);
-        parser_.skip(call.method == "HEAD");
     }
 
     /// Returns the step's error, or nothing when the answer is complete.
@@ -119,7 +118,7 @@
     }
     [[nodiscard]] http::response<http::string_body> release()
     {
-        return parser_.release();
+        return parser_->release();
     }
 
 private:
@@ -139,9 +138,27 @@
         if (ec && ec != asio::error::broken_pipe && ec != asio::error::connection_reset)
             return;
         step_ = "http.receive";
-        http::async_read(stream_, buffer_, parser_,
-                         [this](beast::error_code code, std::size_t)
-                         { failure_ = code; });
+        receive();
+    }
+    void receive()
+    {
+        parser_.emplace();
+        parser_->body_limit(max_answer_bytes_);
+        parser_->skip(answers_head_);
+        http::async_read(stream_, buffer_, *parser_,
+                         [this](beast::error_code code, std::size_t size)
+                         { received(code, size); });
+    }
+    void received(beast::error_code ec, std::size_t size)
+    {
+        failure_ = ec;
+        if (ec || !is_informational(parser_->get().result_int()))
+            return;
+        informational_bytes_ += size;
+        if (informational_bytes_ > max_informational_bytes)
+            failure_ = http::error::header_limit;
+        else
+            receive();
     }
 
     asio::ip::tcp::endpoint address_;
@@ -150,7 +167,10 @@
     beast::tcp_stream stream_;
     duration timeout_;
     beast::flat_buffer buffer_;
-    answer_parser<http::string_body> parser_;
+    std::optional<answer_parser<http::string_body>> parser_;
+    std::size_t max_answer_bytes_;
+    bool answers_head_;
+    std::size_t informational_bytes_ = 0;
     std::string step_ = "http.connect";
     boost::system::error_code failure_;
 };
--- a/src/transport/http_call.hpp
+++ b/src/transport/http_call.hpp
@@ -38,11 +38,11 @@
 };
 
 /// Makes the call on a connection of its own and blocks until the whole answer is there.
-/// Any status from 100 to 599 is an answer. Errors: invalid_input (address, method,
-/// target or header), unavailable (no connection: the request was not sent), timeout,
-/// limit_exceeded (answer too large), unknown_outcome (connection lost after it was made,
-/// or bytes that are no answer: the request may have run). The step is "http.connect",
-/// "http.send" or "http.receive".
+/// Any status from 200 to 599 is an answer; informational ones are skipped. Errors:
+/// invalid_input (address, method, target or header), unavailable (no connection: the
+/// request was not sent), timeout, limit_exceeded (answer too large), unknown_outcome
+/// (connection lost after it was made, or bytes that are no answer: the request may have
+/// run). The step is "http.connect", "http.send" or "http.receive".
 [[nodiscard]] result<http_answer> call_http(http_call const& call);
 
 } // namespace carawayturn
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -56,6 +56,14 @@
     {
     }
 
+    void begin_answer()
+    {
+        input.emplace();
+        input->header_limit(max_answer_header_bytes);
+        input->body_limit(boost::none);
+        input->skip(answers_head);
+    }
+
     /// Logs the failure of a read if the server has sent bytes that are no answer.
     void log_failure(beast::error_code failure)
     {
@@ -72,6 +80,8 @@
     endpoint peer;
     event_log& log;
     std::optional<answer_parser<http::string_body>> input;
+    /// The request was a HEAD, so its answer has no body.
+    bool answers_head = false;
     bool read_whole = false;
 };
 
@@ -120,11 +130,7 @@
 {
     auto const message = make_message(request, state_->peer);
     state_->read_whole = false;
-    state_->input.emplace();
-    state_->input->header_limit(max_answer_header_bytes);
-    state_->input->body_limit(boost::none);
-    if (request.method == "HEAD")
-        state_->input->skip(true);
+    state_->answers_head = request.method == "HEAD";
     state_->stream.expires_at(deadline);
     auto const [failure, size] =
         co_await http::async_write(state_->stream, message, as_result);
@@ -135,11 +141,17 @@
 client_connection::read_head(steady_time deadline)
 {
     state_->stream.expires_at(deadline);
-    auto const [failure, size] = co_await http::async_read_header(
-        state_->stream, state_->buffer, *state_->input, as_result);
-    state_->log_failure(failure);
-    if (failure)
-        co_return std::nullopt;
+    std::size_t informational_bytes = 0;
+    do
+    {
+        state_->begin_answer();
+        auto const [failure, size] = co_await http::async_read_header(
+            state_->stream, state_->buffer, *state_->input, as_result);
+        state_->log_failure(failure);
+        informational_bytes += size;
+        if (failure || informational_bytes > max_informational_bytes)
+            co_return std::nullopt;
+    } while (is_informational(state_->input->get().result_int()));
     auto const& message = state_->input->get();
     http_answer_head head{message.result_int(), {}};
     for (auto const& field : message)
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -54,7 +54,8 @@
     [[nodiscard]] boost::asio::awaitable<bool> send(client_request const& request,
                                                     steady_time deadline);
 
-    /// Reads the answer's head; empty if the connection broke.
+    /// Reads the final answer's head, after any informational ones; empty if the
+    /// connection broke.
     [[nodiscard]] boost::asio::awaitable<std::optional<http_answer_head>>
     read_head(steady_time deadline);
 
--- a/tests/tools/load_test.py
+++ b/tests/tools/load_test.py
@@ -20,7 +20,8 @@
 
 
 class MalformedServer:
-    """Says that it is ready, and answers all else with a status that is none."""
+    """Says that it is ready, after an informational answer, and answers all else with a status
+    that is none."""
 
     def __init__(self):
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -33,7 +34,8 @@
                 connection, _ = self.listener.accept()
                 with connection:
                     ready = b"/readyz" in connection.recv(65536)
-                    connection.sendall(b"HTTP/1.1 %s Said\r\nConnection: close\r\n"
+                    connection.sendall(b"HTTP/1.1 102 Said\r\n\r\n"
+                                       b"HTTP/1.1 %s Said\r\nConnection: close\r\n"
                                        b"Content-Length: 0\r\n\r\n"
                                        % (b"200" if ready else b"000"))
 
--- a/tests/transport/http_call_test.cpp
+++ b/tests/transport/http_call_test.cpp
@@ -104,6 +104,18 @@
                  error_code::unknown_outcome, "http.receive");
 }
 
+// Guards against a command that takes an informational answer for the final one.
+TEST_F(http_call_test, call_informational_answers_are_skipped)
+{
+    auto const outcome =
+        call_with_answer("HTTP/1.1 100 Continue\r\n\r\n"
+                         "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]");
+    ASSERT_TRUE(succeeded(outcome)) << to_string(std::get<error>(outcome));
+    EXPECT_EQ(std::get<0>(outcome).status, 200U);
+    EXPECT_EQ(std::get<0>(outcome).body, "[]");
+}
+
 // Guards against a command that reports a status which is none.
 TEST_F(http_call_test, call_malformed_answer_has_unknown_outcome)
 {
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -332,6 +332,36 @@
     EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
 }
 
+// Guards against an informational answer that reaches the caller as the final one.
+TEST_F(request_path_test, informational_answer_is_skipped)
+{
+    auto caller = call(chat_request_text("r1"));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send("HTTP/1.1 100 Continue\r\n\r\n");
+    backend.send("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+                 message("HTTP/1.1 201 Created", "final"));
+    auto const answer = caller.read_message();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 201 ")) << answer;
+    EXPECT_EQ(answer.find("Link"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("final"));
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::completed);
+}
+
+// Guards against a server that is read without end.
+TEST_F(request_path_test, informational_answers_beyond_their_limit_end_the_attempt)
+{
+    refuse_after_attempt();
+    auto caller = call(chat_request_text("r1"));
+    auto backend = backend_.accept();
+    backend.read_message();
+    std::string const hint = "HTTP/1.1 102 Processing\r\n\r\n";
+    for (std::size_t sent = 0; sent <= std::size_t{64} * 1024; sent += hint.size())
+        backend.send(hint);
+    EXPECT_NE(caller.read_message().find("502 Bad Gateway"), std::string::npos);
+    EXPECT_EQ(script_->wait_for<dispatch_ended>().outcome, dispatch_outcome::broken);
+}
+
 // Guards against a check that rejects what the protocol allows.
 TEST_F(request_path_test, unusual_status_and_field_are_passed_on)
 {
--- a/tools/load_client.cpp
+++ b/tools/load_client.cpp
@@ -140,10 +140,25 @@
                ::poll(&watched, 1, static_cast<int>(left.count())) > 0;
     }
 
-    /// Reads one answer; returns why it is incomplete, or nothing.
-    std::string read(response_parser& parser, clock::time_point sent, load_answer& answer)
+    /// Reads one final answer; returns why it is incomplete, or nothing.
+    std::string read(std::optional<response_parser>& parser, clock::time_point sent,
+                     load_answer& answer)
+    {
+        std::string missing;
+        do
+        {
+            parser.emplace();
+            parser->body_limit(boost::none);
+            missing = read_next(*parser, sent, answer);
+        } while (missing.empty() && is_informational(parser->get().result_int()));
+        return missing;
+    }
+
+    /// Reads one answer, informational ones too; returns why it is incomplete, or
+    /// nothing.
+    std::string read_next(response_parser& parser, clock::time_point sent,
+                          load_answer& answer)
     {
-        parser.body_limit(boost::none);
         while (!parser.is_done())
         {
             if (buffer.size() == 0 && !wait_readable(sent + timeout))
@@ -189,13 +204,13 @@
     request_message const message = make_message(request);
     boost::system::error_code failed;
     http::write(state_->socket, message, failed);
-    response_parser parser;
+    std::optional<response_parser> parser;
     // An answer may have come although the peer stopped reading, so it is read anyway.
     std::string const missing = state_->read(parser, sent, answer);
     answer.latency = state::since(sent);
-    if (parser.is_header_done())
+    if (parser->is_header_done() && !is_informational(parser->get().result_int()))
     {
-        auto const& response = parser.get();
+        auto const& response = parser->get();
         answer.status = response.result_int();
         answer.retry_after = std::string(response[http::field::retry_after]);
         answer.body = response.body();
@@ -212,7 +227,7 @@
     }
     if (!missing.empty() && answer.code.empty())
         answer.code = missing;
-    if (!missing.empty() || !parser.get().keep_alive())
+    if (!missing.empty() || !parser->get().keep_alive())
         state_->close();
     return answer;
 }
@@ -225,11 +240,11 @@
     message.set(http::field::host, "127.0.0.1");
     boost::system::error_code failed;
     http::write(state_->socket, message, failed);
-    response_parser parser;
+    std::optional<response_parser> parser;
     load_answer answer;
     bool const whole = state_->read(parser, clock::now(), answer).empty();
-    bool const ready = whole && parser.get().result() == http::status::ok;
-    if (!whole || !parser.get().keep_alive())
+    bool const ready = whole && parser->get().result() == http::status::ok;
+    if (!whole || !parser->get().keep_alive())
         state_->close();
     return ready;
 }
