Reject answers in a transfer coding that the caller would not see

Cause: Beast leaves transfer codings other than chunked to its users. It takes "gzip, chunked" for chunked, reads "chunked, gzip" or "chunked, chunked" to the end of the connection, lets a Content-Length after "gzip" frame the body, and accepts chunks in HTTP/1.0. Transfer-Encoding belongs to one connection and is not forwarded, so the caller could not decode the body.

Change: answer_parser rejects a Transfer-Encoding other than chunked alone, and any in HTTP/1.0. carawayturn sends no TE, so no server may use another coding (RFC 9110, section 10.1.4; RFC 9112, sections 6.1 and 7). Case and empty elements of the list do not matter.

Measured: ten cases of malformed_answer_test fail on the commit before (eight with 200 for 502, two that wait for a body until the deadline) and pass now, as do all 14 tests of it and the 11 of answer_parser_test.

--- a/src/protocol/answer_parser.cpp
+++ b/src/protocol/answer_parser.cpp
@@ -1,5 +1,7 @@
 #include "protocol/answer_parser.hpp"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 #include <array>
 
@@ -11,6 +13,9 @@
 
 namespace http = boost::beast::http;
 
+/// Lowest version of HTTP with transfer codings.
+constexpr unsigned http_1_1 = 11;
+
 constexpr unsigned first_status = 100;
 constexpr unsigned switching_protocols = 101;
 constexpr unsigned last_status = 599;
@@ -19,8 +24,8 @@
 constexpr std::size_t max_described_bytes = 64;
 
 /// Texts of the faults, in the order of the enumeration.
-constexpr std::array<char const*, 3> fault_texts{"no fault", "status out of range",
-                                                 "protocol switch"};
+constexpr std::array<char const*, 4> fault_texts{
+    "no fault", "status out of range", "protocol switch", "unusable transfer coding"};
 
 class fault_category final : public boost::system::error_category
 {
@@ -80,6 +85,18 @@
     return std::nullopt;
 }
 
+std::optional<answer_fault> find_coding_fault(std::string_view value, unsigned version)
+{
+    // Empty elements of a list are ignored (RFC 9110, section 5.6.1.2).
+    constexpr std::string_view separators = ", \t";
+    auto const begin = std::min(value.find_first_not_of(separators), value.size());
+    auto const end = value.find_last_not_of(separators) + 1;
+    auto const codings = value.substr(begin, end > begin ? end - begin : 0);
+    if (version < http_1_1 || !boost::beast::iequals(codings, "chunked"))
+        return answer_fault::unusable_transfer_coding;
+    return std::nullopt;
+}
+
 bool is_malformed_answer(boost::system::error_code failure)
 {
     return failure.category() == answer_fault_category() ||
--- a/src/protocol/answer_parser.hpp
+++ b/src/protocol/answer_parser.hpp
@@ -25,7 +25,10 @@
     /// Status 101: other bytes than HTTP follow (RFC 9110, section 15.2.2). Only a
     /// request that asks for it may be answered so, and carawayturn passes no such
     /// request on.
-    protocol_switched
+    protocol_switched,
+    /// A Transfer-Encoding other than chunked alone, which no request accepts, or any in
+    /// HTTP/1.0 (RFC 9112, sections 6.1 and 7). The body would not be the server's.
+    unusable_transfer_coding
 };
 
 /// Returns the category of the error codes of answer_fault.
@@ -50,6 +53,11 @@
 /// Returns what is wrong with the status of an answer, if anything.
 [[nodiscard]] std::optional<answer_fault> find_status_fault(unsigned status);
 
+/// Returns what is wrong with a Transfer-Encoding field of an answer, if anything.
+/// @param version ten times the major version of HTTP plus the minor one.
+[[nodiscard]] std::optional<answer_fault> find_coding_fault(std::string_view value,
+                                                            unsigned version);
+
 /// Whether an error of reading means that the bytes are no answer. Errors of the
 /// connection, its end, and limits mean something else.
 [[nodiscard]] bool is_malformed_answer(boost::system::error_code failure);
@@ -83,6 +91,18 @@
         answer.reason(reason);
         answer.version(static_cast<unsigned>(version));
     }
+
+    void on_field_impl(boost::beast::http::field field, string_view name,
+                       string_view value, boost::system::error_code& failure) override
+    {
+        auto& answer = this->get();
+        answer.insert(field, name, value);
+        if (field != boost::beast::http::field::transfer_encoding)
+            return;
+        if (auto const fault =
+                find_coding_fault({value.data(), value.size()}, answer.version()))
+            failure = make_error_code(*fault);
+    }
 };
 
 } // namespace carawayturn
--- a/standins/malformed_answers.py
+++ b/standins/malformed_answers.py
@@ -80,6 +80,8 @@
     "bare line feeds": Start(line=b"X-Ab: 1", line_end=b"\n"),
     "bare carriage returns": Start(line=b"X-Ab: 1", line_end=b"\r"),
     "line feeds first": Start(line=b"X-Ab: 1", line_end=b"\n\r"),
+    **{f"transfer coding {coding}": Start(line=b"Transfer-Encoding: " + coding.encode())
+       for coding in ("gzip", "identity", "xchunked", "chunked", "gzip, chunked")},
 }
 
 # Unusual answers that RFC 9110 and RFC 9112 allow.
--- a/tests/entry/malformed_answer_test.py
+++ b/tests/entry/malformed_answer_test.py
@@ -188,6 +188,24 @@
                 self.assert_fails("/book/a", self.plain[0], play)
         self.assert_all_logged()
 
+    def test_body_in_a_coding_that_the_caller_would_not_see_fails(self) -> None:
+        """Guards against a coded body that is passed on without its Transfer-Encoding."""
+        chunks = chunk(FORGED_BODY) + END
+        for lines, body in (("Transfer-Encoding: gzip\r\n", FORGED_BODY),
+                            ("Transfer-Encoding: gzip, chunked\r\n", chunks),
+                            ("Transfer-Encoding: chunked, gzip\r\n", chunks),
+                            ("Transfer-Encoding: chunked, chunked\r\n", chunks),
+                            ("Transfer-Encoding: gzip\r\n" + CHUNKED, chunks)):
+            with self.subTest(lines=lines):
+                self.assert_fails("/book/a", self.plain[0], sends(lines, body))
+        with self.subTest(version="1.0"):
+            def play(connection: Connection, request: Request) -> None:
+                answer = head(request.id, CHUNKED) + chunks
+                connection.send(answer.replace(b"HTTP/1.1", b"HTTP/1.0"))
+                connection.finish()
+            self.assert_fails("/book/a", self.plain[0], play)
+        self.assert_all_logged()
+
     def test_unusual_answer_is_passed_on(self) -> None:
         """Guards against a check that rejects what the protocol allows."""
         for name, start in ALLOWED.items():
--- a/tests/protocol/answer_parser_test.cpp
+++ b/tests/protocol/answer_parser_test.cpp
@@ -197,6 +197,25 @@
     }
 }
 
+// Guards against a body that is passed on with a coding that is not.
+TEST_F(answer_parser_test, transfer_coding_other_than_chunked_is_malformed)
+{
+    std::string const chunks = "\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    for (auto const* const value : {"chunked", "Chunked", " ,chunked,\t"})
+        EXPECT_FALSE(parse("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(value) +
+                           chunks));
+    for (auto const* const value :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked",
+          "\"chunked\"", "chunked;a=1", "chunked x", "identity", "", ",",
+          "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: gzip",
+          "gzip\r\nContent-Length: 5", "chunked\r\nContent-Length: 5"})
+        expect_malformed("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(value) +
+                         chunks);
+    expect_malformed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: gzip" +
+                     chunks);
+    expect_malformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked" + chunks);
+}
+
 // Guards against a broken connection that looks like a server in trouble.
 TEST_F(answer_parser_test, end_of_connection_and_limits_are_not_malformed)
 {
