Keep the next server's run when the silent one sends bytes that are no answer

Cause: while another server is asked to take a request over from a silent one, or to answer beside it (hedged request), any bytes of the silent one before its head counted as its going on (check_silent_server), and the other's exchange was closed. Bytes that are no answer then failed the first exchange too, and the runs of the route were used up.

Evidence: malformed_answer_test, SilentServerTest, with max_attempts 2: the first server is silent for 2.4 s of 4 s and sends a status 000, a status 999, a name with a blank, or 000 with a sound answer behind it; the next one answers 0.6 s later.

Change: the head of the silent server is read (read_silent_head) instead of looking only for bytes. If it cannot become an answer the exchange is closed, the server counts as failed, also for a hedged request, and the next one's run goes on. read_head() returns `more` again once it has found the answer, so that the request can go back to its first server.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -176,6 +176,8 @@
 
 task<read_outcome> backend_exchange::read_head()
 {
+    if (answer_found_)
+        co_return read_outcome::more;
     while (skipped_answers_ <= max_skipped_answers)
     {
         if (!std::exchange(head_begun_, true))
@@ -200,7 +202,8 @@
         }
         ++skipped_answers_;
         metadata_ = platform::decode_answer_metadata(parser_->get());
-        if (!metadata_.several_ids && metadata_.request_id == request_id_)
+        answer_found_ = !metadata_.several_ids && metadata_.request_id == request_id_;
+        if (answer_found_)
             co_return read_outcome::more;
         bool const whole = co_await skip_answer();
         if (!whole)
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -60,7 +60,7 @@
     [[nodiscard]] task<bool> send(http::request_header<> head, std::string_view body);
 
     /// Reads the head of the answer. Skips answers to other requests. After `idle`, it is
-    /// called again.
+    /// called again; after `more`, it returns `more` again.
     [[nodiscard]] task<read_outcome> read_head();
     [[nodiscard]] http::response_header<> const& head() const { return parser_->get(); }
     /// The facts decoded from the head of the answer.
@@ -138,6 +138,8 @@
     bool head_request_ = false;
     /// A read of the head was interrupted, so a part of it may have been read.
     bool head_begun_ = false;
+    /// The head of the answer to this request has been read.
+    bool answer_found_ = false;
     /// Bytes that were read of the current head.
     std::size_t head_bytes_ = 0;
     std::size_t informational_bytes_ = 0;
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -301,6 +301,9 @@
     /// Reads what the silent server has sent while another one is asked. If it goes on,
     /// records that as the failure of the other one's exchange and returns true.
     [[nodiscard]] task<bool> check_silent_server();
+    /// Reads what has arrived of a silent server's head. Returns whether that may become
+    /// an answer, and closes the exchange otherwise.
+    [[nodiscard]] task<bool> read_silent_head(backend_exchange& exchange);
     /// Reads what has arrived of the silent server's stream. Returns whether that is an
     /// event with data or the end of the answer; comments and parts of events are kept.
     [[nodiscard]] task<bool> read_silent_stream(silent_attempt& silent);
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -251,16 +251,27 @@
 
 task<bool> request_flow::check_silent_server()
 {
+    auto& exchange = *silent_->exchange;
     bool goes_on = false;
-    if (silent_->exchange->head_read())
+    if (exchange.head_read())
         goes_on = co_await read_silent_stream(*silent_);
-    else
-        goes_on = silent_->exchange->has_unread_input();
+    else if (exchange.has_unread_input())
+        goes_on = co_await read_silent_head(exchange);
     if (goes_on)
         exchange_->set_failure("the silent server went on");
     co_return goes_on;
 }
 
+task<bool> request_flow::read_silent_head(backend_exchange& exchange)
+{
+    exchange.set_idle_limit(boot_now());
+    auto const read = co_await exchange.read_head();
+    if (read != read_outcome::failed)
+        co_return true;
+    exchange.close();
+    co_return false;
+}
+
 task<bool> request_flow::read_silent_stream(silent_attempt& silent)
 {
     auto& exchange = *silent.exchange;
@@ -294,7 +305,7 @@
 
 void request_flow::leave_server(silent_attempt& silent)
 {
-    if (!hedging_)
+    if (!hedging_ || silent.exchange->malformed())
         services_.backends.note_failure(silent.server.id, boot_now());
     excluded_.insert(silent.server.id);
     log_attempt(attempt_outcome::handed_over, {silent.server.id, silent.last_received,
--- a/tests/entry/malformed_answer_test.py
+++ b/tests/entry/malformed_answer_test.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import sys
 import threading
 import time
@@ -13,13 +14,14 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
-from answer_bytes import CHUNKED, END, STREAM, chunk, event, head  # noqa: E402
+from answer_bytes import (  # noqa: E402
+    CHUNKED, END, STREAM, chunk, event, head, with_length)
 from entry_fleet import Instance, configuration, wait_until  # noqa: E402
 from malformed_answers import (  # noqa: E402
     ALLOWED, FORGED_BODY, FORGED_VALUE, LOW_STATUSES, MALFORMED, STATUSES_THAT_ARE_NONE,
     sends_allowed, sends_head_before_answer, sends_malformed)
 from misbehaving_server import (  # noqa: E402
-    Connection, MisbehavingServer, Request, own_body, sends, stream)
+    Connection, MisbehavingServer, Request, good, own_body, sends, stream)
 from platform_fleet import Store  # noqa: E402
 
 BAD_GATEWAY = 502
@@ -276,6 +278,66 @@
                                                  headers={"X-Model": "m1"})
 
 
+class SilentServerTest(MalformedAnswerTest):
+    """The first server of a request is silent until another one has been asked to take the
+    request over, and then sends something."""
+
+    plain_count = 2
+    more_settings = RETRY_BUDGET
+
+    def configuration(self) -> dict:
+        config = super().configuration()
+        status = next(route for route in config["routes"] if route["name"] == "status")
+        status["max_attempts"] = 2
+        return config
+
+    def call_with_silent_server(self, speak) -> bytes:
+        """Returns the body of a request's answer. Another server is asked after half of the
+        deadline; the silent one speaks before that one answers."""
+        arrivals = itertools.count()
+
+        def run(connection: Connection, request: Request) -> None:
+            if next(arrivals) > 0:
+                time.sleep(1.0)
+                connection.send(with_length(request.id, b"the other's"))
+                return
+            time.sleep(2.4)
+            speak(connection, request)
+        self.play(self.plain, run)
+        status, body, _ = self.call("/status/a", headers={"X-Deadline-Ms": "4000"})
+        self.assertEqual(status, 200)
+        self.assertEqual(next(arrivals), 2)
+        return body
+
+    def test_malformed_answer_does_not_end_the_other_server_s_run(self) -> None:
+        """Guards against bytes that are no answer and count as progress of their server: the other
+        server's run was closed, and the request failed."""
+        for name in ("status 000", "status 999", "name with 0x20"):
+            with self.subTest(answer=name):
+                self.assertEqual(self.call_with_silent_server(sends_malformed(MALFORMED[name])),
+                                 b"the other's")
+
+    def test_answer_behind_a_status_that_is_none_does_not_end_the_other_server_s_run(self) -> None:
+        """Guards against the same with a sound answer behind it."""
+        self.assertEqual(
+            self.call_with_silent_server(sends_head_before_answer(b"HTTP/1.1 000 Said")),
+            b"the other's")
+
+    def test_sound_answer_of_the_silent_server_is_passed_on(self) -> None:
+        """Guards against an answer that is lost because it was read before it was expected."""
+        self.assertEqual(self.call_with_silent_server(good), b"answer of /status/a")
+
+    def test_answer_after_an_informational_one_of_the_silent_server_is_passed_on(self) -> None:
+        """Guards against a head that is read twice."""
+        def speak(connection: Connection, request: Request) -> None:
+            connection.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+            time.sleep(0.2)
+            connection.send(head(request.id, "Content-Length: 5\r\n"))
+            time.sleep(0.2)
+            connection.send(b"whole")
+        self.assertEqual(self.call_with_silent_server(speak), b"whole")
+
+
 class ResumedStreamTest(MalformedAnswerTest):
     """A stream breaks off, and the run that continues it is malformed."""
 
