Describe malformed answers from the reader's buffer

Three readers turned their buffer into text for describe_malformed_answer() by the same two lines; it takes the buffer now. No behaviour changes.

--- a/src/protocol/answer_parser.cpp
+++ b/src/protocol/answer_parser.cpp
@@ -57,7 +57,7 @@
 void append_escaped(std::string& text, char byte)
 {
     constexpr std::string_view digits = "0123456789abcdef";
-    if (byte > ' ' - 1 && byte < '\x7f' && byte != '\\' && byte != '"')
+    if (byte >= ' ' && byte < '\x7f' && byte != '\\' && byte != '"')
     {
         text += byte;
         return;
@@ -105,10 +105,11 @@
 }
 
 std::string describe_malformed_answer(boost::system::error_code failure,
-                                      std::string_view unread)
+                                      boost::asio::const_buffer unread)
 {
     std::string text = "malformed answer, " + failure.message() + ": ";
-    for (char const byte : unread.substr(0, max_described_bytes))
+    std::string_view const bytes(static_cast<char const*>(unread.data()), unread.size());
+    for (char const byte : bytes.substr(0, max_described_bytes))
         append_escaped(text, byte);
     return text;
 }
--- a/src/protocol/answer_parser.hpp
+++ b/src/protocol/answer_parser.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
@@ -63,11 +64,11 @@
 [[nodiscard]] bool is_malformed_answer(boost::system::error_code failure);
 
 /// Returns text for the log: the reason why bytes are no answer, and the first of them.
-/// @param unread bytes that the parser has not accepted, beginning with the line at
-/// fault.
-///     The text is printable ASCII; at most 64 of them are in it, others as \xNN.
+/// The text is printable ASCII; other bytes are written as \xNN, 64 bytes at most.
+/// @param unread bytes that the parser has not consumed, which begin with the faulty
+///     line.
 [[nodiscard]] std::string describe_malformed_answer(boost::system::error_code failure,
-                                                    std::string_view unread);
+                                                    boost::asio::const_buffer unread);
 
 /// Parses one answer of any kind; the body is read as by http::response_parser. Fails
 /// with an error for which is_malformed_answer() is true if the bytes are no answer. The
@@ -78,6 +79,8 @@
 private:
     using string_view = boost::beast::string_view;
 
+    // The functions of the base are private, so these also store the parts as it does.
+
     void on_response_impl(int status, string_view reason, int version,
                           boost::system::error_code& failure) override
     {
--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -247,12 +247,6 @@
     return read_outcome::failed;
 }
 
-std::string_view backend_exchange::unread_bytes() const
-{
-    auto const bytes = buffer_.cdata();
-    return {static_cast<char const*>(bytes.data()), bytes.size()};
-}
-
 bool backend_exchange::has_unread_input()
 {
     char byte = 0;
@@ -266,7 +260,7 @@
     connection_broken_ = !socket_->expired() && ends_connection(failure);
     malformed_ = !socket_->expired() && is_malformed_answer(failure);
     if (malformed_)
-        failure_ = describe_malformed_answer(failure, unread_bytes());
+        failure_ = describe_malformed_answer(failure, buffer_.cdata());
     else
         failure_ = socket_->expired() ? "deadline passed" : failure.message();
 }
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -122,8 +122,6 @@
     /// the reason and returns `failed`.
     [[nodiscard]] read_outcome failed_read(boost::system::error_code failure);
     void note_failure(boost::system::error_code failure);
-    /// Bytes that the parser has not consumed.
-    [[nodiscard]] std::string_view unread_bytes() const;
 
     std::shared_ptr<deadline_socket> socket_;
     std::string request_id_;
--- a/src/transport/http_call.cpp
+++ b/src/transport/http_call.cpp
@@ -110,11 +110,9 @@
     /// Returns why run() failed with this error.
     [[nodiscard]] std::string describe(boost::system::error_code failure) const
     {
-        if (!is_malformed_answer(failure))
-            return failure.message();
-        auto const unread = buffer_.cdata();
-        return describe_malformed_answer(
-            failure, {static_cast<char const*>(unread.data()), unread.size()});
+        return is_malformed_answer(failure)
+                   ? describe_malformed_answer(failure, buffer_.cdata())
+                   : failure.message();
     }
     [[nodiscard]] http::response<http::string_body> release()
     {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -67,12 +67,9 @@
     /// Logs the failure of a read if the server has sent bytes that are no answer.
     void log_failure(beast::error_code failure)
     {
-        if (!is_malformed_answer(failure))
-            return;
-        auto const unread = buffer.cdata();
-        log.write(log_number::answer_malformed, to_text(peer),
-                  describe_malformed_answer(
-                      failure, {static_cast<char const*>(unread.data()), unread.size()}));
+        if (is_malformed_answer(failure))
+            log.write(log_number::answer_malformed, to_text(peer),
+                      describe_malformed_answer(failure, buffer.cdata()));
     }
 
     beast::tcp_stream stream;
--- a/tests/protocol/answer_parser_test.cpp
+++ b/tests/protocol/answer_parser_test.cpp
@@ -229,17 +229,18 @@
 TEST_F(answer_parser_test, description_is_bounded_and_printable)
 {
     auto const failure = parse("HTTP/1.1 000 \"Said\"\\\xff\r\nX-Ab: 1\r\n\r\n");
-    EXPECT_EQ(describe_malformed_answer(failure, unread_.substr(0, 22)),
+    EXPECT_EQ(describe_malformed_answer(failure, boost::asio::buffer(unread_, 22)),
               "malformed answer, status out of range: "
               R"(HTTP/1.1 000 \x22Said\x22\x5c\xff\x0d)");
     std::string const long_line(100'000, '\0');
-    EXPECT_LT(describe_malformed_answer(failure, long_line).size(), 320U);
+    EXPECT_LT(describe_malformed_answer(failure, boost::asio::buffer(long_line)).size(),
+              320U);
 }
 
 TEST_F(answer_parser_test, description_begins_with_the_faulty_line)
 {
     auto const failure = parse("HTTP/1.1 200 OK\r\nX-Ab: 1\r\nX Ab: 2\r\n\r\n");
-    EXPECT_EQ(describe_malformed_answer(failure, unread_),
+    EXPECT_EQ(describe_malformed_answer(failure, boost::asio::buffer(unread_)),
               R"(malformed answer, bad field: X Ab: 2\x0d\x0a\x0d\x0a)");
 }
 
