Test a malformed answer of the next server; share a step of two tests

The request goes back to its silent server if the next one sends bytes that are no answer: handled before, so only the test is new. broken_answer_is_not_shown used the same eleven lines as the new tests do to refuse a request after its attempt; it calls refuse_after_attempt() now and checks what it checked.

--- a/tests/entry/malformed_answer_test.py
+++ b/tests/entry/malformed_answer_test.py
@@ -291,15 +291,19 @@
         status["max_attempts"] = 2
         return config
 
-    def call_with_silent_server(self, speak) -> bytes:
+    @staticmethod
+    def answer_late(connection: Connection, request: Request) -> None:
+        time.sleep(1.0)
+        connection.send(with_length(request.id, b"the other's"))
+
+    def call_with_silent_server(self, speak, answer_next=answer_late) -> bytes:
         """Returns the body of a request's answer. Another server is asked after half of the
-        deadline; the silent one speaks before that one answers."""
+        deadline; the silent one speaks before that one answers, if it answers late."""
         arrivals = itertools.count()
 
         def run(connection: Connection, request: Request) -> None:
             if next(arrivals) > 0:
-                time.sleep(1.0)
-                connection.send(with_length(request.id, b"the other's"))
+                answer_next(connection, request)
                 return
             time.sleep(2.4)
             speak(connection, request)
@@ -323,6 +327,15 @@
             self.call_with_silent_server(sends_head_before_answer(b"HTTP/1.1 000 Said")),
             b"the other's")
 
+    def test_malformed_answer_of_the_other_server_leaves_the_request_at_the_silent_one(
+            self) -> None:
+        """Guards against an exchange that is given up for bytes that are no answer."""
+        for name in ("status 000", "status 999", "name with 0x20"):
+            with self.subTest(answer=name):
+                self.assertEqual(
+                    self.call_with_silent_server(good, sends_malformed(MALFORMED[name])),
+                    b"answer of /status/a")
+
     def test_sound_answer_of_the_silent_server_is_passed_on(self) -> None:
         """Guards against an answer that is lost because it was read before it was expected."""
         self.assertEqual(self.call_with_silent_server(good), b"answer of /status/a")
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -269,16 +269,7 @@
 
 TEST_F(request_path_test, broken_answer_is_not_shown_and_reported_as_broken)
 {
-    override_ = [](event const& input) -> actions
-    {
-        auto const* const ended = std::get_if<dispatch_ended>(&input);
-        if (ended == nullptr)
-            return {};
-        refusal reason;
-        reason.code = refusal_code::backend_failed;
-        reason.ran = execution::unknown;
-        return {refuse_request{ended->request, reason}};
-    };
+    refuse_after_attempt();
     auto caller = call(chat_request_text("r1"));
     {
         auto backend = backend_.accept();
