Read an instance's pages with the reader of answers that the other commands use

Cause: read_entry_page() parsed the answer by itself with a bare Beast response.

Change: read_entry_page() makes its call with call_http(), which uses answer_parser and skips informational answers. The limit of 3 s was set on a blocking read before, where Beast does not apply it; it bounds the call now.

--- a/src/app/cli/entry_commands.cpp
+++ b/src/app/cli/entry_commands.cpp
@@ -2,11 +2,10 @@
 
 #include "platform/config_codec.hpp"
 #include "platform/settings_file.hpp"
+#include "transport/http_call.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
+#include <chrono>
+#include <utility>
 
 namespace carawayturn::cli
 {
@@ -14,10 +13,8 @@
 namespace
 {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
-
 constexpr auto call_timeout = std::chrono::seconds(3);
+constexpr unsigned ok_status = 200;
 
 } // namespace
 
@@ -47,29 +44,19 @@
 
 result<std::string> read_entry_page(endpoint const& address, std::string const& target)
 {
-    auto const peer = address.address + ":" + std::to_string(address.port);
-    try
-    {
-        boost::asio::io_context io;
-        beast::tcp_stream stream(io);
-        stream.expires_after(call_timeout);
-        stream.connect(boost::asio::ip::tcp::endpoint(
-            boost::asio::ip::make_address(address.address), address.port));
-        http::request<http::empty_body> request(http::verb::get, target, 11);
-        request.set(http::field::host, peer);
-        http::write(stream, request);
-        beast::flat_buffer buffer;
-        http::response<http::string_body> answer;
-        http::read(stream, buffer, answer);
-        if (answer.result() != http::status::ok)
-            return error{error_code::protocol_violation, "entry.read", peer,
-                         "answered " + std::to_string(answer.result_int())};
-        return answer.body();
-    }
-    catch (boost::system::system_error const& failure)
-    {
-        return error{error_code::unavailable, "entry.read", peer, failure.what()};
-    }
+    http_call request;
+    request.to = address;
+    request.target = target;
+    request.timeout = call_timeout;
+    auto answer = call_http(request);
+    if (!succeeded(answer))
+        return std::get<error>(answer);
+    auto& received = std::get<http_answer>(answer);
+    if (received.status != ok_status)
+        return error{error_code::protocol_violation, "entry.read",
+                     address.address + ":" + std::to_string(address.port),
+                     "answered " + std::to_string(received.status)};
+    return std::move(received.body);
 }
 
 } // namespace carawayturn::cli
--- a/src/app/cli/entry_commands.hpp
+++ b/src/app/cli/entry_commands.hpp
@@ -17,7 +17,8 @@
 [[nodiscard]] result<std::string> check_entry_config(std::string_view text);
 
 /// Reads a page of the metrics address of an instance on the platform, for example
-/// "/state". Errors: unavailable, or protocol_violation for an answer other than 200.
+/// "/state". Errors: those of call_http(), and protocol_violation for an answer other
+/// than 200.
 [[nodiscard]] result<std::string> read_entry_page(endpoint const& address,
                                                   std::string const& target);
 
