Round Retry-After up, so that a caller who returns then is not early

Cause: the time was printed with %.2f, which rounds to the nearest hundredth. Where the jitter added little, the text named a time up to 5 ms before the end. An instance that the hub has refused refuses by itself until units are expected, so it refused the caller without asking the hub.

Change: platform::set_retry_after() writes the header, rounded up to the next hundredth. The metric of promised returns keeps the unrounded time.

--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -4,7 +4,6 @@
 #include "transport/entry/request_flow_detail.hpp"
 
 #include <algorithm>
-#include <cstdio>
 
 namespace carawayturn::entry
 {
@@ -398,11 +397,9 @@
         // Random jitter keeps the callers from retrying all at the same time.
         double const jitter =
             1.0 + static_cast<double>(services_.random() % 250) / 1000.0;
-        double const seconds = to_seconds(why.retry_after) * jitter;
-        std::array<char, 32> text{};
-        std::snprintf(text.data(), text.size(), "%.2f", std::max(seconds, 0.01));
-        head.set(http::field::retry_after, text.data());
-        services_.metrics.observe_promised_return(from_seconds(seconds));
+        auto const promised = from_seconds(to_seconds(why.retry_after) * jitter);
+        platform::set_retry_after(head, promised);
+        services_.metrics.observe_promised_return(promised);
     }
     std::string const name(entry::name_of(why.reason));
     std::string body = R"({"error":{"code":")" + name + R"("}})";
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -357,6 +357,27 @@
     EXPECT_FALSE(decode_answer_metadata(answer).notice.pause);
 }
 
+// Guards against a caller who returns when told to and is refused again, because the time
+// was rounded down.
+TEST(caller_answer_codec_test, retry_after_is_rounded_up_to_hundredths_of_a_second)
+{
+    http::response_header<> answer;
+    for (auto const& [time, text] :
+         {std::pair<duration, char const*>{duration::zero(), "0.01"},
+          {std::chrono::microseconds(1), "0.01"},
+          {std::chrono::milliseconds(20), "0.02"},
+          {std::chrono::microseconds(20001), "0.03"},
+          {std::chrono::milliseconds(454), "0.46"},
+          {std::chrono::milliseconds(460), "0.46"},
+          {std::chrono::microseconds(999999), "1.00"},
+          {std::chrono::milliseconds(1000), "1.00"},
+          {std::chrono::milliseconds(12345), "12.35"}})
+    {
+        set_retry_after(answer, time);
+        EXPECT_EQ(answer["Retry-After"], text);
+    }
+}
+
 // Guards against overwriting another holder's lease.
 TEST(store_codec_test, lease_write_expects_the_known_version)
 {
