Let the stand-in keep the connections that its sound answers promise to keep; test malformed ends

The test was wrong. malformed_answer_test's stand-in closed the connection after a sound answer that had promised to keep it. An instance that reused the connection before the close had reached it lost a request that may not be repeated, and answered 502, as it must.

Change: sends_allowed() and sends_head_before_answer() keep the connection. The tests of an answer hidden behind a status that is none use sends_answer_behind_status(), which waits until the instance hangs up. That is stricter: the stand-in closed the connection by itself before, so the check that the instance closes it could not fail. No check or case is taken out; the lines that are gone are the two calls of finish() and the three that built the behaviour in place.

A new test guards what was handled already: a stream, or a body that is longer than what is held back, is broken off where a trailer or a chunk size is malformed. A chunk size with bare line feeds that the connection's end follows counts as a cut answer ("partial message").

--- a/standins/malformed_answers.py
+++ b/standins/malformed_answers.py
@@ -118,18 +118,27 @@
 
 
 def sends_allowed(start: Start):
-    """Returns a behaviour that sends the request's own answer in this form."""
+    """Returns a behaviour that sends the request's own answer in this form, and keeps the
+    connection."""
     def play(connection: Connection, request: Request) -> None:
         body = b"" if request.method == "HEAD" else own_body(request)
         connection.send(build(start, request.id, body))
-        connection.finish()
     return play
 
 
 def sends_head_before_answer(status_line: bytes):
-    """Returns a behaviour that sends a head without a body in front of a sound answer."""
+    """Returns a behaviour that sends a head without a body in front of a sound answer, and keeps
+    the connection."""
     def play(connection: Connection, request: Request) -> None:
         connection.send(status_line + b"\r\nX-Request-Id: " + request.id.encode() + b"\r\n\r\n")
         good(connection, request)
-        connection.finish()
+    return play
+
+
+def sends_answer_behind_status(code: str):
+    """Returns a behaviour that hides a sound answer behind a head with a status that is none, and
+    waits until it is hung up on."""
+    def play(connection: Connection, request: Request) -> None:
+        sends_head_before_answer(f"HTTP/1.1 {code} Said".encode())(connection, request)
+        connection.wait_for_close()
     return play
--- a/tests/entry/malformed_answer_test.py
+++ b/tests/entry/malformed_answer_test.py
@@ -19,7 +19,7 @@
 from entry_fleet import Instance, configuration, wait_until  # noqa: E402
 from malformed_answers import (  # noqa: E402
     ALLOWED, FORGED_BODY, FORGED_VALUE, LOW_STATUSES, MALFORMED, STATUSES_THAT_ARE_NONE,
-    sends_allowed, sends_head_before_answer, sends_malformed)
+    sends_allowed, sends_answer_behind_status, sends_head_before_answer, sends_malformed)
 from misbehaving_server import (  # noqa: E402
     Connection, MisbehavingServer, Request, good, own_body, sends, stream)
 from platform_fleet import Store  # noqa: E402
@@ -31,6 +31,8 @@
 DETAIL_BYTES = 400
 # A sound server answers at once; a connection that is closed is closed by then.
 PROMPT_S = 1.0
+# Longer than what is held back until the whole answer has arrived.
+LONG_BODY_BYTES = 256 * 1024
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 6))
 BEGUN_STREAM = event(1) + event(2)
 # A few of each part of the head, for tests that play each case several times.
@@ -146,8 +148,7 @@
         """Guards against a status below 100 that is skipped as if it were informational."""
         for code in (*LOW_STATUSES, "101"):
             with self.subTest(status=code):
-                way = sends_head_before_answer(f"HTTP/1.1 {code} Said".encode())
-                self.assert_fails("/book/a", self.plain[0], way)
+                self.assert_fails("/book/a", self.plain[0], sends_answer_behind_status(code))
         self.assert_all_logged()
 
     def test_head_request_fails(self) -> None:
@@ -190,6 +191,28 @@
                 self.assert_fails("/book/a", self.plain[0], play)
         self.assert_all_logged()
 
+    def test_answer_that_has_begun_is_broken_off_at_bytes_that_are_none(self) -> None:
+        """Guards against a stream or a long body that ends as if it were whole."""
+        begun = {"/draft/a": (STREAM, chunk(WHOLE_STREAM)),
+                 "/book/a": (CHUNKED, chunk(b"x" * LONG_BODY_BYTES))}
+        # A chunk size whose line does not end is an answer that was cut.
+        cut = b"0\n\n"
+        for path, end in itertools.product(
+                begun, (b"0\r\nX Ab: 1\r\n\r\n", b"0\r\nX-A\x01b: 1\r\n\r\n",
+                        b"-1\r\nx\r\n", cut)):
+            with self.subTest(path=path, end=end):
+                framing, body = begun[path]
+                self.play([*self.plain, *self.runners], sends(framing, body, end))
+                self.requests += 1
+                request_id = f"q{self.requests}"
+                if end != cut:
+                    self.malformed.append(request_id)
+                received, complete, _ = self.instance.stream(path, "m1", request_id)
+                self.assertFalse(complete)
+                self.assertIn(received[:1], body)
+                self.assertTrue(self.closed.wait(PROMPT_S), "the connection is closed")
+        self.assert_all_logged()
+
     def test_body_in_a_coding_that_the_caller_would_not_see_fails(self) -> None:
         """Guards against a coded body that is passed on without its Transfer-Encoding."""
         chunks = chunk(FORGED_BODY) + END
@@ -265,8 +288,8 @@
         """Guards against the second answer on a connection that holds no first one."""
         for code in LOW_STATUSES:
             with self.subTest(status=code):
-                way = sends_head_before_answer(f"HTTP/1.1 {code} Said".encode())
-                self.assert_other_server_answers("/status/a", self.plain, way,
+                self.assert_other_server_answers("/status/a", self.plain,
+                                                 sends_answer_behind_status(code),
                                                  b"answer of /status/a")
 
     def test_stream_is_answered_by_the_other_server(self) -> None:
@@ -324,7 +347,7 @@
     def test_answer_behind_a_status_that_is_none_does_not_end_the_other_server_s_run(self) -> None:
         """Guards against the same with a sound answer behind it."""
         self.assertEqual(
-            self.call_with_silent_server(sends_head_before_answer(b"HTTP/1.1 000 Said")),
+            self.call_with_silent_server(sends_answer_behind_status("000")),
             b"the other's")
 
     def test_malformed_answer_of_the_other_server_leaves_the_request_at_the_silent_one(
