Leave a log line that is still being written out of the events that tests read

Instance.events() parsed every line of a log that its process was writing. The process writes pieces of 4096 bytes, which may end inside a line, so a test that polled the log could end with a JSONDecodeError.

Change: only lines that have their line feed are read. Nothing else is left out: a test that waits for a line sees it when it is whole.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -200,7 +200,9 @@
             connection.close()
 
     def events(self, number: int) -> list[dict]:
-        lines = self.log_path.read_text(encoding="utf-8").splitlines()
+        """Returns the logged events with this number. A line that is still being written is left
+        out: the process writes its log in pieces that may end inside a line."""
+        lines = self.log_path.read_bytes().split(b"\n")[:-1]
         return [event for event in map(json.loads, lines) if event["number"] == number]
 
 
