Log the event after which an attempt was asked to go on, and the last one that the caller has

Of the two ways in which a stream can end early in whole chunks, incomplete_bytes shows the end inside an event; a resumed run that ends without an event shows now as resumed_after with body_bytes 0.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -22,7 +22,8 @@
     if (!ended)
         outcome = co_await receive_answer();
     note_broken_connection();
-    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_});
+    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_,
+                          continuation_, resumed_after_});
     exchange_.reset();
     in_flight_.reset();
     co_return outcome;
@@ -58,6 +59,8 @@
          {"framing", entry::name_of(framing)},
          {"body_bytes", exchange ? exchange->body_bytes() : 0},
          {"incomplete_bytes", std::uint64_t{incomplete}},
+         {"resumed_after", attempt.resumed_after},
+         {"last_event_id", attempt.continuation.last_id()},
          {"begun_ms", exchange ? to_ms(exchange->time_since_head(now)) : 0},
          {"silent_ms", to_ms(now - attempt.last_received)},
          {"elapsed_ms", to_ms(now - arrival_)}});
@@ -69,6 +72,7 @@
     logged_silence_.reset();
     unread_since_.reset();
     run_begun_ = false;
+    resumed_after_.clear();
     auto connection = co_await services_.connections.acquire_for_request(
         server_.id, server_.address, head_.id, start_deadline_, connecting_);
     if (interrupted())
@@ -108,6 +112,7 @@
     parameters.priority = priority();
     if (stream_begun_)
         parameters.resume_after = continuation_.last_id();
+    resumed_after_ = stream_begun_ ? parameters.resume_after : head_.resume_after;
     ++sends_;
     ++runs_;
     note_sending(now);
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -138,6 +138,7 @@
         stream_continuation continuation;
         http::response_header<> answer_head;
         bool run_begun;
+        std::string resumed_after;
     };
     /// What the log line of an attempt that has ended is made of.
     struct ended_attempt
@@ -147,6 +148,8 @@
         /// Null if there was no connection.
         backend_exchange const* exchange;
         event_splitter const& events;
+        stream_continuation const& continuation;
+        std::string const& resumed_after;
     };
     struct buffered_answer
     {
@@ -422,6 +425,9 @@
     http::response_header<> answer_head_;
     /// begin_run() was called for the current exchange.
     bool run_begun_ = false;
+    /// Id of the event after which the current attempt was asked to go on; empty if it
+    /// begins the stream.
+    std::string resumed_after_;
     std::string answer_body_;
     byte_reservation answer_memory_;
     /// The latest complete answer with an error status of a server.
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -165,9 +165,10 @@
 
 task<bool> request_flow::ask_reserved_server()
 {
-    silent_.emplace(silent_attempt{
-        std::move(server_), std::move(in_flight_), std::move(exchange_), last_received_,
-        std::exchange(events_, {}), continuation_, answer_head_, run_begun_});
+    silent_.emplace(silent_attempt{std::move(server_), std::move(in_flight_),
+                                   std::move(exchange_), last_received_,
+                                   std::exchange(events_, {}), continuation_,
+                                   answer_head_, run_begun_, resumed_after_});
     server_ = *std::exchange(reserved_server_, std::nullopt);
     in_flight_ =
         std::make_unique<in_flight_guard>(services_, server_.id, head_.model.str());
@@ -308,14 +309,16 @@
     if (!hedging_ || silent.exchange->malformed())
         services_.backends.note_failure(silent.server.id, boot_now());
     excluded_.insert(silent.server.id);
-    log_attempt(attempt_outcome::handed_over, {silent.server.id, silent.last_received,
-                                               silent.exchange.get(), silent.events});
+    log_attempt(attempt_outcome::handed_over,
+                {silent.server.id, silent.last_received, silent.exchange.get(),
+                 silent.events, silent.continuation, silent.resumed_after});
 }
 
 void request_flow::return_to_server(silent_attempt& silent, attempt_outcome outcome)
 {
     note_broken_connection();
-    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_});
+    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_,
+                          continuation_, resumed_after_});
     excluded_.insert(server_.id);
     server_ = std::move(silent.server);
     in_flight_ = std::move(silent.in_flight);
@@ -325,6 +328,7 @@
     continuation_ = std::move(silent.continuation);
     answer_head_ = std::move(silent.answer_head);
     run_begun_ = silent.run_begun;
+    resumed_after_ = std::move(silent.resumed_after);
 }
 
 } // namespace carawayturn::entry
