Test streams that end early in whole chunks; known red

A server ends the body of a stream properly inside an event, at every byte, in chunks and with a length; a resumed run ends so without an event, first and after a silence.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -139,15 +139,16 @@
         finally:
             connection.close()
 
-    def stream(self, path: str, model: str,
-               request_id: str = "s1") -> tuple[bytes, bool, http.client.HTTPMessage | None]:
+    def stream(self, path: str, model: str, request_id: str = "s1",
+               headers: dict[str, str] | None = None,
+               ) -> tuple[bytes, bool, http.client.HTTPMessage | None]:
         """Sends one request of a streaming route on a new connection. Returns the received bytes
         of the stream, whether it ended as complete, and the headers if it did."""
         connection = http.client.HTTPConnection("127.0.0.1", self.front_port, timeout=HANG_LIMIT_S)
         try:
             connection.request("POST", path, b"x", {
                 "Host": "h.example", "X-Request-Id": request_id, "X-Model": model,
-                "Authorization": "Token k1"})
+                "Authorization": "Token k1", **(headers or {})})
             answer = connection.getresponse()
             return answer.read(), answer.status == 200, answer.headers
         except http.client.IncompleteRead as failure:
--- /dev/null
+++ b/tests/entry/stream_end_test.py
@@ -0,0 +1,97 @@
+"""Tests an instance process whose backend servers end the body of a stream properly, but too early.
+
+The servers' framing says that the answer is whole: its last chunk arrives, or all bytes of its
+length. A stream is complete only if it ends after an event, and a run that was asked to go on has
+sent one.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+import unittest
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
+from answer_bytes import END, STREAM, chunk, event, head  # noqa: E402
+from misbehaving_server import Connection, Request, sends, stream  # noqa: E402
+from resumed_stream_case import (  # noqa: E402
+    BEGUN_STREAM, WHOLE_STREAM, ResumedStreamCase, breaks_off, sends_events)
+
+# Longer than the time after which another server is looked for: five times the gap objective.
+SILENCE_S = 2.5
+EVENT_STREAM = "Content-Type: text/event-stream\r\n"
+ends_without_event = sends(STREAM, END)
+# Framings of a complete body, by name.
+FRAMINGS = {
+    "chunks": lambda body: sends(STREAM, chunk(body), END),
+    "length": lambda body: sends(f"{EVENT_STREAM}Content-Length: {len(body)}\r\n", body)}
+
+
+class StreamEndTest(ResumedStreamCase):
+    """Plays ends of answers that are whole in their framing."""
+
+    def test_stream_whose_body_ends_inside_an_event_is_resumed(self) -> None:
+        """Guards against a part of an event at the end of a stream that looks complete, for each
+        byte after which the body may end."""
+        first, second = event(1), event(2)
+        for name, framed in FRAMINGS.items():
+            for cut in range(1, len(second)):
+                with self.subTest(framing=name, cut=cut):
+                    self.assertEqual(self.stream(framed(first + second[:cut]), stream),
+                                     (WHOLE_STREAM, True))
+                    self.assertEqual(self.resume_points, [None, "1"])
+
+    def test_stream_whose_body_ends_inside_its_first_event_is_sent_again(self) -> None:
+        """Guards against the same before the caller has an event."""
+        for name, framed in FRAMINGS.items():
+            with self.subTest(framing=name):
+                self.assertEqual(self.stream(framed(b"id: 1\nda"), stream), (WHOLE_STREAM, True))
+
+    def test_stream_whose_every_run_ends_inside_an_event_is_not_complete(self) -> None:
+        """Guards against a cut stream that looks complete because no server can continue it."""
+        for name, framed in FRAMINGS.items():
+            with self.subTest(framing=name):
+                self.assertEqual(self.stream(framed(BEGUN_STREAM + b"id: 3\nda"),
+                                             framed(b"id: 3\nda")), (BEGUN_STREAM, False))
+
+    def test_lines_without_the_blank_one_are_inside_an_event(self) -> None:
+        """Guards against an event without its end, which callers discard."""
+        begun = BEGUN_STREAM + b"id: 3\ndata: 3\n"
+        self.assertEqual(self.stream(sends_events(begun), stream), (WHOLE_STREAM, True))
+
+    def test_comment_after_the_last_event_does_not_make_the_stream_incomplete(self) -> None:
+        """Guards against the refusal of a complete stream."""
+        for name, framed in FRAMINGS.items():
+            with self.subTest(framing=name):
+                whole = WHOLE_STREAM + b": comment"
+                self.assertEqual(self.stream(framed(whole)), (whole, True))
+
+    def test_resumed_run_that_ends_without_an_event_does_not_end_the_stream(self) -> None:
+        """Guards against a server that answers a resumed stream with nothing but its end: the
+        stream looked complete after the event at which it broke off."""
+        for name, framed in FRAMINGS.items():
+            with self.subTest(framing=name):
+                self.assertEqual(self.stream(breaks_off, framed(b""), stream),
+                                 (WHOLE_STREAM, True))
+                self.assertEqual(self.resume_points, [None, "2", "2"])
+
+    def test_run_without_an_event_ends_the_stream_only_if_another_server_confirms_it(self) -> None:
+        """Guards against the refusal of a stream whose end alone was missing, and against the
+        word of one server for it."""
+        breaks_off_at_the_end = sends(STREAM, chunk(WHOLE_STREAM))
+        self.assertEqual(self.stream(breaks_off_at_the_end, stream), (WHOLE_STREAM, True))
+        self.assertEqual(self.resume_points, [None, "5", "5"])
+
+    def test_next_server_that_ends_without_an_event_does_not_end_a_silent_stream(self) -> None:
+        """Guards against the same where a server is silent and goes on later."""
+        def pauses(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, STREAM) + chunk(BEGUN_STREAM))
+            time.sleep(SILENCE_S)
+            connection.send(b"".join(chunk(event(number)) for number in range(3, 6)) + END)
+
+        self.assertEqual(self.stream(pauses, ends_without_event), (WHOLE_STREAM, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
