Check the events of a run with which a caller takes a stream up again

Cause: only runs that the instance itself resumed were checked against the last event. With a Last-Event-Id of the caller's, a server that starts over sent events twice, and one that ended its answer at once ended the caller's stream as complete.

Change: on a route that may be resumed, the stream begins after the caller's event (stream_continuation::take_up), so its first run is checked like any that resumes. Before an event is passed on, a run that does not continue is replaced by the next one. An id that is no number is left to the server, as before.

--- a/src/protocol/entry/stream_continuation.cpp
+++ b/src/protocol/entry/stream_continuation.cpp
@@ -145,6 +145,12 @@
     return continuation_fault::none;
 }
 
+void stream_continuation::take_up(std::string const& last_id)
+{
+    if (is_decimal(last_id) && last_id.size() <= max_resume_id_bytes)
+        last_id_ = last_id;
+}
+
 void stream_continuation::begin_run()
 {
     resumed_ = !last_id_.empty();
--- a/src/protocol/entry/stream_continuation.hpp
+++ b/src/protocol/entry/stream_continuation.hpp
@@ -82,12 +82,17 @@
 class stream_continuation
 {
 public:
+    /// Takes over a stream of which the caller has received the events up to `last_id`,
+    /// at another instance or in an earlier request. The events of the first run are
+    /// checked then, unless the id is one whose order is unknown.
+    void take_up(std::string const& last_id);
+
     /// Begins the events of another run, which was asked for the events after last_id().
     /// Without that id, the run starts from the beginning and its events are not checked.
     void begin_run();
 
     /// Takes complete events of the current run and returns how many of them may be
-    /// passed on. The events of the first run are passed on as they are.
+    /// passed on. The events of a run that begins the stream are passed on as they are.
     [[nodiscard]] accepted_events accept(std::string_view events);
 
     /// Returns whether the current run has sent no event.
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -404,6 +404,8 @@
         if (events.empty())
             continue;
         auto const accepted = continuation_.accept(events);
+        if (accepted.bytes == 0)
+            co_return reject_continuation(accepted.fault);
         events.resize(accepted.bytes);
         if (events_.last_taken_has_data())
         {
@@ -433,9 +435,8 @@
 {
     run_begun_ = true;
     // The head is taken before the body is read, because trailers are added to it.
-    if (stream_begun_)
-        continuation_.begin_run();
-    else
+    continuation_.begin_run();
+    if (!stream_begun_)
         answer_head_ = platform::encode_caller_answer(exchange_->head());
 }
 
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -96,6 +96,8 @@
         return refusal{refusal_reason::request_crashes_servers, {}};
     if (!service_->engine)
         head_.model = {};
+    if (route_->kind == request_kind::stream && route_->resumable)
+        continuation_.take_up(head_.resume_after);
     set_deadlines();
     if (start_deadline_ <= now)
         return refusal{refusal_reason::deadline_unreachable, {}};
--- a/tests/entry/stream_continuation_test.cpp
+++ b/tests/entry/stream_continuation_test.cpp
@@ -291,5 +291,30 @@
         EXPECT_FALSE(begins_event(bytes)) << bytes;
 }
 
+// Guards against events that a caller already has when it takes a stream up again.
+TEST_F(stream_continuation_test, first_run_of_a_stream_that_is_taken_up_is_checked)
+{
+    stream_.take_up("2");
+    stream_.begin_run();
+    EXPECT_EQ(stream_.accept("id: 2\ndata: 2\n\n").fault,
+              continuation_fault::event_id_not_greater);
+    EXPECT_EQ(stream_.accept("id: 3\ndata: 3\n\n").fault, continuation_fault::none);
+    EXPECT_EQ(stream_.last_id(), "3");
+}
+
+// Guards against the refusal of events that cannot be compared with the caller's last
+// one.
+TEST_F(stream_continuation_test, id_that_is_no_short_number_is_not_compared)
+{
+    for (std::string const& id :
+         {std::string("x"), std::string(max_resume_id_bytes + 1, '3')})
+    {
+        stream_.take_up(id);
+        stream_.begin_run();
+        EXPECT_EQ(stream_.accept("id: 1\ndata: 1\n\n").fault, continuation_fault::none);
+        stream_ = {};
+    }
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/stream_end_test.py
+++ b/tests/entry/stream_end_test.py
@@ -93,5 +93,46 @@
         self.assertEqual(self.stream(pauses, ends_without_event, stream), (WHOLE_STREAM, True))
 
 
+class TakenUpStreamTest(ResumedStreamCase):
+    """Plays the answers to a caller that has two events and takes the stream up again."""
+
+    def take_up(self, *ways) -> tuple[bytes, bool]:
+        self.ways, self.resume_points = list(ways), []
+        received, whole, _ = self.instance.stream("/draft/a", "m1",
+                                                  headers={"Last-Event-Id": "2"})
+        return received, whole
+
+    def test_stream_that_is_taken_up_goes_on_after_the_callers_event(self) -> None:
+        """Guards against the refusal of a correct continuation."""
+        self.assertEqual(self.take_up(stream), (WHOLE_STREAM[len(BEGUN_STREAM):], True))
+        self.assertEqual(self.resume_points, ["2"])
+
+    def test_run_that_ends_without_an_event_does_not_end_a_stream_that_is_taken_up(self) -> None:
+        """Guards against a stream that looks complete after the caller's event."""
+        rest = WHOLE_STREAM[len(BEGUN_STREAM):]
+        self.assertEqual(self.take_up(ends_without_event, stream), (rest, True))
+        self.assertEqual(self.take_up(sends(STREAM, chunk(b"id: 3\nda"), END), stream),
+                         (rest, True))
+
+    def test_run_that_starts_over_adds_no_event_to_a_stream_that_is_taken_up(self) -> None:
+        """Guards against events that the caller already has."""
+        starts_over = sends_events(*(event(number) for number in range(1, 6)))
+        rest = WHOLE_STREAM[len(BEGUN_STREAM):]
+        self.assertEqual(self.take_up(starts_over, stream), (rest, True))
+        received, whole = self.take_up(starts_over)
+        self.assertNotIn(event(1), received)
+        self.assertFalse(whole)
+
+    def test_resume_point_that_is_no_number_is_left_to_the_server(self) -> None:
+        """Guards against the refusal of a stream for a resume point that cannot be compared."""
+        for point in ("x", "3" * 300, "\u00e9"):
+            with self.subTest(point=point):
+                self.ways = [sends_events(b"id: y\ndata: 1\n\n")]
+                self.assertEqual(
+                    self.instance.stream("/draft/a", "m1",
+                                         headers={"Last-Event-Id": point})[:2],
+                    (b"id: y\ndata: 1\n\n", True))
+
+
 if __name__ == "__main__":
     unittest.main()
