--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -444,6 +444,9 @@
     def __init__(self, store, name: str, service: str, models: list[str] | None = None) -> None:
         self.store, self.name, self.service = store, name, service
         self.models = models or []
+        # Version of the server's software and its start time, in the server's row and reports.
+        self.version: object = "v1"
+        self.born = 1
         self.way = "good"
         # The selected behaviour if it was passed as a function; used instead of `way`.
         self.own_way = None
@@ -463,7 +466,7 @@
         """Writes the server's entry to the store."""
         self.store.put("servers", self.name, {
             "service": self.service, "address": self.address, "zone": "a", "slots": 4,
-            "state": "ready", "seq": 1, "born": 1,
+            "state": "ready", "seq": 1, "born": self.born, "version": self.version,
             "models": [{"name": name, "version": 1, "adapters": []} for name in self.models]})
 
     def close(self) -> None:
@@ -508,7 +511,7 @@
         elif request.path == "/report":
             body = json.dumps({"models": [{"name": name, "version": 1, "adapters": []}
                                           for name in self.models],
-                               "busy": False, "seq": 0, "born": 1}).encode()
+                               "busy": False, "seq": 0, "born": self.born}).encode()
             connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
                             % (len(body), body))
         else:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -21,6 +21,8 @@
 
 # Interval at which a service checks whether it is to stop, in seconds.
 STOP_POLL_S = 0.05
+# Number of rows in one answer of the store.
+MAX_ROWS = 500
 # Number of slots in a server's row.
 ROW_SLOTS = 4
 # Number of models of the tests' configuration that fit into a runner's memory.
@@ -126,13 +128,15 @@
 
     def remove(self, table: str, key: str) -> None:
         with self.lock:
-            self.version += 1
-            self.rows.pop((table, key), None)
-            self.history.append(
-                {"table": table, "part": "", "key": key, "row_version": self.version,
-                 "tombstone": True})
+            self._remove(table, key)
             self.lock.notify_all()
 
+    def _remove(self, table: str, key: str, part: str = "") -> None:
+        self.version += 1
+        self.rows.pop((table, key), None)
+        self.history.append({"table": table, "part": part, "key": key,
+                             "row_version": self.version, "tombstone": True})
+
     def forget_history(self) -> None:
         with self.lock:
             self.oldest = self.version
@@ -143,9 +147,9 @@
             row = self.rows.get((table, key))
             return json.loads(base64.b64decode(row["value"])) if row else None
 
-    def _write(self, table: str, key: str, value: str) -> None:
+    def _write(self, table: str, key: str, value: str, part: str = "") -> None:
         self.version += 1
-        row = {"table": table, "part": "", "key": key, "value": value,
+        row = {"table": table, "part": part, "key": key, "value": value,
                "row_version": self.version}
         self.rows[(table, key)] = row
         self.history.append(row)
@@ -172,8 +176,12 @@
     def _get(self, query: dict, _: bytes) -> tuple[int, dict]:
         with self.lock:
             rows = [row for (table, key), row in sorted(self.rows.items())
-                    if table == query["table"] and key >= query.get("from", "")]
-            return 200, {"rows": rows, "truncated": False, **self._version_and_time()}
+                    if table == query["table"] and row["part"] == query["part"]
+                    and key >= query.get("from", "")
+                    and ("to" not in query or key < query["to"])]
+            limit = int(query.get("limit", MAX_ROWS))
+            return 200, {"rows": rows[:limit], "truncated": len(rows) > limit,
+                         **self._version_and_time()}
 
     def _feed(self, query: dict, _: bytes) -> tuple[int, dict]:
         after = int(query["after"])
@@ -197,7 +205,9 @@
                 if (row["row_version"] if row else 0) != expected["row_version"]:
                     return 412, {"rows": [row] if row else [], **self._version_and_time()}
             for write in call["writes"]:
-                self._write(write["table"], write["key"], write["value"])
+                self._write(write["table"], write["key"], write["value"], write["part"])
+            for removed in call["remove"]:
+                self._remove(removed["table"], removed["key"], removed["part"])
             self.lock.notify_all()
             return 200, self._version_and_time()
 
@@ -263,6 +273,8 @@
         self.name = name
         self.service = service
         self.zone = zone
+        # Version of the server's software in its row; a row without one has None.
+        self.version: object = "v1"
         self.models = {model: [] for model in models or []}
         self.is_runner = models is not None
         self.order_count = 0
@@ -330,7 +342,8 @@
         self.store.put("servers", self.name, {
             "service": self.service, "address": self.public_address, "zone": self.zone,
             "slots": ROW_SLOTS,
-            "state": state, "seq": 1, "born": self.born, "models": self._models()})
+            "state": state, "seq": 1, "born": self.born, "models": self._models(),
+            **({} if self.version is None else {"version": self.version})})
 
     def _models(self) -> list[dict]:
         return [{"name": name, "version": 1, "adapters": adapters}
