Decode the version of a server's software and which stream a caller takes up, and log them

A version that is missing, too long or no visible text is unknown, and the server is used as before. The version is a new last field of a server's record in the messages between instances.

--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -27,7 +27,7 @@
 {
     archive(value.id, value.service, value.address, value.failure_domain, value.slots,
             value.draining, value.born_ms, value.models, value.cached_in_memory,
-            value.cached_on_disk, value.cold_for_s);
+            value.cached_on_disk, value.cold_for_s, value.software_version);
 }
 
 template <class Archive>
--- a/src/state/entry/backend_record.hpp
+++ b/src/state/entry/backend_record.hpp
@@ -43,6 +43,9 @@
     /// Remaining cold time that the row in the store states. It differs with each row, so
     /// instances are not sent it.
     std::optional<duration> cold_left = std::nullopt;
+    /// Version of the server's software; empty if its row does not state it. Unrelated to
+    /// the versions of models. Versions have no order.
+    std::string software_version = {};
 
     friend bool operator==(backend_record const&, backend_record const&) = default;
 };
--- a/src/state/entry/directory_digest.cpp
+++ b/src/state/entry/directory_digest.cpp
@@ -17,7 +17,8 @@
     auto hash = stable_hash(record.id);
     for (std::string_view const text :
          {std::string_view(record.service), std::string_view(record.address),
-          std::string_view(record.failure_domain)})
+          std::string_view(record.failure_domain),
+          std::string_view(record.software_version)})
         hash = stable_hash(text, hash);
     auto const numbers = std::to_string(record.slots) + (record.draining ? " d " : " ") +
                          std::to_string(record.born_ms) + " " +
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -197,6 +197,7 @@
                    {{"server", record.id},
                     {"service", record.service},
                     {"address", record.address},
+                    {"version", record.software_version},
                     {"draining", std::int64_t{record.draining}},
                     {"models", std::uint64_t{record.models.size()}},
                     {"born_ms", record.born_ms}});
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -22,7 +22,7 @@
     if (!ended)
         outcome = co_await receive_answer();
     note_broken_connection();
-    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_,
+    log_attempt(outcome, {server_, last_received_, exchange_.get(), events_,
                           continuation_, resumed_after_});
     exchange_.reset();
     in_flight_.reset();
@@ -52,7 +52,8 @@
     services_.log.write(
         entry_event::attempt_ended,
         {{"request", head_.id},
-         {"server", attempt.server},
+         {"server", attempt.server.id},
+         {"server_version", attempt.server.software_version},
          {"send", std::uint64_t{sends_}},
          {"end", name_of(outcome)},
          {"detail", exchange ? std::string_view(exchange->failure()) : "no connection"},
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -434,6 +434,8 @@
          {"model", model},
          {"server", server_.id},
          {"sends", std::uint64_t{sends_}},
+         {"resumes", std::string_view(head_.begun_as).substr(0, max_logged_id)},
+         {"resume_after", std::string_view(head_.resume_after).substr(0, max_logged_id)},
          {"not_repeated", entry::name_of(denial_)},
          {"first_event_ms", to_ms(first_event_after_)},
          {"longest_gap_ms", to_ms(longest_gap_)},
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -144,7 +144,7 @@
     /// What the log line of an attempt that has ended is made of.
     struct ended_attempt
     {
-        std::string_view server;
+        backend_record const& server;
         time_point last_received;
         /// Null if there was no connection.
         backend_exchange const* exchange;
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -59,6 +59,8 @@
 /// A runner that answers that it does not hold a model is avoided for that model this
 /// long.
 inline constexpr duration model_denied_pause = std::chrono::milliseconds(60);
+/// Number of bytes of a caller's header that a log line repeats.
+inline constexpr std::size_t max_logged_id = 64;
 /// A server at whose address a different server answers is avoided this long, until the
 /// directory catches up.
 inline constexpr duration wrong_server_pause = std::chrono::seconds(2);
--- a/src/transport/entry/silent_server.cpp
+++ b/src/transport/entry/silent_server.cpp
@@ -310,14 +310,14 @@
         services_.backends.note_failure(silent.server.id, boot_now());
     excluded_.insert(silent.server.id);
     log_attempt(attempt_outcome::handed_over,
-                {silent.server.id, silent.last_received, silent.exchange.get(),
+                {silent.server, silent.last_received, silent.exchange.get(),
                  silent.events, silent.continuation, silent.resumed_after});
 }
 
 void request_flow::return_to_server(silent_attempt& silent, attempt_outcome outcome)
 {
     note_broken_connection();
-    log_attempt(outcome, {server_.id, last_received_, exchange_.get(), events_,
+    log_attempt(outcome, {server_, last_received_, exchange_.get(), events_,
                           continuation_, resumed_after_});
     excluded_.insert(server_.id);
     server_ = std::move(silent.server);
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -145,6 +145,25 @@
         EXPECT_FALSE(succeeded(decode_server("i-1", row))) << row;
 }
 
+// Guards against the loss of a server, or a version that ends a message, because another
+// writer states the version in another way.
+TEST(server_codec_test, version_that_cannot_be_read_is_unknown)
+{
+    auto const version = [](std::string const& field)
+    {
+        auto const row = std::string(good_server);
+        return std::get<entry::backend_record>(
+                   decode_server("i-1", row.substr(0, row.rfind('}')) + field + "}"))
+            .software_version;
+    };
+    EXPECT_EQ(version(R"(,"version":"v1.2")"), "v1.2");
+    EXPECT_EQ(version(""), "");
+    for (std::string const value : {"2", "null", "true", "[]", "{}", R"("")", R"("v 1")",
+                                    R"("v\n1")", R"("v\u00e9")"})
+        EXPECT_EQ(version(",\"version\":" + value), "") << value;
+    EXPECT_EQ(version(R"(,"version":")" + std::string(65, 'v') + '"'), "");
+}
+
 // Guards against a server that counts as warm because its row states no cold time.
 TEST(server_codec_test, cold_time_that_a_row_lacks_is_unknown)
 {
