Let a stream go on only at the software version that began it

Cause: nothing read the version in a server's row, nor Resumes in a caller's request. A stream that broke off, whose server was silent, or that its caller took up again went to the server with the best score. The class of fault: a condition that two parties have to keep together (the run that began and the run that goes on) was kept by neither, and the fact that it needs did not outlast the process.

Change: the version is pinned when a stream begins or is taken up, and every choice of a server keeps it. Each instance keeps the versions of its streams; while a service has several versions, they are written to the store in batches, with the versions in service, so that they outlast the whole fleet. A take-up goes on at a version that is known, or that is the only one in question; any other is refused at once with 503 (stream_version_unknown, stream_version_unavailable), which is true: it has not run.

--- a/src/coordination/entry/backend_selector.cpp
+++ b/src/coordination/entry/backend_selector.cpp
@@ -174,6 +174,9 @@
                                         time_point now)
 {
     bool any_of_service = false;
+    bool any_of_version = false;
+    // A server of another version holds the model, so it is not loaded elsewhere.
+    bool held_elsewhere = false;
     bool any_with_model = false;
     bool any_with_adapter = false;
     bool any_avoided = false;
@@ -193,8 +196,16 @@
             continue;
         any_of_service = true;
         bool adapter_held = true;
-        if (!requirements.model.model.empty() &&
-            !has_model(record, requirements.model, adapter_held))
+        bool const model_held = requirements.model.model.empty() ||
+                                has_model(record, requirements.model, adapter_held);
+        if (!requirements.version.empty() &&
+            record.software_version != requirements.version)
+        {
+            held_elsewhere = held_elsewhere || (model_held && adapter_held);
+            continue;
+        }
+        any_of_version = true;
+        if (!model_held)
             continue;
         any_with_model = true;
         if (!adapter_held)
@@ -252,6 +263,8 @@
     {
         if (!any_of_service)
             return {choice_outcome::no_backend, nullptr, 0};
+        if (!any_of_version || (held_elsewhere && !any_with_adapter))
+            return {choice_outcome::version_absent, nullptr, 0};
         if (!any_with_model)
             return {choice_outcome::model_absent, nullptr, 0};
         if (!any_with_adapter)
--- a/src/coordination/entry/backend_selector.hpp
+++ b/src/coordination/entry/backend_selector.hpp
@@ -66,6 +66,8 @@
     std::set<std::string> excluded;
     /// Load from which on a server of a service with an admission queue is full.
     double queue_limit = 2;
+    /// Software version that the server must have; empty if any will do.
+    std::string_view version = {};
 };
 
 enum class choice_outcome
@@ -73,6 +75,8 @@
     chosen,
     /// No server of the service is known, or all of them are leaving or evacuated.
     no_backend,
+    /// No server of the required software version can take the request, now or soon.
+    version_absent,
     /// No server of the service holds the model.
     model_absent,
     /// A server holds the model, but none holds the adapter.
--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -32,6 +32,7 @@
     crashes_blocked = 1137,
     backend_cold = 1138,
     backend_warm = 1139,
+    version_found = 1140,
     peer_message_unreadable = 1141,
     hub_found = 1142,
     hub_lost = 1143,
--- a/src/state/entry/refusal_reason.cpp
+++ b/src/state/entry/refusal_reason.cpp
@@ -16,7 +16,7 @@
 };
 
 /// In the order of the enumerators of refusal_reason.
-constexpr std::array<refusal_info, 23> refusals{{{"no_configuration", 503},
+constexpr std::array<refusal_info, 25> refusals{{{"no_configuration", 503},
                                                  {"request_id_missing", 400},
                                                  {"bodies_full", 503},
                                                  {"heads_full", 503},
@@ -34,6 +34,8 @@
                                                  {"no_backend", 503},
                                                  {"model_too_late", 503},
                                                  {"model_not_placed", 503},
+                                                 {"stream_version_unknown", 503},
+                                                 {"stream_version_unavailable", 503},
                                                  {"caller_gone", 503},
                                                  {"not_run_by_backends", 503},
                                                  {"backend_failed", 502},
--- a/src/state/entry/refusal_reason.hpp
+++ b/src/state/entry/refusal_reason.hpp
@@ -49,6 +49,11 @@
     model_too_late,
     /// The hub found no runner on which the model can be loaded.
     model_not_placed,
+    /// The software version that began the stream which the caller takes up is not known,
+    /// and several may have.
+    stream_version_unknown,
+    /// No backend server of the software version that began the stream can go on with it.
+    stream_version_unavailable,
     /// The caller disconnected while the request was waiting.
     caller_gone,
     /// The backend servers answered that they had not run the request.
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -107,6 +107,7 @@
     {1137, warning, "crashes_blocked"},
     {1138, info, "backend_cold"},
     {1139, info, "backend_warm"},
+    {1140, info, "version_found"},
     {1141, warning, "peer_message_unreadable"},
     {1142, info, "hub_found"},
     {1143, warning, "hub_lost"},
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -83,12 +83,13 @@
                                    starts_,
                                    admission_,
                                    heads_,
-                                   limits_},
+                                   limits_,
+                                   streams_},
       link_(services_, lease_, *this, *this), store_(services_),
-      reader_(services_, store_, *this), keeper_(services_, store_, lease_),
-      caller_acceptor_(io_), readiness_acceptor_(io_), peer_acceptor_(io_),
-      metrics_acceptor_(io_), signals_(io_), peer_addresses_(trusted_confirmation_age),
-      read_policy_(services_.started_at)
+      streams_(services_, store_), reader_(services_, store_, *this),
+      keeper_(services_, store_, lease_), caller_acceptor_(io_), readiness_acceptor_(io_),
+      peer_acceptor_(io_), metrics_acceptor_(io_), signals_(io_),
+      peer_addresses_(trusted_confirmation_age), read_policy_(services_.started_at)
 {
     backends_.evacuated().set_bound(settings_.bounds.evacuation);
 }
@@ -140,6 +141,7 @@
                 {"callers", settings_.caller_address}});
     link_.start(peer_acceptor_);
     reader_.start();
+    streams_.start();
     tasks_.run_with_restart("accept callers", [this]
                             { return accept_callers(services_, caller_acceptor_); });
     tasks_.run_with_restart("answer readiness probes",
@@ -171,6 +173,7 @@
 void entry_node::erase_server(std::string const& id)
 {
     backends_.remove(id);
+    streams_.server_removed(id);
     backends_.cold().remove(id, boot_now());
     connections_.drop(id);
     ids_by_short_id_.erase(short_id(id));
@@ -201,6 +204,7 @@
                     {"draining", std::int64_t{record.draining}},
                     {"models", std::uint64_t{record.models.size()}},
                     {"born_ms", record.born_ms}});
+    streams_.server_put(record);
     backends_.put(record);
     backends_.cold().put(record, boot_now());
 }
@@ -238,6 +242,8 @@
 void entry_node::config_changed()
 {
     update_cold_terms();
+    if (auto const config = authority_.current())
+        streams_.apply_config(*config);
     changes_.notify();
 }
 
@@ -423,6 +429,9 @@
         read_policy_.hub_read_failure_received();
     if (update.directory_hub != 0 && (hub_active_ || hub_reads))
         apply_directory(update);
+    if (hub_reads && update.directory_hub == directory_.hub() &&
+        update.directory_revision == directory_.revision())
+        streams_.confirm_directory(now - duration(update.directory_age_us));
     if (update.complete || !update.crashes.empty())
         crashes_.merge_fleet_counts(update.crashes, update.cleared_signatures, now);
     if (update.complete)
@@ -468,6 +477,8 @@
             settle_quota();
         }
         update_hub_role();
+        if (reader_.active())
+            streams_.confirm_directory(reader_.servers_read_at());
         reader_.set_mode(hub_active_ || read_policy_.should_read(now, link_.period()),
                          read_policy_.should_read_config(now, authority_.outdated()));
         reader_.set_hub_retries(!hub_active_ && link_.connected() &&
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -14,6 +14,7 @@
 #include "transport/entry/lease_keeper.hpp"
 #include "transport/entry/peer_link.hpp"
 #include "transport/entry/store_reader.hpp"
+#include "transport/entry/stream_registry.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -192,6 +193,7 @@
     entry_services services_;
     peer_link link_;
     store_client store_;
+    stream_registry streams_;
     store_reader reader_;
     lease_keeper keeper_;
     tcp_acceptor caller_acceptor_;
--- a/src/transport/entry/entry_services.hpp
+++ b/src/transport/entry/entry_services.hpp
@@ -32,6 +32,8 @@
 namespace carawayturn::entry
 {
 
+class stream_registry;
+
 /// A request's question to the hub for units of its organisation's quota.
 struct hub_quota_question
 {
@@ -111,6 +113,8 @@
     /// Memory budget for unparsed bytes and parsed header fields of requests.
     byte_budget& heads;
     limit_report& limits;
+    /// The versions at which streams began.
+    stream_registry& streams;
 
     [[nodiscard]] bool draining() const { return shutdown.has_value(); }
     /// Counts an action for lack of a share, and logs it if a line is due.
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -74,6 +74,9 @@
     unread_since_.reset();
     run_begun_ = false;
     resumed_after_.clear();
+    bool const required_version = co_await has_required_version();
+    if (!required_version)
+        co_return attempt_outcome::not_sent;
     auto connection = co_await services_.connections.acquire_for_request(
         server_.id, server_.address, head_.id, start_deadline_, connecting_);
     if (interrupted())
@@ -444,6 +447,7 @@
 task<bool> request_flow::begin_stream()
 {
     stream_begun_ = true;
+    note_stream_begun();
     first_event_after_ = boot_now() - arrival_;
     last_event_ = boot_now();
     services_.metrics.observe_first_event_latency(first_event_after_);
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -157,6 +157,8 @@
         co_await wait_for_initial_state();
     if (auto refused = admit())
         co_return co_await refuse(*refused);
+    if (auto refused = co_await find_stream_version(); refused && !abandoned_)
+        co_return co_await refuse(*refused);
     auto const over_quota = co_await charge_quota();
     if (abandoned_)
     {
@@ -214,8 +216,12 @@
 
 backend_requirements request_flow::criteria() const
 {
-    return {service_->name, head_.model, head_.affinity, excluded_,
-            services_.starts.queue_limit(work_kind())};
+    return {service_->name,
+            head_.model,
+            head_.affinity,
+            excluded_,
+            services_.starts.queue_limit(work_kind()),
+            version_ ? std::string_view(*version_) : std::string_view()};
 }
 
 task<void> request_flow::wait_for_change(backend_choice const& choice, time_point now)
@@ -251,6 +257,8 @@
         return refusal{refusal_reason::servers_paused, choice.pause_ends_at - now};
     if (outcome == choice_outcome::full)
         return refusal{refusal_reason::backends_full, return_time(choice, now)};
+    if (outcome == choice_outcome::version_absent)
+        return refusal{refusal_reason::stream_version_unavailable, {}};
     if (outcome == choice_outcome::no_backend)
         return refusal{refusal_reason::no_backend, retry_later};
     if (outcome != choice_outcome::model_absent)
@@ -436,6 +444,9 @@
          {"sends", std::uint64_t{sends_}},
          {"resumes", std::string_view(head_.begun_as).substr(0, max_logged_id)},
          {"resume_after", std::string_view(head_.resume_after).substr(0, max_logged_id)},
+         {"stream_version", version_ ? std::string_view(*version_) : std::string_view()},
+         {"version_source",
+          version_source_ ? entry::name_of(*version_source_) : std::string_view()},
          {"not_repeated", entry::name_of(denial_)},
          {"first_event_ms", to_ms(first_event_after_)},
          {"longest_gap_ms", to_ms(longest_gap_)},
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -8,6 +8,7 @@
 #include "transport/entry/backend_exchange.hpp"
 #include "transport/entry/entry_services.hpp"
 #include "transport/entry/in_flight_guard.hpp"
+#include "transport/entry/stream_registry.hpp"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -60,6 +61,8 @@
     answer_begun,
     /// No id tells where another run would have to continue the stream.
     stream_not_resumable,
+    /// It is not known at which software version the stream would have to go on.
+    version_unknown,
     /// Servers crashed while they ran the request.
     crashes_servers,
     deadline_passed,
@@ -166,6 +169,19 @@
 
     [[nodiscard]] static std::string_view name_of(attempt_outcome outcome);
     [[nodiscard]] std::optional<refusal> admit();
+    /// Finds the version at which the stream began that the caller takes up, so that it
+    /// goes on only there. Refuses a take-up whose version is not known.
+    [[nodiscard]] task<std::optional<refusal>> find_stream_version();
+    /// Sends the request to this service if the route does. Returns whether it does.
+    [[nodiscard]] bool use_service(std::string const& name);
+    /// Records at which version the stream begins.
+    void note_stream_begun();
+    /// Whether the stream may go on: its version is known, or no server states one. A
+    /// stream that the caller has taken up goes on at the version that was found then.
+    [[nodiscard]] bool version_known() const;
+    /// Whether the chosen server's process has the version that the request requires,
+    /// which its record states. Another process may have taken the server's id.
+    [[nodiscard]] task<bool> has_required_version();
     [[nodiscard]] task<std::optional<refusal>> charge_quota();
     [[nodiscard]] task<std::optional<refusal>> spend_units();
     /// Spends units, and waits for them until `latest` if the hub expects to have some.
@@ -427,6 +443,11 @@
     duration longest_gap_{};
     event_splitter events_;
     stream_continuation continuation_;
+    /// Software version at which the stream began; empty if it is not known, and nothing
+    /// before the stream has begun.
+    std::optional<std::string> version_;
+    /// How the version of a stream that the caller takes up became known.
+    std::optional<version_source> version_source_;
     end_confirmation end_;
     http::response_header<> answer_head_;
     /// begin_run() was called for the current exchange.
--- a/src/transport/entry/request_repeat.cpp
+++ b/src/transport/entry/request_repeat.cpp
@@ -13,12 +13,13 @@
 
 std::string_view name_of(repeat_denial denial)
 {
-    static constexpr std::array<std::string_view, 11> names{"",
+    static constexpr std::array<std::string_view, 12> names{"",
                                                             "final_outcome",
                                                             "runs_used",
                                                             "sends_used",
                                                             "answer_begun",
                                                             "stream_not_resumable",
+                                                            "version_unknown",
                                                             "crashes_servers",
                                                             "deadline",
                                                             "retry_budget",
@@ -60,6 +61,8 @@
     }
     if (!continuation_.resumable())
         return repeat_denial::stream_not_resumable;
+    if (stream_begun_ && !version_known())
+        return repeat_denial::version_unknown;
     if (now >= (stream_begun_ ? deadline_ : start_deadline_))
         return repeat_denial::deadline_passed;
     bool const sent = outcome != attempt_outcome::not_sent;
--- /dev/null
+++ b/src/transport/entry/request_version.cpp
@@ -0,0 +1,69 @@
+#include "transport/entry/request_flow.hpp"
+
+#include <algorithm>
+
+// The software version at which a stream goes on. What two versions write does not fit
+// together, and servers do not check this.
+namespace carawayturn::entry
+{
+
+bool request_flow::use_service(std::string const& name)
+{
+    if (service_->name == name)
+        return true;
+    bool const is_target =
+        std::any_of(route_->targets.begin(), route_->targets.end(),
+                    [&](route_target const& target) { return target.service == name; });
+    auto const* const service = is_target ? config_->find_service(name) : nullptr;
+    if (service == nullptr)
+        return false;
+    service_ = service;
+    crash_signatures_ = {};
+    set_crash_signatures();
+    return true;
+}
+
+task<std::optional<request_flow::refusal>> request_flow::find_stream_version()
+{
+    if (route_->kind != request_kind::stream || head_.resume_after.empty())
+        co_return std::nullopt;
+    auto const found = co_await services_.streams.find(head_.begun_as, service_->name);
+    version_source_ = found.source;
+    if (found.source == version_source::unknown)
+        co_return refusal{refusal_reason::stream_version_unknown, {}};
+    if (!use_service(found.origin.service))
+        co_return refusal{refusal_reason::stream_version_unavailable, {}};
+    if (!found.origin.version.empty())
+        version_ = found.origin.version;
+    co_return std::nullopt;
+}
+
+void request_flow::note_stream_begun()
+{
+    if (route_->resumable && !version_)
+        version_ = services_.streams.note_begun(head_.id, server_);
+}
+
+bool request_flow::version_known() const
+{
+    if (!version_ || version_source_)
+        return true;
+    bool const known = !version_->empty() && services_.streams.knows(head_.id);
+    return known || services_.streams.versions_unstated(service_->name);
+}
+
+task<bool> request_flow::has_required_version()
+{
+    if (!version_ || version_->empty() || !service_->engine)
+        co_return true;
+    if (!version_source_)
+        co_await services_.streams.wait_for_check(head_.id);
+    if (!version_known())
+        co_return false;
+    bool const same = co_await services_.streams.is_recorded_process(server_);
+    if (!same)
+        excluded_.insert(server_.id);
+    co_return same;
+}
+
+} // namespace carawayturn::entry
--- a/src/transport/entry/store_client.cpp
+++ b/src/transport/entry/store_client.cpp
@@ -25,7 +25,8 @@
 }
 
 task<std::optional<store_reply>> store_client::call(platform::store_call request,
-                                                    duration timeout)
+                                                    duration timeout,
+                                                    outage_tracking tracking)
 {
     call_request http;
     // Names the address, so that no connection to a former store is used again.
@@ -40,13 +41,14 @@
     services_.metrics.count("store_calls_total");
     auto const answer = co_await http_call(services_.connections, std::move(http));
     bool const refused = answer && (answer->status == 503 || answer->status == 429);
-    record_call_result(answer && !refused, answer ? answer->status : 0);
+    if (tracking == outage_tracking::on)
+        record_call_result(answer && !refused, answer ? answer->status : 0);
     if (!answer)
         co_return std::nullopt;
     store_reply reply{answer->status, {}, false};
     if (reply.done() || reply.conflict())
     {
-        auto decoded = platform::decode_store_answer(answer->body);
+        auto decoded = platform::decode_store_answer(answer->body, request.part);
         if (!succeeded(decoded))
         {
             services_.log.write(entry_event::store_answer_unreadable,
--- a/src/transport/entry/store_client.hpp
+++ b/src/transport/entry/store_client.hpp
@@ -29,6 +29,14 @@
     }
 };
 
+/// Whether the result of a call tells that the store answers or is away. The calls for
+/// streams have short limits and a part of the store of their own.
+enum class outage_tracking : std::uint8_t
+{
+    on,
+    off
+};
+
 /// The only client of the platform's store. Tracks whether the store answers.
 class store_client
 {
@@ -37,8 +45,9 @@
 
     /// Makes one call. Returns nothing if no answer arrived in time; the store
     /// may have performed the call, or may still perform it.
-    [[nodiscard]] task<std::optional<store_reply>> call(platform::store_call request,
-                                                        duration timeout);
+    [[nodiscard]] task<std::optional<store_reply>>
+    call(platform::store_call request, duration timeout,
+         outage_tracking tracking = outage_tracking::on);
 
     /// Records that the store answers the hub. The last call of this instance may have
     /// failed in an outage that is over.
--- /dev/null
+++ b/src/transport/entry/stream_registry.cpp
@@ -0,0 +1,411 @@
+#include "transport/entry/stream_registry.hpp"
+
+#include "platform/server_codec.hpp"
+#include "platform/version_codec.hpp"
+#include "transport/entry/boot_clock.hpp"
+#include "transport/entry/http_call.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace carawayturn::entry
+{
+
+namespace
+{
+
+constexpr duration write_timeout = std::chrono::milliseconds(1000);
+/// A caller that takes a stream up is not kept waiting for the store longer than this.
+constexpr duration lookup_timeout = std::chrono::milliseconds(400);
+/// The instance that began a stream writes its record within this time.
+constexpr duration second_lookup_delay = std::chrono::milliseconds(150);
+/// For this long after its start, an instance may not know the versions in service yet.
+constexpr duration initial_versions_timeout = std::chrono::milliseconds(1500);
+constexpr duration initial_versions_poll = std::chrono::milliseconds(20);
+constexpr duration check_poll = std::chrono::milliseconds(5);
+constexpr duration report_timeout = std::chrono::milliseconds(300);
+constexpr duration retry_interval = std::chrono::milliseconds(500);
+constexpr duration max_retry_interval = std::chrono::milliseconds(4000);
+constexpr duration min_write_interval = std::chrono::milliseconds(100);
+/// Interval for each instance, so that all together write 100 times a second at most,
+/// half of what a part of the store does.
+constexpr duration write_interval_per_instance = std::chrono::milliseconds(10);
+/// How often an instance looks for records to remove.
+constexpr duration idle_interval = std::chrono::seconds(5);
+constexpr duration keep_interval = std::chrono::seconds(1);
+/// The rows of the versions are written again after this time, because the store may come
+/// back from a copy that lacks them.
+constexpr duration rewrite_interval = std::chrono::seconds(30);
+/// An instance that ends leaves the records of its streams in the store.
+constexpr duration sweep_interval = std::chrono::minutes(5);
+/// Changes of streams in one call, and versions in service that are kept. Both together
+/// fit into one call.
+constexpr std::size_t max_batch = 70;
+constexpr std::size_t max_stored_versions = 24;
+
+/// Only runners of models answer calls for a report.
+bool server_is_runner(backend_record const& server)
+{
+    return !server.models.empty();
+}
+
+platform::row_change version_row(server_version const& version)
+{
+    return {platform::store_table::versions, platform::version_key(version),
+            platform::encode_version(version)};
+}
+
+} // namespace
+
+std::string_view name_of(version_source source)
+{
+    static constexpr std::array<std::string_view, 4> names{"unknown", "memory",
+                                                           "sole_version", "store"};
+    return names.at(static_cast<std::size_t>(source));
+}
+
+stream_registry::stream_registry(entry_services& services, store_client& store)
+    : services_(services), store_(store), begun_(services.io), swept_at_(boot_now())
+{
+}
+
+void stream_registry::start()
+{
+    services_.tasks.run("load versions", "store", load_versions());
+    services_.tasks.run_with_restart("write streams", [this] { return write_streams(); });
+    services_.tasks.run_with_restart("keep versions", [this] { return keep_versions(); });
+}
+
+void stream_registry::server_put(backend_record const& record)
+{
+    auto const now = boot_now();
+    auto const* const known = services_.backends.find(record.id);
+    if (known != nullptr && known->software_version != record.software_version)
+        streams_.note_replaced(record.id, now);
+    bool const is_new =
+        history_.put(record.id, {record.service, record.software_version}, now);
+    if (!is_new)
+        return;
+    services_.log.write(
+        entry_event::version_found,
+        {{"service", record.service},
+         {"version", record.software_version},
+         {"server", record.id},
+         {"several", std::int64_t{history_.is_mixed(record.service, now)}}});
+    begun_.notify();
+}
+
+void stream_registry::server_removed(std::string const& id)
+{
+    history_.remove(id, boot_now());
+}
+
+void stream_registry::apply_config(serving_config const& config)
+{
+    auto retention = min_version_retention;
+    for (auto const& route : config.routes)
+        if (route.kind == request_kind::stream)
+            retention = std::max(retention, 2 * route.timeout);
+    history_.set_retention(retention);
+    streams_.set_retention(retention);
+}
+
+std::string stream_registry::note_begun(std::string_view request_id,
+                                        backend_record const& server)
+{
+    auto const* const known = services_.backends.find(server.id);
+    // A newer process may have answered.
+    if (known != nullptr && known->software_version != server.software_version)
+        return {};
+    auto const now = boot_now();
+    streams_.note_begun(request_id, {server.service, server.software_version}, server.id,
+                        now);
+    if (!history_.sole(server.service, now))
+    {
+        begun_.notify();
+        if (server_is_runner(server))
+        {
+            checked_.insert(stream_key::of(request_id));
+            services_.tasks.run("check version", server.id,
+                                check_begin(std::string(request_id), server));
+        }
+    }
+    return server.software_version;
+}
+
+bool stream_registry::versions_unstated(std::string const& service) const
+{
+    return history_.sole(service, boot_now()) == "";
+}
+
+task<stream_lookup> stream_registry::find(std::string begun_as, std::string service)
+{
+    auto const key = stream_key::of(begun_as);
+    bool const named = !begun_as.empty();
+    if (auto const known = named ? streams_.find(key) : std::nullopt)
+        co_return stream_lookup{*known, version_source::memory};
+    co_await wait_for_versions();
+    if (auto const sole = history_.sole(service, boot_now()))
+        co_return stream_lookup{{service, *sole}, version_source::sole_version};
+    if (!named)
+        co_return stream_lookup{};
+    auto record = co_await read_record(key);
+    if (!record)
+    {
+        steady_timer timer(services_.io);
+        timer.expires_after(second_lookup_delay);
+        co_await timer.async_wait(use_task);
+        record = co_await read_record(key);
+    }
+    // The versions in service may have become known in the meantime.
+    if (auto const sole = history_.sole(service, boot_now()); !record && sole)
+        co_return stream_lookup{{service, *sole}, version_source::sole_version};
+    if (!record || record->version.empty())
+        co_return stream_lookup{};
+    streams_.learn(key, *record, boot_now());
+    co_return stream_lookup{*record, version_source::store};
+}
+
+task<void> stream_registry::wait_for_versions()
+{
+    auto const limit = services_.started_at + initial_versions_timeout;
+    while (!history_.is_current(boot_now()) && boot_now() < limit)
+        co_await services_.changes.wait(initial_versions_poll);
+}
+
+task<std::optional<server_version>> stream_registry::read_record(stream_key key)
+{
+    auto const name = key.str();
+    auto const reply = co_await store_.call(
+        platform::encode_row_read(platform::store_table::streams, name), lookup_timeout,
+        outage_tracking::off);
+    if (!reply || !reply->done())
+        co_return std::nullopt;
+    for (auto const& row : reply->answer.rows)
+        if (row.key == name)
+            if (auto decoded = platform::decode_version(row.value); succeeded(decoded))
+                co_return std::get<server_version>(std::move(decoded));
+    co_return std::nullopt;
+}
+
+task<std::optional<std::int64_t>>
+stream_registry::ask_start_time(backend_record const& record)
+{
+    call_request call;
+    call.peer = record.id;
+    call.address = record.address;
+    call.target = platform::report_target;
+    call.server_id = record.id;
+    call.timeout = report_timeout;
+    call.log = &services_.log;
+    auto const answer = co_await http_call(services_.connections, std::move(call));
+    if (!answer || answer->status != 200)
+        co_return std::nullopt;
+    auto const report = platform::decode_report(record.id, answer->body);
+    if (!succeeded(report))
+        co_return std::nullopt;
+    co_return std::get<runner_report>(report).born_ms.value_or(0);
+}
+
+task<bool> stream_registry::is_recorded_process(backend_record const& record)
+{
+    if (history_.sole(record.service, boot_now()))
+        co_return true;
+    auto const started = co_await ask_start_time(record);
+    co_return started == record.born_ms;
+}
+
+task<void> stream_registry::check_begin(std::string request_id, backend_record server)
+{
+    auto const key = stream_key::of(request_id);
+    auto const started = co_await ask_start_time(server);
+    checked_.erase(key);
+    if (!started || *started == server.born_ms)
+        co_return;
+    streams_.forget(key);
+    begun_.notify();
+}
+
+task<void> stream_registry::wait_for_check(std::string request_id)
+{
+    auto const key = stream_key::of(request_id);
+    auto const limit = boot_now() + report_timeout;
+    while (checked_.count(key) != 0 && boot_now() < limit)
+        co_await services_.changes.wait(check_poll);
+}
+
+duration stream_registry::write_interval() const
+{
+    auto const instances = static_cast<std::int64_t>(services_.hub.instances());
+    return std::max(min_write_interval, instances * write_interval_per_instance);
+}
+
+task<void> stream_registry::write_streams()
+{
+    steady_timer timer(services_.io);
+    for (;;)
+    {
+        auto const now = boot_now();
+        streams_.expire(now);
+        auto batch = streams_.take_batch([&](std::string const& service)
+                                         { return history_.is_mixed(service, now); },
+                                         max_batch);
+        if (batch.empty())
+        {
+            co_await begun_.wait(idle_interval);
+            continue;
+        }
+        bool const done = co_await write_batch(batch);
+        if (!done)
+            streams_.return_batch(std::move(batch));
+        timer.expires_after(done ? write_interval() : retry_interval);
+        co_await timer.async_wait(use_task);
+    }
+}
+
+task<bool> stream_registry::write_batch(stream_record_batch const& batch)
+{
+    std::vector<platform::row_change> changes;
+    std::vector<server_version> versions;
+    for (auto const& record : batch.written)
+    {
+        changes.push_back({platform::store_table::streams, record.key.str(),
+                           platform::encode_version(record.origin)});
+        if (!record.origin.version.empty() &&
+            std::find(versions.begin(), versions.end(), record.origin) ==
+                versions.end() &&
+            versions.size() < max_stored_versions)
+            versions.push_back(record.origin);
+    }
+    // A version is known as long as a record of its streams, whatever the hub has
+    // written.
+    for (auto const& version : versions)
+        changes.push_back(version_row(version));
+    for (auto const& key : batch.removed)
+        changes.push_back({platform::store_table::streams, key.str(), std::nullopt});
+    services_.metrics.count("stream_records_written_total", batch.written.size());
+    bool const done = co_await write(changes);
+    co_return done;
+}
+
+task<bool> stream_registry::write(std::vector<platform::row_change> const& changes)
+{
+    auto const reply = co_await store_.call(platform::encode_row_changes(changes),
+                                            write_timeout, outage_tracking::off);
+    co_return reply && reply->done();
+}
+
+task<void> stream_registry::load_versions()
+{
+    steady_timer timer(services_.io);
+    for (auto pause = retry_interval;; pause = std::min(2 * pause, max_retry_interval))
+    {
+        auto const rows = co_await read_all(platform::store_table::versions);
+        auto const now = boot_now();
+        if (rows)
+        {
+            for (auto const& row : *rows)
+                if (auto decoded = platform::decode_version(row.value);
+                    succeeded(decoded))
+                    history_.remember(std::get<server_version>(std::move(decoded)), now);
+            history_.set_complete();
+            begun_.notify();
+            co_return;
+        }
+        timer.expires_after(pause);
+        co_await timer.async_wait(use_task);
+    }
+}
+
+task<std::optional<std::vector<platform::store_row>>>
+stream_registry::read_all(platform::store_table table)
+{
+    std::vector<platform::store_row> rows;
+    std::string from;
+    for (;;)
+    {
+        auto reply = co_await store_.call(platform::encode_table_read(table, from),
+                                          write_timeout, outage_tracking::off);
+        if (!reply || !reply->done())
+            co_return std::nullopt;
+        auto& page = reply->answer;
+        table_version_ = page.version;
+        bool const more =
+            page.truncated && !page.rows.empty() && page.rows.back().key >= from;
+        if (more)
+            from = page.rows.back().key + '\0';
+        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(rows));
+        if (!more)
+            co_return rows;
+    }
+}
+
+task<void> stream_registry::keep_versions()
+{
+    steady_timer timer(services_.io);
+    for (;;)
+    {
+        timer.expires_after(keep_interval);
+        co_await timer.async_wait(use_task);
+        auto const now = boot_now();
+        auto const expired = history_.take_expired(now);
+        if (!services_.hub.is_hub() || !history_.complete())
+            continue;
+        co_await write_versions(expired);
+        if (now - swept_at_ >= std::max(sweep_interval, history_.retention()))
+            co_await sweep_streams();
+    }
+}
+
+task<void> stream_registry::write_versions(std::vector<server_version> const& expired)
+{
+    auto const now = boot_now();
+    expired_.insert(expired_.end(), expired.begin(), expired.end());
+    auto const versions = history_.all(max_stored_versions);
+    bool const due = now - versions_written_at_ >= rewrite_interval;
+    if (expired_.empty() && versions == written_versions_ && !due)
+        co_return;
+    std::vector<platform::row_change> changes;
+    for (auto const& version : versions)
+        changes.push_back(version_row(version));
+    expired_.resize(std::min(expired_.size(), max_batch));
+    for (auto const& version : expired_)
+        if (std::find(versions.begin(), versions.end(), version) == versions.end())
+            changes.push_back({platform::store_table::versions,
+                               platform::version_key(version), std::nullopt});
+    bool const done = co_await write(changes);
+    if (!done)
+        co_return;
+    expired_.clear();
+    written_versions_ = versions;
+    versions_written_at_ = now;
+}
+
+task<void> stream_registry::sweep_streams()
+{
+    swept_at_ = boot_now();
+    auto const rows = co_await read_all(platform::store_table::streams);
+    if (!rows)
+        co_return;
+    // Rows that were there at the last sweep are older than any stream. Versions go back
+    // if the store comes back from a copy.
+    auto const limit = std::exchange(swept_version_, table_version_);
+    if (limit > swept_version_)
+        co_return;
+    std::vector<platform::row_change> changes;
+    for (auto const& row : *rows)
+    {
+        if (row.version <= limit)
+            changes.push_back({platform::store_table::streams, row.key, std::nullopt});
+        if (changes.size() < platform::max_row_changes)
+            continue;
+        bool const done = co_await write(changes);
+        if (!done)
+            co_return;
+        changes.clear();
+    }
+    if (!changes.empty())
+        static_cast<void>(co_await write(changes));
+}
+
+} // namespace carawayturn::entry
--- a/tests/entry/backend_selector_test.cpp
+++ b/tests/entry/backend_selector_test.cpp
@@ -251,5 +251,51 @@
     EXPECT_FALSE(succeeded(decode_update(std::string(64, '\xff'))));
 }
 
+class required_version_test : public backend_selector_test
+{
+protected:
+    void add_version(std::string const& id, std::string const& version,
+                     std::vector<loaded_model> models = {{"m", 1, {}}})
+    {
+        add(id, std::move(models));
+        auto record = *backends_.find(id);
+        record.software_version = version;
+        backends_.put(std::move(record));
+    }
+
+    backend_choice choose_version(std::string_view version,
+                                  std::set<std::string> excluded = {})
+    {
+        return backends_.choose({.service = "s",
+                                 .model = {"m", ""},
+                                 .excluded = std::move(excluded),
+                                 .version = version},
+                                at(0));
+    }
+};
+
+// Guards against a stream that goes on at another version.
+TEST_F(required_version_test, only_servers_of_the_version_are_chosen)
+{
+    add_version("b1", "v1");
+    add_version("b2", "v2");
+    add_version("b3", "");
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(choose_version("v2").backend->id, "b2");
+    EXPECT_EQ(choose_version("v2", {"b2"}).outcome, choice_outcome::full);
+}
+
+// Guards against a request that waits for a version that has left, or for a model that is
+// not loaded because another version's server holds it.
+TEST_F(required_version_test, version_without_a_server_for_the_request_is_absent)
+{
+    add_version("b1", "v1");
+    add_version("b2", "v2", {});
+    EXPECT_EQ(choose_version("v3").outcome, choice_outcome::version_absent);
+    EXPECT_EQ(choose_version("v2").outcome, choice_outcome::version_absent);
+    add_version("b1", "v1", {});
+    EXPECT_EQ(choose_version("v2").outcome, choice_outcome::model_absent);
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/platform_codec_test.cpp
+++ b/tests/entry/platform_codec_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/server_codec.hpp"
 #include "platform/settings_file.hpp"
 #include "platform/store_codec.hpp"
+#include "platform/version_codec.hpp"
 
 #include <gtest/gtest.h>
 
@@ -397,6 +398,40 @@
     }
 }
 
+// Guards against records of streams that wait in the lease's part of the store, or that
+// are read as rows of another part.
+TEST(store_codec_test, row_changes_are_in_a_part_of_their_own)
+{
+    auto const call = encode_row_changes(
+        {{store_table::streams, "k1", "v"}, {store_table::versions, "k2", std::nullopt}});
+    EXPECT_EQ(call.target, "/rows-tx");
+    EXPECT_EQ(
+        call.body,
+        R"({"expected":[],"writes":[{"table":"carawayturn_streams",)"
+        R"("part":"streams","key":"k1","value":"dg=="}],)"
+        R"("remove":[{"table":"carawayturn_versions","part":"streams","key":"k2"}]})");
+    EXPECT_EQ(encode_row_read(store_table::streams, "k1").target,
+              "/rows-get?table=carawayturn_streams&part=streams&from=k1&limit=1");
+    constexpr std::string_view answer =
+        R"({"rows":[{"part":"streams","key":"a"},{"part":"","key":"b"}]})";
+    auto const rows = std::get<store_answer>(decode_store_answer(answer, "streams")).rows;
+    ASSERT_EQ(rows.size(), 1U);
+    EXPECT_EQ(rows[0].key, "a");
+}
+
+// Guards against a version that a damaged row, or one of another writer, names.
+TEST(store_codec_test, version_row_that_cannot_be_read_names_no_version)
+{
+    entry::server_version const version{"llm", "v1"};
+    EXPECT_EQ(std::get<entry::server_version>(decode_version(encode_version(version))),
+              version);
+    for (std::string_view const value :
+         {"", "x", "[]", "{}", R"({"service":"llm"})", R"({"service":1,"version":"v"})",
+          R"({"service":"llm","version":null})"})
+        EXPECT_FALSE(succeeded(decode_version(value))) << value;
+    EXPECT_NE(version_key({"a", "bc"}), version_key({"ab", "c"}));
+}
+
 // Guards against overwriting another holder's lease.
 TEST(store_codec_test, lease_write_expects_the_known_version)
 {
