Take a chat stream without its last event for a broken one in every framing

Cause: only an answer that ends with its connection had to contain "data: [DONE]", the event that ends a chat stream. The last chunk, or the last byte of a length, was taken for proof. A server that fails while it writes may end the body properly, so a stream that broke off between two events reached the caller as complete, and that of an at-most-once request was kept and returned to every repeat. In an answer that is read as a whole, the text was found anywhere, also inside the data of an event that is not the last one.

Change: a successful chat answer whose Content-Type is text/event-stream, or that has none though a stream was requested, is complete only with that event, in every framing. It is compared with the data of whole events. All else ends as before. end_is_proof() is called framed() now.

Tests: three tests of request_path_test failed before and pass now; complete_framed_answers_reach_the_caller guards against the refusal of complete answers and passed before too.

--- a/src/transport/backend_client.cpp
+++ b/src/transport/backend_client.cpp
@@ -74,6 +74,13 @@
     return request;
 }
 
+bool is_success(unsigned status)
+{
+    constexpr unsigned first_success = 200;
+    constexpr unsigned first_redirection = 300;
+    return status >= first_success && status < first_redirection;
+}
+
 bool is_event_stream(http_answer_head const& head)
 {
     auto const* const type = find_header(head.headers, "Content-Type");
@@ -86,10 +93,21 @@
 /// server may omit the Content-Type.
 bool holds_events(http_answer_head const& head, request_content const& content)
 {
-    constexpr unsigned first_success = 200;
-    constexpr unsigned first_redirection = 300;
-    return is_event_stream(head) || (content.stream && head.status >= first_success &&
-                                     head.status < first_redirection);
+    return is_event_stream(head) || (content.stream && is_success(head.status));
+}
+
+/// Whether the answer is complete only with the event that ends a chat stream. A server
+/// that fails while it writes may end the body properly, so the end of a chat stream's
+/// framing proves nothing. Other answers end as their framing says, unless only the end
+/// of the connection marks the end of their events.
+bool needs_stream_end(http_answer_head const& head, request_content const& content,
+                      bool framed)
+{
+    if (!framed)
+        return holds_events(head, content);
+    auto const* const type = find_header(head.headers, "Content-Type");
+    bool const untyped = content.stream && (type == nullptr || type->empty());
+    return content.chat && is_success(head.status) && (untyped || is_event_stream(head));
 }
 
 stored_answer make_stored(http_answer_head const& head, std::string body)
@@ -271,8 +289,8 @@
                               {}});
         co_return finish_whole(*attempt, head, std::move(body));
     }
-    if (!connection.end_is_proof() && holds_events(head, *attempt->content) &&
-        body.find("data: [DONE]") == std::string::npos)
+    if (needs_stream_end(head, *attempt->content, connection.framed()) &&
+        !has_chat_stream_end(body))
         co_return dispatch_outcome::broken;
     co_return finish_whole(*attempt, head, std::move(body));
 }
@@ -298,6 +316,7 @@
     attempt_pointer attempt, client_connection& connection, http_answer_head head)
 {
     answers.stream_head(attempt->id(), {head.status, forwardable(head.headers)});
+    bool const needs_end = needs_stream_end(head, *attempt->content, connection.framed());
     event_splitter splitter;
     while (!attempt->cancelled)
     {
@@ -314,7 +333,7 @@
         co_await wait_for_caller(attempt);
     }
     bool const whole = splitter.pending() == 0 && !attempt->cancelled &&
-                       (connection.end_is_proof() || attempt->done_seen);
+                       (attempt->done_seen || !needs_end);
     co_return whole ? dispatch_outcome::completed : dispatch_outcome::broken;
 }
 
@@ -329,7 +348,7 @@
         // Only the last event carries usage, so most need not be parsed.
         if (data.find("\"usage\"") != std::string::npos)
             attempt->tokens = parse_usage(data);
-        attempt->done_seen = attempt->done_seen || data == "[DONE]";
+        attempt->done_seen = attempt->done_seen || ends_chat_stream(data);
         count += counts_for_offset(data) ? 1 : 0;
         bytes += *next;
     }
--- a/src/transport/event_stream.cpp
+++ b/src/transport/event_stream.cpp
@@ -60,9 +60,26 @@
     return data;
 }
 
+bool ends_chat_stream(std::string_view data)
+{
+    return data == "[DONE]";
+}
+
+bool has_chat_stream_end(std::string_view stream)
+{
+    for (auto end = end_of_event(stream, 0); end != std::string_view::npos;
+         end = end_of_event(stream, 0))
+    {
+        if (ends_chat_stream(event_data(stream.substr(0, end))))
+            return true;
+        stream.remove_prefix(end);
+    }
+    return false;
+}
+
 bool counts_for_offset(std::string_view data)
 {
-    return !data.empty() && data != "[DONE]";
+    return !data.empty() && !ends_chat_stream(data);
 }
 
 std::string print_error_event(std::string_view text)
--- a/src/transport/event_stream.hpp
+++ b/src/transport/event_stream.hpp
@@ -28,6 +28,12 @@
 /// Returns the data of an event, its lines joined by newlines.
 [[nodiscard]] std::string event_data(std::string_view event_text);
 
+/// Whether the data is that of the event that ends a chat stream.
+[[nodiscard]] bool ends_chat_stream(std::string_view data);
+
+/// Whether the stream contains the whole event that ends a chat stream.
+[[nodiscard]] bool has_chat_stream_end(std::string_view stream);
+
 /// Whether the event counts for a stream's offset: it has data and is not "[DONE]".
 [[nodiscard]] bool counts_for_offset(std::string_view data);
 
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -174,7 +174,7 @@
     co_return std::exchange(input.get().body(), {});
 }
 
-bool client_connection::end_is_proof() const
+bool client_connection::framed() const
 {
     return !state_->input->need_eof();
 }
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -63,9 +63,9 @@
     [[nodiscard]] boost::asio::awaitable<std::optional<std::string>>
     read_some(steady_time deadline);
 
-    /// Whether the length of the answer was announced, so that its end proves that it is
-    /// whole. Otherwise it ends with the connection, for whatever reason.
-    [[nodiscard]] bool end_is_proof() const;
+    /// Whether the answer has a length or chunks, so that its end is the one that the
+    /// server set. Otherwise it ends with the connection, for whatever reason.
+    [[nodiscard]] bool framed() const;
 
     /// Whether the answer was read whole and the server keeps the connection open.
     [[nodiscard]] bool reusable() const;
--- a/tests/transport/request_path_test.cpp
+++ b/tests/transport/request_path_test.cpp
@@ -394,6 +394,114 @@
     EXPECT_EQ(script_->wait_for<dispatch_ended>(2).outcome, dispatch_outcome::completed);
 }
 
+std::string const one_event = "data: {\"a\":1}\n\n";
+std::string const last_event = "data: [DONE]\n\n";
+
+/// Returns an answer with this body in one chunk, and the last chunk.
+std::string chunked(std::string const& head, std::string const& body)
+{
+    std::ostringstream size;
+    size << std::hex << body.size();
+    return head + "\r\nTransfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body +
+           "\r\n0\r\n\r\n";
+}
+
+// Guards against a chat stream that a server ends properly, but before its last event,
+// and that reaches the caller as complete.
+TEST_F(request_path_test, framed_stream_without_its_last_event_is_broken)
+{
+    refuse_after_attempt();
+    std::string const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream";
+    std::size_t requests = 0;
+    for (std::string const& begun :
+         {one_event, std::string(), one_event + ": comment\n\n",
+          std::string("data: {\"text\":\"data: [DONE]\"}\n\n")})
+        for (auto const& answer : {chunked(head, begun), message(head, begun)})
+        {
+            auto caller =
+                call(chat_request_text("r" + std::to_string(++requests), stream_body));
+            auto backend = backend_.accept();
+            backend.read_message();
+            backend.send(answer);
+            EXPECT_EQ(script_->wait_for<dispatch_ended>(requests).outcome,
+                      dispatch_outcome::broken)
+                << answer;
+            EXPECT_NE(caller.read_until("0\r\n\r\n").find("event: error\ndata: "),
+                      std::string::npos)
+                << answer;
+        }
+}
+
+// Guards against the same where the server omits the Content-Type, so that the answer is
+// read as a whole.
+TEST_F(request_path_test, framed_stream_without_a_type_and_last_event_is_broken)
+{
+    refuse_after_attempt();
+    std::size_t requests = 0;
+    for (std::string const head :
+         {"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nContent-Type: "})
+        for (std::string const& begun :
+             {one_event, one_event + "data: [DO",
+              std::string("data: {\"text\":\"data: [DONE]\"}\n\n")})
+            for (auto const& answer : {chunked(head, begun), message(head, begun)})
+            {
+                auto caller = call(
+                    chat_request_text("r" + std::to_string(++requests), stream_body));
+                auto backend = backend_.accept();
+                backend.read_message();
+                backend.send(answer);
+                EXPECT_EQ(script_->wait_for<dispatch_ended>(requests).outcome,
+                          dispatch_outcome::broken)
+                    << answer;
+                EXPECT_TRUE(caller.read_message().starts_with("HTTP/1.1 502 ")) << answer;
+            }
+}
+
+// Guards against a cut stream that is kept and returned to every repeat of its request.
+TEST_F(request_path_test, kept_stream_without_its_last_event_is_broken)
+{
+    keep_answer_ = true;
+    refuse_after_attempt();
+    auto caller = call(chat_request_text("r1", stream_body));
+    auto backend = backend_.accept();
+    backend.read_message();
+    backend.send(
+        chunked("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream", one_event));
+    auto const ended = script_->wait_for<dispatch_ended>();
+    EXPECT_EQ(ended.outcome, dispatch_outcome::broken);
+    EXPECT_FALSE(ended.answer);
+}
+
+// Guards against the refusal of a stream that is complete, and of answers that are no
+// chat stream, which end as their framing says.
+TEST_F(request_path_test, complete_framed_answers_reach_the_caller)
+{
+    std::string const ok = "HTTP/1.1 200 OK";
+    std::string const stream = ok + "\r\nContent-Type: text/event-stream";
+    std::string const service = "POST /notes HTTP/1.1\r\nHost: x\r\nX-Request-Id: ";
+    std::vector<std::pair<bool, std::string>> const answers{
+        {true, chunked(stream, one_event + last_event)},
+        {true, message(stream, one_event + "data:[DONE]\r\n\r\n")},
+        {true, chunked(ok, one_event + last_event)},
+        {true, message(ok + "\r\nContent-Type: application/json", R"({"usage":null})")},
+        {true, chunked("HTTP/1.1 500 No\r\nContent-Type: text/event-stream", one_event)},
+        {false, chunked(stream, one_event)}};
+    std::size_t requests = 0;
+    for (auto const& [chat, answer] : answers)
+    {
+        auto const id = "r" + std::to_string(++requests);
+        auto caller =
+            call(chat ? chat_request_text(id, stream_body) : message(service + id, "x"));
+        auto backend = backend_.accept();
+        backend.read_message();
+        backend.send(answer);
+        EXPECT_EQ(script_->wait_for<dispatch_ended>(requests).outcome,
+                  dispatch_outcome::completed)
+            << answer;
+        backend.close();
+    }
+}
+
 TEST_F(request_path_test, engine_that_did_not_run_request_ends_as_rejected)
 {
     auto caller = call(chat_request_text("r1"));
