Take a stream that ends before its first event for a broken one in every framing

Cause: find_end_fault() asked for an event only after the id of an earlier one. A first run that ended its chunks or its length without an event, or with comments alone, ended the caller's stream as complete, on the word of one server. So did the next server that is asked while the first one is silent before its first event, as during a long prefill. Where the connection marks the end, such a run was a broken one already.

Change: a run that begins the stream and ends without an event ends it only if a second server does so too (end_confirmation). An answer that holds no events by its head may be empty as before: one to a HEAD, with status 204, or with another media type than text/event-stream. On a route that allows no further run, such a request is refused with backend_failed.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -13,6 +13,14 @@
 
 using namespace flow;
 
+namespace
+{
+
+/// Status of a successful answer that has no body by its definition.
+constexpr unsigned no_content = 204;
+
+} // namespace
+
 task<request_flow::attempt_outcome> request_flow::run_attempt()
 {
     in_flight_ =
@@ -468,6 +476,13 @@
            begins_event(events_.incomplete_event());
 }
 
+bool request_flow::head_announces_events() const
+{
+    auto const form = platform::decode_answer_form(answer_head_);
+    return request_.method() != http::verb::head && form.status != no_content &&
+           (form.content_type.empty() || is_event_stream(form.content_type));
+}
+
 bool request_flow::stream_cut_short(stream_continuation const& continuation)
 {
     auto const rest = events_.incomplete_event();
@@ -498,7 +513,7 @@
 continuation_fault request_flow::find_end_fault(stream_continuation const& continuation)
 {
     auto const& last_id = continuation.last_id();
-    if (last_id.empty())
+    if (last_id.empty() && !head_announces_events())
         return continuation_fault::none;
     bool const ended =
         !exchange_->ends_with_connection() && end_.note_end(server_.id, last_id);
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -336,6 +336,9 @@
     /// Whether the answer on a streaming route is an event stream. Servers may omit its
     /// Content-Type or send another one, so its body counts too.
     [[nodiscard]] bool holds_events(stream_continuation const& continuation) const;
+    /// Whether the head of the answer says that its body holds events: it is an event
+    /// stream, or has a body of an unknown type.
+    [[nodiscard]] bool head_announces_events() const;
     /// Whether the answer ended where a stream does not end: inside an event, or before
     /// one. If so, records the reason as the exchange's failure.
     [[nodiscard]] bool stream_cut_short(stream_continuation const& continuation);
--- a/tests/entry/stream_end_test.py
+++ b/tests/entry/stream_end_test.py
@@ -93,6 +93,52 @@
         self.assertEqual(self.stream(pauses, ends_without_event, stream), (WHOLE_STREAM, True))
 
 
+    def test_first_run_that_ends_without_an_event_does_not_end_the_stream(self) -> None:
+        """Guards against a stream that looks complete before its first event."""
+        for name, framed in FRAMINGS.items():
+            for comment in (b"", b": comment\n\n", b"retry: 5\n\n"):
+                with self.subTest(framing=name, comment=comment):
+                    self.assertEqual(self.stream(framed(comment), stream),
+                                     (comment + WHOLE_STREAM, True))
+                    self.assertEqual(self.resume_points, [None, None])
+
+    def test_stream_that_broke_off_before_an_event_is_not_ended_by_a_run_without_one(self) -> None:
+        """Guards against the same after a run of which the caller has only a comment."""
+        self.assertEqual(self.stream(sends(STREAM, chunk(b": comment\n\n")), ends_without_event,
+                                     stream), (b": comment\n\n" + WHOLE_STREAM, True))
+
+    def test_next_server_that_ends_without_an_event_does_not_end_a_stream_before_its_first(
+            self) -> None:
+        """Guards against the same where the first server is silent before its first event."""
+        def pauses(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, STREAM))
+            connection.wait_for_close()
+
+        self.assertEqual(self.stream(pauses, ends_without_event, stream), (WHOLE_STREAM, True))
+
+    def test_stream_without_an_event_is_complete_only_if_another_server_confirms_it(self) -> None:
+        """Guards against the word of one server for an empty stream, and against the refusal of
+        one that is empty."""
+        self.assertEqual(self.stream(ends_without_event), (b"", True))
+        self.assertEqual(self.resume_points, [None, None])
+        self.assertFalse(self.stream(ends_without_event, sends(EVENT_STREAM))[1])
+
+    def test_answer_that_is_no_stream_may_be_empty(self) -> None:
+        """Guards against the repetition of requests whose answers hold no events by their
+        head."""
+        for name, way in {"204": sends("", status=204),
+                          "json": sends("Content-Type: application/json\r\n"
+                                        "Content-Length: 0\r\n")}.items():
+            with self.subTest(answer=name):
+                self.assertEqual(self.stream(way, stream)[0], b"")
+                self.assertEqual(self.resume_points, [None])
+        with self.subTest(answer="to HEAD"):
+            self.ways, self.resume_points = [sends(STREAM), stream], []
+            status, body, _ = self.instance.request("/draft/a", method="HEAD",
+                                                    headers={"X-Model": "m1"})
+            self.assertEqual((status, body, self.resume_points), (200, b"", [None]))
+
+
 class TakenUpStreamTest(ResumedStreamCase):
     """Plays the answers to a caller that has two events and takes the stream up again."""
 
