Write no last chunk after an answer that has no body

Cause: a successful answer of a streaming route was begun in chunks, whatever the method and the status. After an answer to a HEAD, and after one with status 204, which has no body, the five bytes of the last chunk followed. The caller takes them for the beginning of the next answer on the connection. A 204 also named a Transfer-Encoding, which it must not (RFC 9112, section 6.1).

Change: caller_session::begin() uses chunks only where the answer has a body.

--- a/src/transport/entry/caller_session.cpp
+++ b/src/transport/entry/caller_session.cpp
@@ -33,6 +33,13 @@
 /// Accepting is tried again after this time if the callers' share of connections is used
 /// up and none may be closed, or if no file descriptor is free.
 constexpr duration accept_retry = std::chrono::milliseconds(20);
+
+/// Returns whether the status allows a body, if the request is no HEAD.
+bool may_have_body(http::response_header<> const& head)
+{
+    return head.result_int() != 204 && head.result_int() != 304;
+}
+
 /// Closes the connection if one write to the caller makes no progress for
 /// progress_timeout. Sets no deadline for the whole write, nor for the time until the
 /// next one.
@@ -135,8 +142,7 @@
     set_persistence(head);
     http::response<http::string_body> answer(std::move(head), std::move(body));
     answer.version(11);
-    auto const status = answer.result_int();
-    if (status != 204 && status != 304)
+    if (may_have_body(answer))
         answer.content_length(answer.body().size());
     if (head_request_)
         answer.body().clear();
@@ -151,7 +157,9 @@
 task<bool> caller_session::begin(http::response_header<> head,
                                  std::optional<std::uint64_t> length)
 {
-    chunked_ = !length && !http_1_0_;
+    // Even the last chunk of an answer without a body would be taken for the beginning of
+    // the next answer.
+    chunked_ = !length && !http_1_0_ && !head_request_ && may_have_body(head);
     // Without chunked encoding and without a length, only closing the connection marks
     // the end of the answer.
     if (!length && http_1_0_)
--- a/tests/entry/stream_end_test.py
+++ b/tests/entry/stream_end_test.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 import time
 import unittest
@@ -14,6 +15,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
 from answer_bytes import END, STREAM, chunk, event, head  # noqa: E402
+from entry_fleet import HANG_LIMIT_S  # noqa: E402
 from misbehaving_server import Connection, Request, sends, stream  # noqa: E402
 from resumed_stream_case import (  # noqa: E402
     BEGUN_STREAM, WHOLE_STREAM, ResumedStreamCase, breaks_off, sends_events)
@@ -139,6 +141,38 @@
             self.assertEqual((status, body, self.resume_points), (200, b"", [None]))
 
 
+class AnswerWithoutBodyTest(ResumedStreamCase):
+    """Plays answers of a streaming route that have no body by their definition."""
+
+    def test_next_answer_follows_on_the_connection(self) -> None:
+        """Guards against bytes after an answer that has no body, which the caller takes for the
+        next answer."""
+        fields = ("Host: h.example\r\nX-Model: m1\r\nAuthorization: Token k1\r\n"
+                  "Content-Length: 0\r\n")
+        no_content = sends("", status=204)
+        for method, way in (("HEAD", sends(STREAM)), ("HEAD", sends("Content-Length: 9\r\n")),
+                            ("POST", no_content), ("POST", sends(EVENT_STREAM, status=204))):
+            for version in ("1.1", "1.0"):
+                with self.subTest(method=method, version=version), socket.create_connection(
+                        ("127.0.0.1", self.instance.front_port), HANG_LIMIT_S) as caller:
+                    self.ways = [way, stream]
+                    caller.sendall(
+                        f"{method} /draft/a HTTP/{version}\r\n{fields}X-Request-Id: s1\r\n\r\n"
+                        f"POST /draft/a HTTP/1.1\r\n{fields}X-Request-Id: s2\r\n"
+                        "Connection: close\r\n\r\n".encode())
+                    received = b""
+                    while piece := caller.recv(65536):
+                        received += piece
+                    answers = received.split(b"HTTP/1.1 ")[1:]
+                    self.assertTrue(answers[0].endswith(b"\r\n\r\n"), answers)
+                    self.assertEqual(answers[0].count(b"\r\n\r\n"), 1, answers)
+                    if version == "1.1":
+                        self.assertEqual(len(answers), 2, answers)
+                        self.assertTrue(answers[1].endswith(END), answers)
+                    if method == "POST":
+                        self.assertNotIn(b"transfer-encoding", answers[0].lower())
+
+
 class TakenUpStreamTest(ResumedStreamCase):
     """Plays the answers to a caller that has two events and takes the stream up again."""
 
