Pay for streams that callers take up again before new requests

After the loss of the whole fleet the quota does not cover all callers that return together, and those that resumed a stream got 429 like all others.

Cause: the wait for quota did not know which requests resume a stream. They waited half of the latency objective, or not at all below an objective of 1 s, behind the new requests that had arrived before; a refusal of a new request applied to them too (instance_quota::block); and without a hub the first request at an instance left a debt of seconds.

Change: on a resumable route, a request that goes on after an event is paid before new requests of its priority, and waits until its latest start. While both wait, resumed streams get three quarters of what the priority is paid, so a caller that states an event on every request cannot starve others. A resumed stream may make a new request late; the reverse holds no longer. The same three quarters apply to the own share of an instance without a hub, where requests that begin together let resumed streams try first. Every unit is still taken from the same buckets, and what a request costs is unchanged.

Log 1100 has resumes_stream.

The property test of the window's bound draws resumed requests too.

--- a/src/coordination/entry/hub_state.cpp
+++ b/src/coordination/entry/hub_state.cpp
@@ -3,6 +3,7 @@
 #include "state/entry/directory_digest.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace carawayturn::entry
 {
@@ -111,7 +112,8 @@
 }
 
 quota_reply hub_state::grant(quota_request const& request, node_status const& status,
-                             serving_config const& config, time_point now)
+                             bool resumes_stream, serving_config const& config,
+                             time_point now)
 {
     auto const* const organisation =
         config.find_organisation_by_name(request.organisation);
@@ -119,7 +121,8 @@
         return {request.quota_request_id, 0, 0};
     quota_terms const terms{organisation->rate, organisation->burst};
     quota_claim claim{status.node,   status.incarnation, request.quota_request_id,
-                      request.units, request.priority,   {}};
+                      request.units, request.priority,   {},
+                      resumes_stream};
     auto const decision =
         quota_queue_.request({request.organisation, std::move(claim), request.extra_units,
                               duration(std::max<std::int64_t>(request.max_wait_us, 0))},
@@ -138,8 +141,13 @@
     if (!authority.current() || status.quota_requests.empty())
         return;
     update.sent_at_us = now.time_since_epoch().count();
+    // The id of a resumed stream is listed beside its request.
+    std::set<std::uint64_t> const resumed(status.cancelled_quota_requests.begin(),
+                                          status.cancelled_quota_requests.end());
     for (auto const& request : status.quota_requests)
-        update.quota.push_back(grant(request, status, *authority.current(), now));
+        update.quota.push_back(grant(request, status,
+                                     resumed.contains(request.quota_request_id),
+                                     *authority.current(), now));
 }
 
 std::vector<settled_quota> hub_state::settle_quota(config_authority const& authority,
--- a/src/coordination/entry/hub_state.hpp
+++ b/src/coordination/entry/hub_state.hpp
@@ -99,7 +99,7 @@
     void mark_leaving(std::vector<leaving_server> const& servers, time_point now);
     void apply_config(config_authority const& authority, time_point now);
     [[nodiscard]] quota_reply grant(quota_request const& request,
-                                    node_status const& status,
+                                    node_status const& status, bool resumes_stream,
                                     serving_config const& config, time_point now);
     /// Answers the quota requests of a status.
     void answer_quota(node_status const& status, config_authority const& authority,
--- a/src/coordination/entry/organisation_queue.cpp
+++ b/src/coordination/entry/organisation_queue.cpp
@@ -3,8 +3,10 @@
 #include "state/entry/time_units.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iterator>
+#include <limits>
 
 namespace carawayturn::entry
 {
@@ -16,6 +18,10 @@
 /// wait. The first one keeps nine tenths, and a lower one whose requests cost half a
 /// second of the rate is paid every five seconds.
 constexpr double lower_share = 0.1;
+/// Part of the units that resumed streams of a priority get while new requests of the
+/// same priority wait. A caller can state on any request of a resumable route that it
+/// takes a stream up, so new requests keep the rest.
+constexpr double resumed_share = 0.75;
 /// Requests whose latest starts are in the same step are paid fairly over instances.
 constexpr duration start_step = std::chrono::milliseconds(250);
 /// The units before a new request may take this part of its time. The rest is left for
@@ -51,9 +57,15 @@
     return value * std::exp(-to_seconds(now - updated_at) / rate_time_constant_s);
 }
 
-organisation_queue::class_entry organisation_queue::first_of(priority_class& members)
+organisation_queue::entry_order organisation_queue::order_of(quota_claim const& claim)
+{
+    return {!claim.resumes_stream, step_of(claim.latest)};
+}
+
+organisation_queue::class_entry organisation_queue::first_in_step(priority_class& members,
+                                                                  class_entry position)
 {
-    auto const [begin, end] = members.entries.equal_range(members.entries.begin()->first);
+    auto const [begin, end] = members.entries.equal_range(position->first);
     auto const granted = [&members](entry const& item)
     {
         auto const found = members.granted.find(item.claim.instance);
@@ -69,14 +81,50 @@
         });
 }
 
+organisation_queue::class_entry organisation_queue::first_new(priority_class& members)
+{
+    return members.entries.lower_bound({true, std::numeric_limits<std::int64_t>::min()});
+}
+
+organisation_queue::class_entry organisation_queue::first_of(priority_class& members)
+{
+    auto const first = first_in_step(members, members.entries.begin());
+    auto const position = first_new(members);
+    if (!first->second.claim.resumes_stream || position == members.entries.end())
+        return first;
+    auto const next_new = first_in_step(members, position);
+    return members.new_credit >= next_new->second.claim.units ? next_new : first;
+}
+
+void organisation_queue::settle_new_credit(priority_class& members,
+                                           quota_claim const& paid)
+{
+    auto const position = first_new(members);
+    if (!paid.resumes_stream)
+    {
+        members.new_credit = std::max(members.new_credit - paid.units, 0.0);
+        return;
+    }
+    if (position == members.entries.end())
+        return;
+    double const gain = paid.units * (1 - resumed_share) / resumed_share;
+    // Credit beyond the next new request would let several pass in a row.
+    members.new_credit = std::min(members.new_credit + gain,
+                                  first_in_step(members, position)->second.claim.units);
+}
+
 void organisation_queue::erase(priority_class& members, class_entry position)
 {
-    members.units -= position->second.claim.units;
+    auto const& claim = position->second.claim;
+    members.units -= claim.units;
+    members.resumed_units -= claim.resumes_stream ? claim.units : 0;
     members.entries.erase(position);
     --size_;
     if (!members.entries.empty())
         return;
     members.units = 0;
+    members.resumed_units = 0;
+    members.new_credit = 0;
     members.credit = 0;
     members.granted.clear();
     members.granted_floor = 0;
@@ -93,8 +141,9 @@
     auto& members = classes_[claim.priority];
     members.inflow.add(claim.units, now);
     members.units += claim.units;
-    auto const step = step_of(claim.latest);
-    members.entries.emplace(step, entry{std::move(claim), next_sequence_++});
+    members.resumed_units += claim.resumes_stream ? claim.units : 0;
+    auto const order = order_of(claim);
+    members.entries.emplace(order, entry{std::move(claim), next_sequence_++});
     ++size_;
 }
 
@@ -170,6 +219,7 @@
         credit_lower_classes(top, claim.units, bucket);
     else
         members.credit -= claim.units;
+    settle_new_credit(members, claim);
     erase(members, position);
     return claim;
 }
@@ -205,23 +255,36 @@
 }
 
 double organisation_queue::units_before(priority_class const& members,
-                                        time_point latest) const
+                                        quota_claim const& claim)
 {
     double units = 0;
-    auto const end = members.entries.upper_bound(step_of(latest));
-    for (auto item = members.entries.begin(); item != end; ++item)
+    auto const order = order_of(claim);
+    auto const end = members.entries.upper_bound(order);
+    auto item = members.entries.lower_bound(
+        {order.is_new, std::numeric_limits<std::int64_t>::min()});
+    for (; item != end; ++item)
         units += item->second.claim.units;
     return units;
 }
 
+double organisation_queue::with_other_kind(priority_class const& members, bool resumed,
+                                           double units)
+{
+    double const own_share = resumed ? resumed_share : 1 - resumed_share;
+    double const other =
+        resumed ? members.units - members.resumed_units : members.resumed_units;
+    return units + std::min(std::max(other, 0.0), units * (1 - own_share) / own_share);
+}
+
 duration organisation_queue::expected_wait(quota_claim const& claim,
                                            bucket_state const& bucket, time_point now)
 {
     auto const found = classes_.find(claim.priority);
-    double const before =
-        found == classes_.end() ? 0 : units_before(found->second, claim.latest);
-    double const needed = std::min(claim.units, bucket.burst);
-    return time_for(claim.priority, before + needed, bucket, now);
+    double units = std::min(claim.units, bucket.burst);
+    if (found != classes_.end())
+        units = with_other_kind(found->second, claim.resumes_stream,
+                                units_before(found->second, claim) + units);
+    return time_for(claim.priority, units, bucket, now);
 }
 
 bool organisation_queue::delays_beyond_limit(quota_claim const& claim,
@@ -230,23 +293,30 @@
     auto const found = classes_.find(claim.priority);
     if (found == classes_.end())
         return false;
-    auto const& entries = found->second.entries;
-    auto item = entries.upper_bound(step_of(claim.latest));
-    double units = units_before(found->second, claim.latest) + claim.units;
+    auto const& members = found->second;
+    auto item = members.entries.upper_bound(order_of(claim));
+    double units = units_before(members, claim) + claim.units;
     // The expected wait is linear in the units, so two calls describe all of them.
     double const sample = std::max(bucket.burst, 1.0);
     auto const begin = to_seconds(time_for(claim.priority, units, bucket, now));
     auto const after = to_seconds(time_for(claim.priority, units + sample, bucket, now));
     double const per_unit = (after - begin) / sample;
     double const first_units = units;
-    for (; item != entries.end(); ++item)
+    auto const time_at = [&](double own)
+    {
+        double const all = with_other_kind(members, claim.resumes_stream, own);
+        return begin + (all - first_units) * per_unit;
+    };
+    for (; item != members.entries.end(); ++item)
     {
         auto const& waiting = item->second.claim;
+        // A resumed stream matters more than a new request that it makes late.
+        if (waiting.resumes_stream != claim.resumes_stream)
+            break;
         units += waiting.units;
-        double const with = begin + (units - first_units) * per_unit;
         // A request that is expected late anyway must not keep all others from passing.
         auto const time = to_seconds(waiting.latest - now);
-        if (with > time && with - claim.units * per_unit <= time)
+        if (time_at(units) > time && time_at(units - claim.units) <= time)
             return true;
     }
     return false;
@@ -272,13 +342,17 @@
     std::vector<quota_claim> hopeless;
     for (auto& [priority, members] : classes_)
     {
-        double units = 0;
+        // Units of the requests that stay, for new requests and for resumed streams.
+        std::array<double, 2> kept_units{};
         for (auto item = members.entries.begin(); item != members.entries.end();)
         {
             auto const current = item++;
             auto const& claim = current->second.claim;
+            double& units = kept_units.at(claim.resumes_stream ? 1 : 0);
             double const needed = std::min(claim.units, bucket.burst);
-            auto const expected = time_for(priority, units + needed, bucket, now);
+            auto const expected = time_for(
+                priority, with_other_kind(members, claim.resumes_stream, units + needed),
+                bucket, now);
             if (claim.latest >= now &&
                 now + expected <= claim.latest + hopeless_tolerance)
             {
@@ -292,18 +366,20 @@
     return hopeless;
 }
 
-std::optional<quota_claim> organisation_queue::take_last_below(std::uint32_t priority)
+std::optional<quota_claim> organisation_queue::take_last_below(quota_claim const& claim)
 {
     for (auto item = classes_.rbegin(); item != classes_.rend(); ++item)
     {
         if (item->second.entries.empty())
             continue;
-        if (item->first <= priority)
-            return std::nullopt;
         auto const last = std::prev(item->second.entries.end());
-        auto claim = last->second.claim;
+        auto displaced = last->second.claim;
+        bool const passed = item->first == claim.priority && claim.resumes_stream &&
+                            !displaced.resumes_stream;
+        if (item->first <= claim.priority && !passed)
+            return std::nullopt;
         erase(item->second, last);
-        return claim;
+        return displaced;
     }
     return std::nullopt;
 }
--- a/src/coordination/entry/organisation_queue.hpp
+++ b/src/coordination/entry/organisation_queue.hpp
@@ -2,6 +2,7 @@
 
 #include "state/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,6 +25,8 @@
     std::uint32_t priority = 0;
     /// The latest time at which the units are of use.
     time_point latest{};
+    /// The caller takes a stream up again that broke off.
+    bool resumes_stream = false;
 };
 
 /// What an organisation's bucket holds, what it accrues per second and its burst.
@@ -35,9 +38,11 @@
 };
 
 /// The requests of one organisation that wait for units, in the order in which they are
-/// paid: by priority, then by latest start, then by what their instances were granted.
-/// Handles the load pattern "one organisation sends several times its rate, with valuable
-/// and cheap, patient and hurried requests". Keeps a share for lower priorities and for
+/// paid: by priority, then resumed streams before new requests, then by latest start,
+/// then by what their instances were granted. Handles the load patterns "one organisation
+/// sends several times its rate, with valuable and cheap, patient and hurried requests"
+/// and "all streams broke off at once, and their callers return together with new ones".
+/// Keeps a share for lower priorities, for new requests beside resumed streams and for
 /// requests that cannot wait, and admits only requests that can be paid in time.
 class organisation_queue
 {
@@ -52,7 +57,8 @@
     [[nodiscard]] duration expected_wait(quota_claim const& claim,
                                          bucket_state const& bucket, time_point now);
     /// Returns whether the request can be paid in time, without a delay of another
-    /// request of its priority beyond that one's latest start.
+    /// request of its priority beyond that one's latest start. A resumed stream may delay
+    /// new requests.
     [[nodiscard]] bool admits(quota_claim const& claim, bucket_state const& bucket,
                               time_point now);
     void add(quota_claim claim, time_point now);
@@ -65,9 +71,10 @@
     /// paid in time.
     [[nodiscard]] std::vector<quota_claim> take_hopeless(bucket_state const& bucket,
                                                          time_point now);
-    /// Removes and returns the last request of the lowest priority if that is below
-    /// `priority`.
-    [[nodiscard]] std::optional<quota_claim> take_last_below(std::uint32_t priority);
+    /// Removes and returns the last request of the lowest priority if that is below the
+    /// priority of `claim`, or if it is a new request of the same priority and `claim`
+    /// resumes a stream.
+    [[nodiscard]] std::optional<quota_claim> take_last_below(quota_claim const& claim);
     /// Removes the requests to which the rule applies. Returns their number.
     std::size_t drop(drop_rule const& rule);
 
@@ -100,11 +107,25 @@
         quota_claim claim;
         std::uint64_t sequence = 0;
     };
-    /// The waiting requests of one priority, by their latest start in steps.
+    /// Order of the waiting requests of one priority: resumed streams first, then by
+    /// latest start in steps.
+    struct entry_order
+    {
+        bool is_new = true;
+        std::int64_t step = 0;
+
+        auto operator<=>(entry_order const&) const = default;
+    };
+    using entry_map = std::multimap<entry_order, entry>;
+    /// The waiting requests of one priority.
     struct priority_class
     {
-        std::multimap<std::int64_t, entry> entries;
+        entry_map entries;
         double units = 0;
+        /// The part of `units` that resumed streams ask for.
+        double resumed_units = 0;
+        /// Units that new requests may be paid before resumed streams.
+        double new_credit = 0;
         /// Units that the class may be paid before higher priorities.
         double credit = 0;
         decaying_rate inflow;
@@ -113,9 +134,22 @@
         std::map<std::string, double> granted;
         double granted_floor = 0;
     };
-    using class_entry = std::multimap<std::int64_t, entry>::iterator;
-
+    using class_entry = entry_map::iterator;
+
+    [[nodiscard]] static entry_order order_of(quota_claim const& claim);
+    /// Returns the entry that is paid first among those in the step of `position`.
+    [[nodiscard]] static class_entry first_in_step(priority_class& members,
+                                                   class_entry position);
+    /// Returns the first new request, or the end.
+    [[nodiscard]] static class_entry first_new(priority_class& members);
     [[nodiscard]] static class_entry first_of(priority_class& members);
+    /// Updates the credit of the new requests after a payment, while resumed streams and
+    /// new requests wait.
+    static void settle_new_credit(priority_class& members, quota_claim const& paid);
+    /// Returns `units` of resumed streams, or of new requests, plus what is paid of the
+    /// other kind in the meantime.
+    [[nodiscard]] static double with_other_kind(priority_class const& members,
+                                                bool resumed, double units);
     void erase(priority_class& members, class_entry position);
     /// Returns the class whose first request is paid next, or the end.
     [[nodiscard]] std::map<std::uint32_t, priority_class>::iterator next_class();
@@ -127,9 +161,10 @@
     /// Returns the time until a class has been paid `units` from now on.
     [[nodiscard]] duration time_for(std::uint32_t priority, double units,
                                     bucket_state const& bucket, time_point now);
-    /// Units in the class that are due in the same step as `latest` or before.
-    [[nodiscard]] double units_before(priority_class const& members,
-                                      time_point latest) const;
+    /// Units in the class of requests of the same kind, resumed streams or new requests,
+    /// that are due in the same step as the claim or before.
+    [[nodiscard]] static double units_before(priority_class const& members,
+                                             quota_claim const& claim);
     [[nodiscard]] bool delays_beyond_limit(quota_claim const& claim,
                                            bucket_state const& bucket, time_point now);
     /// Units that are kept for requests that cannot wait, and what those ask for.
--- a/src/coordination/entry/quota.cpp
+++ b/src/coordination/entry/quota.cpp
@@ -3,6 +3,7 @@
 #include "state/entry/time_units.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace carawayturn::entry
 {
@@ -16,6 +17,10 @@
 /// Upper bound on the balance of an instance without a hub, in seconds of its share of
 /// the rate.
 constexpr double without_hub_burst_s = 1.0;
+/// Part of an instance's own share that new requests may spend while resumed streams
+/// wait, and the time for which an unspent part is kept.
+constexpr double new_part_without_hub = 0.25;
+constexpr double new_part_kept_s = 1.0;
 /// An instance refuses requests by itself for at most this long after the hub refused
 /// one, since waiting requests may leave the hub's queue earlier than expected.
 constexpr duration max_block = std::chrono::milliseconds(500);
@@ -153,7 +158,8 @@
 
 bool instance_quota::spend_without_hub(std::string const& organisation,
                                        quota_terms const& terms, double units,
-                                       std::size_t instances, time_point now)
+                                       std::size_t instances, time_point now,
+                                       bool resumes_stream)
 {
     double const instance_rate =
         terms.rate / static_cast<double>(std::max<std::size_t>(instances, 1));
@@ -167,14 +173,57 @@
             instance_rate, drained_.contains(organisation) ? 0 : cap * drained_share,
             hub_update);
     entry.accrue_without_hub(instance_rate, cap, now);
+    bool const takes_new_part = !resumes_stream && entry.resumed_waiting > 0;
+    if (takes_new_part && entry.kept_for_resumed(instance_rate, now))
+        return false;
     if (entry.without_hub_balance <= 0)
         return false;
+    if (takes_new_part)
+        entry.new_allowance -= units;
     if (entry.without_hub_balance < units && above_rate_.contains(organisation))
         return spend_at_random(entry, units);
     entry.without_hub_balance -= units;
     return true;
 }
 
+bool instance_quota::account::kept_for_resumed(double instance_rate, time_point now)
+{
+    double const rate = instance_rate * new_part_without_hub;
+    new_allowance =
+        std::min(new_allowance + to_seconds(now - new_allowance_updated_at) * rate,
+                 rate * new_part_kept_s);
+    new_allowance_updated_at = now;
+    return new_allowance <= 0;
+}
+
+void instance_quota::begin_resumed_wait(std::string const& organisation, time_point now)
+{
+    auto& entry = accounts_[organisation];
+    // The part of new requests accrues only while resumed streams wait.
+    if (entry.resumed_waiting++ == 0)
+        entry.new_allowance_updated_at = now;
+}
+
+void instance_quota::end_resumed_wait(std::string const& organisation)
+{
+    --accounts_[organisation].resumed_waiting;
+}
+
+resumed_quota_wait::resumed_quota_wait(instance_quota& quota, std::string organisation,
+                                       bool resumes_stream, time_point now)
+    : quota_(quota), organisation_(std::move(organisation)),
+      resumes_stream_(resumes_stream)
+{
+    if (resumes_stream_)
+        quota_.begin_resumed_wait(organisation_, now);
+}
+
+resumed_quota_wait::~resumed_quota_wait()
+{
+    if (resumes_stream_)
+        quota_.end_resumed_wait(organisation_);
+}
+
 bool instance_quota::spend_at_random(account& entry, double units)
 {
     std::uniform_real_distribution<double> position(0, units);
@@ -195,11 +244,8 @@
 void instance_quota::block(std::string const& organisation, double units,
                            time_point expected, time_point now, quota_rank rank)
 {
-    auto& entry = accounts_[organisation];
-    entry.blocked_units = units;
-    entry.blocked_rank = rank;
-    entry.units_expected_at = expected;
-    entry.blocked_until = std::min(expected, now + max_block);
+    accounts_[organisation].refused.at(rank.resumes_stream ? 1 : 0) = {
+        units, rank, std::min(expected, now + max_block), expected};
 }
 
 duration instance_quota::blocked_for(std::string const& organisation, double units,
@@ -208,12 +254,11 @@
     auto const found = accounts_.find(organisation);
     if (found == accounts_.end())
         return duration::zero();
-    auto const& entry = found->second;
-    if (units < entry.blocked_units || entry.blocked_until <= now ||
-        rank.priority < entry.blocked_rank.priority ||
-        rank.max_wait > entry.blocked_rank.max_wait)
+    auto const& refused = found->second.refused.at(rank.resumes_stream ? 1 : 0);
+    if (units < refused.units || refused.applies_until <= now ||
+        rank.priority < refused.rank.priority || rank.max_wait > refused.rank.max_wait)
         return duration::zero();
-    return entry.units_expected_at - now;
+    return refused.units_expected_at - now;
 }
 
 } // namespace carawayturn::entry
--- a/src/coordination/entry/quota.hpp
+++ b/src/coordination/entry/quota.hpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/organisation_queue.hpp"
 #include "state/time.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -95,12 +96,13 @@
     std::map<std::string, bucket> buckets_;
 };
 
-/// How urgent a request for units is: its priority (0 is the most urgent) and the longest
-/// time that it can wait for them.
+/// How urgent a request for units is: its priority (0 is the most urgent), the longest
+/// time that it can wait for them, and whether its caller takes a stream up again.
 struct quota_rank
 {
     std::uint32_t priority = 0;
     duration max_wait{};
+    bool resumes_stream = false;
 };
 
 /// Keeps what an instance may spend by itself: what the hub granted beyond single
@@ -133,14 +135,20 @@
     void set_exhausted(std::vector<std::string> const& organisations, time_point now);
 
     /// Spends from the share of the rate that accrues to one of `instances` since the
-    /// hub's last update.
+    /// hub's last update. While resumed streams wait for units, new requests get only a
+    /// part of what accrues in the meantime.
     [[nodiscard]] bool spend_without_hub(std::string const& organisation,
                                          quota_terms const& terms, double units,
-                                         std::size_t instances, time_point now);
+                                         std::size_t instances, time_point now,
+                                         bool resumes_stream = false);
+    /// Counts the resumed streams of the organisation that wait for units.
+    void begin_resumed_wait(std::string const& organisation, time_point now);
+    void end_resumed_wait(std::string const& organisation);
 
     /// Records that the hub refused a request of `units` with this rank, and when it
     /// expects to have units for it. For a short time, requests that are as large, of the
-    /// same or a lower priority and no more patient need not ask the hub.
+    /// same or a lower priority and no more patient need not ask the hub. The refusal of
+    /// a new request does not apply to resumed streams, nor the reverse.
     void block(std::string const& organisation, double units, time_point expected,
                time_point now, quota_rank rank = {});
     /// Returns the time until units are expected for such a request, or zero if the hub
@@ -149,6 +157,13 @@
                                        time_point now, quota_rank rank = {}) const;
 
 private:
+    struct refused_request
+    {
+        double units = 0;
+        quota_rank rank;
+        time_point applies_until{};
+        time_point units_expected_at{};
+    };
     struct account
     {
         double balance = 0;
@@ -156,12 +171,17 @@
         /// was larger than the balance.
         double without_hub_balance = 0;
         time_point without_hub_updated_at{};
-        double blocked_units = 0;
-        quota_rank blocked_rank;
-        time_point blocked_until{};
-        time_point units_expected_at{};
+        std::size_t resumed_waiting = 0;
+        /// What new requests may spend of the own share while resumed streams wait;
+        /// negative after a request that was larger.
+        double new_allowance = 0;
+        time_point new_allowance_updated_at{};
+        /// The last refusal of a new request and of a resumed stream.
+        std::array<refused_request, 2> refused;
 
         void accrue_without_hub(double instance_rate, double cap, time_point until);
+        /// Returns whether a new request has to leave the units to resumed streams.
+        [[nodiscard]] bool kept_for_resumed(double instance_rate, time_point now);
     };
     /// Spends the whole balance, which is smaller than `units`. Returns true with the
     /// probability balance / units.
@@ -174,4 +194,21 @@
     std::optional<time_point> last_hub_update_;
 };
 
+/// Counts a request, if it resumes a stream, among those that wait for units, until it is
+/// destroyed.
+class resumed_quota_wait
+{
+public:
+    resumed_quota_wait(instance_quota& quota, std::string organisation,
+                       bool resumes_stream, time_point now);
+    resumed_quota_wait(resumed_quota_wait const&) = delete;
+    resumed_quota_wait& operator=(resumed_quota_wait const&) = delete;
+    ~resumed_quota_wait();
+
+private:
+    instance_quota& quota_;
+    std::string organisation_;
+    bool resumes_stream_;
+};
+
 } // namespace carawayturn::entry
--- a/src/coordination/entry/quota_queue.cpp
+++ b/src/coordination/entry/quota_queue.cpp
@@ -108,7 +108,7 @@
 {
     if (line.size() < max_waiting_of_organisation && waiting() < max_waiting)
         return true;
-    auto const displaced = line.take_last_below(claim.priority);
+    auto const displaced = line.take_last_below(claim);
     if (displaced)
         refuse(*displaced, line.expected_wait(*displaced, bucket, now));
     return displaced.has_value();
--- a/src/coordination/entry/quota_wait.cpp
+++ b/src/coordination/entry/quota_wait.cpp
@@ -22,14 +22,19 @@
 } // namespace
 
 duration longest_quota_wait(serving_route const& route, time_point start_deadline,
-                            time_point now)
+                            time_point now, bool resumes_stream)
 {
-    if (route.latency_objective < min_objective || start_deadline <= now)
+    if (start_deadline <= now)
         return duration::zero();
     auto const left = start_deadline - now;
-    return std::min(left -
-                        std::min(margin_objectives * route.latency_objective, left / 2),
-                    route.latency_objective / max_objective_divisor);
+    auto const longest =
+        left - std::min(margin_objectives * route.latency_objective, left / 2);
+    // The caller has part of the stream, and loses it if the rest does not come.
+    if (resumes_stream)
+        return longest;
+    if (route.latency_objective < min_objective)
+        return duration::zero();
+    return std::min(longest, route.latency_objective / max_objective_divisor);
 }
 
 quota_waiting_place::~quota_waiting_place()
--- a/src/coordination/entry/quota_wait.hpp
+++ b/src/coordination/entry/quota_wait.hpp
@@ -12,9 +12,12 @@
 
 /// Returns how long a request of this route may wait for units of its quota, so that the
 /// service can still begin before `start_deadline`. Zero if requests of the route do not
-/// wait, because their latency objective leaves no time.
+/// wait, because their latency objective leaves no time. A request that takes a stream up
+/// again waits on any route, and is not bound by the latency objective: its first event
+/// came before the stream broke off.
 [[nodiscard]] duration longest_quota_wait(serving_route const& route,
-                                          time_point start_deadline, time_point now);
+                                          time_point start_deadline, time_point now,
+                                          bool resumes_stream = false);
 
 /// Limits the requests of an instance that wait for quota, and the bytes of their bodies.
 /// Handles the load pattern "an organisation over its rate sends long bodies", in which
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -131,7 +131,10 @@
     /// not show as draining.
     std::vector<leaving_server> leaving;
     std::vector<cold_slot_request> cold_requests;
-    /// Ids of quota requests that no longer wait. Also in an incomplete status.
+    /// Ids of quota requests that no longer wait. Also in an incomplete status. The id of
+    /// a request in quota_requests states that its caller takes a stream up again, so
+    /// that the message format stays as it was: a hub that does not know this finds no
+    /// such request to cancel, since it cancels before it decides on new ones.
     std::vector<std::uint64_t> cancelled_quota_requests;
 };
 
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -332,6 +332,8 @@
     status.quota_requests.push_back({id, std::move(question.organisation), question.units,
                                      question.reserve, question.rank.priority,
                                      max_wait.count()});
+    if (question.rank.resumes_stream)
+        status.cancelled_quota_requests.push_back(id);
     auto const now = boot_now();
     auto const pending = std::make_shared<pending_quota_request>(pending_quota_request{
         std::nullopt, false, false, now, steady_timer(services_.io)});
--- a/src/transport/entry/request_flow.cpp
+++ b/src/transport/entry/request_flow.cpp
@@ -97,7 +97,10 @@
     if (!service_->engine)
         head_.model = {};
     if (route_->kind == request_kind::stream && route_->resumable)
+    {
         continuation_.take_up(head_.resume_after);
+        resumes_stream_ = !continuation_.last_id().empty();
+    }
     set_deadlines();
     if (start_deadline_ <= now)
         return refusal{refusal_reason::deadline_unreachable, {}};
@@ -439,6 +442,7 @@
          {"quota_rate",
           static_cast<std::int64_t>(organisation_ ? organisation_->rate : 0)},
          {"quota_wait_ms", to_ms(quota_wait_)},
+         {"resumes_stream", std::uint64_t{resumes_stream_ ? 1U : 0U}},
          {"model", model},
          {"server", server_.id},
          {"sends", std::uint64_t{sends_}},
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -388,6 +388,8 @@
     organisation const* organisation_ = nullptr;
     /// What crashes of servers under the request are counted for.
     crash_signatures crash_signatures_;
+    /// The caller takes a stream up again that broke off.
+    bool resumes_stream_ = false;
     /// Units of the organisation's quota that the request costs.
     double units_ = 0;
     bool charged_ = false;
--- a/src/transport/entry/request_quota.cpp
+++ b/src/transport/entry/request_quota.cpp
@@ -40,7 +40,8 @@
     if (services_.quota.spend(organisation_->name, units_))
         co_return std::nullopt;
     auto const began = boot_now();
-    auto const longest = longest_quota_wait(*route_, start_deadline_, began);
+    auto const longest =
+        longest_quota_wait(*route_, start_deadline_, began, resumes_stream_);
     quota_waiting_place place(services_.quota_waiting);
     // An instance that shuts down cannot wait as long as another one.
     bool const waits = longest > duration::zero() && !services_.draining() &&
@@ -60,29 +61,43 @@
     auto const& name = organisation_->name;
     bool const waits = latest > boot_now();
     steady_timer timer(services_.io);
-    for (auto pause = min_retry_pause;; pause = std::min(2 * pause, max_retry_pause))
+    resumed_quota_wait const counted(services_.quota, name, resumes_stream_, boot_now());
+    for (auto pause = min_retry_pause;;)
     {
         auto const now = boot_now();
-        quota_rank const rank{priority(), std::max(latest - now, duration::zero())};
+        quota_rank const rank{priority(), std::max(latest - now, duration::zero()),
+                              resumes_stream_};
         auto const blocked = services_.quota.blocked_for(name, units_, now, rank);
         if (blocked > duration::zero())
             co_return refuse_for_quota(refusal_reason::over_rate, blocked, rank);
         std::optional<quota_reply> reply;
-        if (services_.hub.connected())
+        bool const asks_hub = services_.hub.connected();
+        if (asks_hub)
             reply = co_await ask_for_units(rank);
         if (waits && quota_wait_ended())
             co_return refusal{refusal_reason::draining, retry_elsewhere};
         if (reply)
             co_return accept_reply(*reply, rank);
+        // Resumed streams that were released together with this request try first.
+        if (!resumes_stream_)
+        {
+            timer.expires_after(duration::zero());
+            co_await timer.async_wait(use_task);
+        }
         quota_terms const terms{organisation_->rate, organisation_->burst};
         if (services_.quota.spend_without_hub(name, terms, units_,
-                                              services_.hub.instances(), boot_now()))
+                                              services_.hub.instances(), boot_now(),
+                                              resumes_stream_))
             co_return std::nullopt;
         if (boot_now() + pause >= latest)
             co_return refuse_for_quota(refusal_reason::over_rate_alone, retry_later,
                                        rank);
         timer.expires_after(pause);
         co_await timer.async_wait(use_task);
+        // A resumed stream that asked no hub keeps trying the own share at short
+        // intervals, so that no new request comes before it.
+        if (asks_hub || !resumes_stream_)
+            pause = std::min(2 * pause, max_retry_pause);
     }
 }
 
--- a/tests/entry/quota_queue_test.cpp
+++ b/tests/entry/quota_queue_test.cpp
@@ -265,7 +265,8 @@
                                         random(),
                                         1.0 + random() % 3000,
                                         static_cast<std::uint32_t>(random() % 4),
-                                        {}};
+                                        {},
+                                        random() % 2 == 0};
                 auto const decision = queue.request(
                     {"org", claim, random() % 500 * 1.0,
                      milliseconds(random() % 3 == 0 ? 0 : random() % 20000)},
--- a/tests/entry/quota_wait_test.py
+++ b/tests/entry/quota_wait_test.py
@@ -121,6 +121,37 @@
         self.assertLessEqual(served, RATE * (time.monotonic() - began) + 1)
         self.assertGreaterEqual(served, 6)
 
+    def test_resumed_streams_are_paid_before_new_requests_that_wait(self) -> None:
+        """Guards against streams that are lost half delivered because new requests, which arrived
+        before, are paid first, and against a hub that is not told which requests resume one."""
+        runner = BackendServer(self.store, "r0", "llm", ["m1"])
+        self.addCleanup(runner.close)
+        wait_until(lambda: self.member.stream("/draft/a", "m1", f"q{next(self.ids)}")[1],
+                   "the runner serves")
+        self.use_up()
+        answers = self.start_waiting(self.member, 4)
+        self.wait_until_waiting(4, answers)
+        # For each resumed stream: what the caller got, and how many new requests had been
+        # answered by then.
+        resumed: list = []
+
+        def resume() -> None:
+            received, whole, _ = self.member.stream("/draft/a", "m1", f"q{next(self.ids)}",
+                                                    {"Last-Event-Id": "3"})
+            resumed.append((received, whole, len(answers)))
+
+        threads = [threading.Thread(target=resume) for _ in range(3)]
+        self.threads += threads
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: len(resumed) == 3 and len(answers) == 4, "all are answered")
+        self.assertEqual([whole for _, whole, _ in resumed], [True] * 3, resumed)
+        self.assertTrue(all(b"id: 4\n" in received and b"id: 3\n" not in received
+                            for received, _, _ in resumed), resumed)
+        self.assertLess(max(answered for _, _, answered in resumed), 4)
+        ended = [end for end in self.member.events(1100) if end["resumes_stream"]]
+        self.assertEqual([end["outcome"] for end in ended], ["streamed"] * 3)
+
     def test_waiting_requests_survive_the_loss_of_the_hub(self) -> None:
         """Guards against requests that wait for a lost hub until their callers give up."""
         self.use_up()
