Play releases, kills of all instances and streams taken up again in the fault soak

Seeds from 7000 on play runners of two or three versions, which put their version into each event. Releases replace the oldest runners, under their ids with a new start time or under new ids, after a drain or not; all instances are killed at the same moment and started again; other faults of instances, store and connections overlap. In some seeds, runs end inside an event or, when resumed, without one, with their last chunk or with their connection. Callers whose stream broke off take it up again at any instance, up to three times. Lower seeds keep their meaning.

Promises: no stream holds events of two versions, none that looks complete lacks its last event, no event is missing or repeated over a caller's tries, and streams that are taken up go on at least half as often as new ones begin (timed).

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -493,6 +493,9 @@
         for name, value in {**headers, "X-Server-Seal": "s", **framing}.items():
             call.send_header(name, value)
         call.end_headers()
+        self._send_events(call, first, silences)
+
+    def _send_events(self, call: _Handler, first: int, silences: dict[int, float]) -> None:
         for number in range(first, 6):
             if self.mode.startswith("break") and number == 3:
                 self._send_piece(call, b"id: 3\nda")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,7 @@
 import http.client
 import itertools
 import random
+import re
 import threading
 import time
 from collections.abc import Iterable
@@ -23,9 +24,22 @@
 # Pause of a caller that waits when it is refused before it opens its next connection.
 CONNECT_PAUSE_S = 0.1
 MAX_REQUESTS_ON_A_CONNECTION = 40
+# A caller whose stream broke off takes it up again up to this many times, after a random pause.
+MAX_TAKE_UPS = 3
+TAKE_UP_PAUSE_S = (0.05, 1.5)
+LAST_EVENT = 5
+# Probability that the connection of such a caller breaks off after a piece of a stream.
+BREAK_SHARE = 0.05
+# A whole event: its number, and the version of the server's software if it is stated.
+EVENT = re.compile(rb"id: (\d+)\ndata: \d+(?: (\w+))?\n\n")
 EXPECTED_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 
 
+def events_of(body: bytes) -> list[tuple[int, str]]:
+    """Returns the number and the server's version of each whole event."""
+    return [(int(number), version.decode()) for number, version in EVENT.findall(body)]
+
+
 @dataclass
 class Call:
     """One request and the result that its caller received."""
@@ -46,6 +60,13 @@
     ended_at: float = 0.0
     # The exception that ended the connection early, as text.
     failure: str = ""
+    model: str = ""
+    # For a call that takes a stream up again: the id of the call that brought the first event, and
+    # the last event that the caller has.
+    resumes: str = ""
+    last_event_id: int = 0
+    # Whether the caller closed its connection in the middle of the stream.
+    broken_off: bool = False
 
 
 class Connection(http.client.HTTPConnection):
@@ -75,6 +96,8 @@
 class Caller:
     """A thread that sends requests one after another until it is stopped."""
 
+    models = ("m1", "m1", "m2", "m3")
+
     def __init__(self, name: str, seed: int, instances: list[Instance], keys,
                  style: str = "brisk", waits_when_refused: bool = False) -> None:
         """Starts the thread; `keys` returns the API keys to choose from for the next request.
@@ -135,24 +158,35 @@
         call = Call(f"{self._name}-{len(self.calls)}", kind, self._random.choice(self._keys()),
                     instance.name, time.monotonic())
         self.calls.append(call)
-        headers = {"Host": "h.example", "X-Request-Id": call.request_id,
-                   "X-Deadline-Ms": str(round(1000 * DEADLINE_S)),
-                   "Authorization": f"Token {call.key}"}
         if kind == "draft":
-            headers["X-Model"] = self._random.choice(["m1", "m1", "m2", "m3"])
-            headers["X-Token-Count"] = "300,20"
+            call.model = self._random.choice(self.models)
         if self._pause_within:
             connection.pause_s = self._random.choice([0.0, self._pause_within *
                                                       self._random.random()])
+        return self._send(connection, call)
+
+    def _send(self, connection: Connection, call: Call) -> bool:
+        """Sends a call; returns whether the connection can be used for another one."""
+        headers = {"Host": "h.example", "X-Request-Id": call.request_id,
+                   "X-Deadline-Ms": str(round(1000 * DEADLINE_S)),
+                   "Authorization": f"Token {call.key}"}
+        if call.kind == "draft":
+            headers |= {"X-Model": call.model, "X-Token-Count": "300,20"}
+        if call.resumes:
+            headers |= {"Last-Event-Id": str(call.last_event_id), "Resumes": call.resumes}
         try:
-            connection.request("GET" if kind == "status" else "POST", f"/{kind}/a", b"x",
-                               headers)
+            connection.request("GET" if call.kind == "status" else "POST", f"/{call.kind}/a",
+                               b"x", headers)
             call.written = True
             answer = connection.getresponse()
             call.status = answer.status
             call.headers = {name.lower(): value for name, value in answer.getheaders()}
             while piece := answer.read1(65536):
                 call.body += piece
+                if self._breaks_off(call):
+                    call.broken_off = True
+                    connection.close()
+                    return False
             # http.client keeps a response open after its body was read with read1(), and the
             # next request on the connection would fail.
             answer.close()
@@ -167,3 +201,44 @@
         finally:
             call.process = connection.process
             call.ended_at = time.monotonic()
+
+    def _breaks_off(self, call: Call) -> bool:
+        return False
+
+
+class ResumingCaller(Caller):
+    """A caller that takes a stream that broke off up again, at the same or another instance."""
+
+    # Both models fit into the memory of one runner.
+    models = ("m1", "m1", "m1", "m2")
+
+    def _call(self, connection: Connection, instance: Instance) -> bool:
+        is_usable = super()._call(connection, instance)
+        first = call = self.calls[-1]
+        events = events_of(first.body)
+        for _ in range(MAX_TAKE_UPS):
+            if call.whole and call.status == 200 or not events or self._stop.wait(
+                    self._random.uniform(*TAKE_UP_PAUSE_S)):
+                break
+            call = self._take_up(first, events[-1][0])
+            events += events_of(call.body)
+            is_usable = False
+        return is_usable
+
+    def _breaks_off(self, call: Call) -> bool:
+        """Whether the caller's connection breaks off after the events that have arrived."""
+        return (call.kind == "draft" and len(events_of(call.body)) in range(1, LAST_EVENT)
+                and self._random.random() < BREAK_SHARE)
+
+    def _take_up(self, first: Call, last_event_id: int) -> Call:
+        instance = self._random.choice(self._instances)
+        call = Call(f"{self._name}-{len(self.calls)}", first.kind,
+                    self._random.choice(self._keys()), instance.name, time.monotonic(),
+                    model=first.model, resumes=first.request_id, last_event_id=last_event_id)
+        self.calls.append(call)
+        connection = Connection(instance)
+        try:
+            self._send(connection, call)
+        finally:
+            connection.close()
+        return call
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,10 +10,12 @@
 import time
 from collections.abc import Callable
 
+import release_load
 import stop_load
 from entry_fleet import HANG_LIMIT_S, Instance, wait_until
 from fault_proxy import FaultProxy
 from misbehaving_server import WAYS
+from release_load import VersionedRunner
 from soak_fleet import Fault, Stop, SoakFleet
 
 SCHEDULE_S = 10.0
@@ -35,6 +37,8 @@
     "no_end_of_other_answers", "no_end_of_other_body", "other_answer", "trickled_head"]
 # Time that a process needs after opening its ports to install its signal handlers.
 SIGNAL_HANDLER_DELAY_S = 0.1
+# Longest pause between two faults that are played in series.
+MAX_PAUSE_S = 3.0
 # Time before SIGTERM in which a starved instance may already be suspended.
 STARVED_LEAD_S = 2.0
 
@@ -73,6 +77,9 @@
         if self.fleet.stop_load:
             self._play_stop_load(self.fleet.stop_load)
             return
+        if self.fleet.release_load:
+            self._play_release_load(self.fleet.release_load)
+            return
         threads = []
         begin = time.monotonic()
         at = 0.0
@@ -128,6 +135,27 @@
             pause.end = time.monotonic()
         stopping.join()
 
+    def _play_release_load(self, profile: release_load.Profile) -> None:
+        """Plays releases, kills of all instances and other kinds side by side."""
+        end = time.monotonic() + release_load.SCHEDULE_S
+        threads = [threading.Thread(target=self._play_in_series,
+                                    args=(kinds, pause_s, self.random.random(), end))
+                   for kinds, pause_s in ((("release",), MAX_PAUSE_S),
+                                          (("kill_all",), profile.max_kill_pause_s),
+                                          (profile.more_kinds, MAX_PAUSE_S)) if kinds]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _play_in_series(self, kinds: tuple[str, ...], max_pause_s: float, seed: float,
+                        end: float) -> None:
+        choice = random.Random(seed)
+        while time.monotonic() < end:
+            time.sleep(choice.uniform(0.2, max_pause_s))
+            kind = choice.choice(kinds)
+            self._play_fault(getattr(self, kind), kind, random.Random(choice.random()))
+
     def _suspend(self, process: subprocess.Popen, span: float) -> None:
         process.send_signal(signal.SIGSTOP)
         time.sleep(span)
@@ -147,6 +175,21 @@
         self._start(instance)
         return instance.name
 
+    def kill_all(self, choice: random.Random, span: float) -> None:
+        """Kills all instances at the same moment and starts them again."""
+        faults = [Fault("kill", instance.name, time.monotonic())
+                  for instance in self.fleet.instances]
+        self.fleet.faults += faults
+        with self.fleet.lock:
+            for instance in self.fleet.instances:
+                instance.process.kill()
+            for instance in self.fleet.instances:
+                instance.process.wait()
+        time.sleep(span / 4)
+        for instance, fault in zip(self.fleet.instances, faults):
+            self._start(instance)
+            fault.end = time.monotonic()
+
     def terminate(self, choice: random.Random, span: float) -> str:
         instance = choice.choice(self.fleet.instances)
         instance.process.send_signal(signal.SIGTERM)
@@ -357,5 +400,43 @@
         server.way = ""
         return server.name
 
+    def release(self, choice: random.Random, span: float) -> None:
+        """Newer software replaces some runners of the oldest version, under their ids or new
+        ones."""
+        runners = self.fleet.start_release()
+        for runner in choice.sample(runners, choice.randint(1, min(2, len(runners)))):
+            choice.choice([self._restart_newer, self._replace])(runner, choice)
+            time.sleep(span / 4)
+
+    def _restart_newer(self, runner: VersionedRunner, choice: random.Random) -> None:
+        if choice.random() < 0.5:
+            runner.record("draining")
+            time.sleep(choice.uniform(0.0, 1.0))
+        self._set_away(runner, choice.uniform(0.05, 0.5))
+        runner.number = self.fleet.newest
+        runner.restart()
+        self.fleet.links[runner.name][0].refuse = False
+
+    def _set_away(self, runner: VersionedRunner, span: float) -> None:
+        """Ends a runner's connections and refuses new ones, as after the end of its process."""
+        now = time.monotonic()
+        self.fleet.faults.append(Fault("link_cut", runner.name, now, now + span))
+        (link,) = self.fleet.links[runner.name]
+        link.refuse = True
+        link.reset_connections()
+        time.sleep(span)
+
+    def _replace(self, runner: VersionedRunner, choice: random.Random) -> None:
+        """A runner joins; the one that it replaces drains or is only removed, and ends later."""
+        self.fleet.servers.append(self.fleet.add_server(runner.service))
+        if choice.random() < 0.5:
+            runner.record("draining")
+            time.sleep(choice.uniform(0.1, 1.0))
+        self.fleet.store.remove("servers", runner.name)
+        runner.end_serving()
+        self.fleet.departed_at[runner.name] = runner.serving_periods[-1].end
+        time.sleep(choice.uniform(0.0, 1.5))
+        self._set_away(runner, 0.0)
+
     def rotate_key(self, *_: object) -> None:
         self.fleet.rotate_key()
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+import re
 from collections import Counter, defaultdict
 
 from answer_bytes import COMMENT
-from callers import DEADLINE_MARGIN_S, DEADLINE_S, EXPECTED_STREAM, Call
+from callers import (
+    DEADLINE_MARGIN_S, DEADLINE_S, EXPECTED_STREAM, LAST_EVENT, Call, events_of)
 
 REVOKE_S = 5.0
 DRAIN_S = 2.0
@@ -24,6 +26,14 @@
 # Requests that are in flight when a server announces a pause may still reach it.
 PAUSE_PROPAGATION_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+# The version of a server's software in an event.
+VERSION = re.compile(rb" v\d*$", re.MULTILINE)
+EVENT_SIZE = len(EXPECTED_STREAM) // LAST_EVENT
+# Time after which an instance that started, or got its connections back, knows the store, and
+# after which a server in the store is known to instances.
+CONTACT_S = 1.0
+# Shares of fewer streams than this are not compared.
+MIN_TAKE_UPS = 12
 # Kinds of fault that neither end or stall a connection nor stop or suspend a process.
 NON_DISRUPTIVE_KINDS = {"rotate_key", "leave", "leave_by_word", "reload", "server_pauses",
                         "server_refuses", "server_slow"}
@@ -61,9 +71,9 @@
         if call.headers.get("x-server-seal") != "s":
             found.append(f"MIXED {call.request_id} got a success without signature")
         if call.kind == "draft":
-            body = call.body.replace(COMMENT, b"")
-            whole = body == EXPECTED_STREAM if call.whole else EXPECTED_STREAM.startswith(body)
-            if not whole:
+            body = VERSION.sub(b"", call.body.replace(COMMENT, b""))
+            expected = EXPECTED_STREAM[call.last_event_id * EVENT_SIZE:]
+            if not (body == expected if call.whole else expected.startswith(body)):
                 found.append(f"ORDER {call.request_id} whole={call.whole} {call.body!r}")
         elif call.whole and call.body.removeprefix(b"done by ") not in servers[call.request_id]:
             found.append(f"MIXED {call.request_id} got {call.body!r}")
@@ -176,7 +186,7 @@
         for call in calls:
             reached = servers[call.request_id]
             if (call.process != stop.process or call.ended_at < stop.begin or call.whole
-                    or not call.written or not (reached or call.status)
+                    or call.broken_off or not call.written or not (reached or call.status)
                     or is_stream_at_its_deadline(call)):
                 continue
             if not any(fault_overlaps(faults, server, call.sent_at, call.ended_at)
@@ -201,7 +211,7 @@
     found = []
     for call in calls:
         if (call.kind != "draft" or call.status != 200 or call.whole
-                or is_stream_at_its_deadline(call)
+                or call.broken_off or is_stream_at_its_deadline(call)
                 or fault_overlaps(killed, call.instance, call.sent_at, call.ended_at)
                 or any(fault_overlaps(faults, server, call.sent_at, call.ended_at)
                        for server in servers[call.request_id])):
@@ -274,3 +284,94 @@
                                  f"{server.name} in {end - begin:.2f} s from {begin:.3f}")
                     break
     return found
+
+
+def tries_of_streams(calls: list[Call]) -> dict[str, list[Call]]:
+    """Returns the calls of each stream, by the id of its first call. A caller takes a stream up
+    only after its earlier call has ended."""
+    tries = defaultdict(list)
+    for call in calls:
+        if call.kind == "draft":
+            tries[call.resumes or call.request_id].append(call)
+    return tries
+
+
+def joined_streams(calls: list[Call]) -> list[str]:
+    """No stream holds events of two versions, in one answer or over its caller's tries: what two
+    versions write does not fit together."""
+    found = []
+    for name, tries in tries_of_streams(calls).items():
+        versions = [version for call in tries for _, version in events_of(call.body)]
+        if len(set(versions)) > 1:
+            found.append(f"JOINED {name} {'|'.join(versions)} in {len(tries)} tries, "
+                         f"{len({v for _, v in events_of(tries[0].body)})} versions in the first")
+    return found
+
+
+def streams_without_last_event(calls: list[Call]) -> list[str]:
+    """No stream that looks complete lacks its last event: its caller would not take it up."""
+    return [f"SHORT {call.request_id} after event {call.last_event_id} {call.body!r}"
+            for call in calls if call.kind == "draft" and call.status == 200 and call.whole
+            and [call.last_event_id, *(n for n, _ in events_of(call.body))][-1] != LAST_EVENT]
+
+
+def events_over_tries(calls: list[Call]) -> list[str]:
+    """No event is missing, repeated or out of order over a caller's tries: a caller that takes a
+    stream up joins what it gets to what it has."""
+    found = []
+    for name, tries in tries_of_streams(calls).items():
+        numbers = [number for call in tries for number, _ in events_of(call.body)]
+        if numbers != list(range(1, len(numbers) + 1)):
+            found.append(f"EVENTS {name} {numbers} in {len(tries)} tries")
+    return found
+
+
+def is_in_touch(call: Call, faults, stops) -> bool:
+    """Whether a call's instance ran and reached the store for CONTACT_S before the call and while
+    it was open."""
+    own = {call.instance, f"store-{call.instance}", f"peer-{call.instance}"}
+    causes = [fault for fault in faults
+              if fault.target in own or (fault.kind.startswith("store_") and not fault.target)]
+    causes += [stop for stop in stops if stop.instance == call.instance]
+    return not any(cause.begin <= call.ended_at and cause.end >= call.sent_at - CONTACT_S
+                   for cause in causes)
+
+
+def serving_runners(runners, faults, version: str, begin: float, end: float) -> int:
+    """Returns how many runners of a version served undisturbed for the whole time span."""
+    return sum(any(period.version == version and period.begin + CONTACT_S <= begin
+                   and period.end >= end for period in runner.serving_periods)
+               and not fault_overlaps(faults, runner.name, begin - CONTACT_S, end)
+               for runner in runners)
+
+
+def goes_on(call: Call) -> bool:
+    """Whether a stream got an event, or the end of a stream of which the caller has all events."""
+    return call.status == 200 and bool(
+        events_of(call.body) or (call.whole and call.last_event_id == LAST_EVENT))
+
+
+def shares_that_go_on(calls: list[Call], runners, faults, stops) -> tuple[list[bool], list[bool]]:
+    """Returns whether the new streams began, and whether those went on that were taken up while
+    two runners of their version served; both at instances in touch."""
+    begun, taken_up = [], []
+    for tries in tries_of_streams(calls).values():
+        version = next((version for _, version in events_of(tries[0].body)), "")
+        for call in tries:
+            if not is_in_touch(call, faults, stops):
+                continue
+            if not call.resumes:
+                begun.append(goes_on(call))
+            elif serving_runners(runners, faults, version, call.sent_at, call.ended_at) >= 2:
+                taken_up.append(goes_on(call))
+    return begun, taken_up
+
+
+def take_ups(begun: list[bool], taken_up: list[bool]) -> list[str]:
+    """At least half as large a share of the streams that are taken up goes on as of new streams
+    begins: instances that refuse every take-up would join no stream."""
+    if len(taken_up) < MIN_TAKE_UPS or not begun:
+        return []
+    share, new_share = sum(taken_up) / len(taken_up), sum(begun) / len(begun)
+    return [f"TAKE-UP {share:.2f} of {len(taken_up)} taken up went on, {new_share:.2f} of "
+            f"{len(begun)} new streams began"] if share < new_share / 2 else []
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -12,6 +12,7 @@
 from answer_bytes import COMMENT  # noqa: E402
 import promises  # noqa: E402
 from callers import EXPECTED_STREAM, Call  # noqa: E402
+from release_load import ServingPeriod  # noqa: E402
 
 
 def call(kind: str, status: int = 200, body: bytes = b"", **options) -> Call:
@@ -25,6 +26,18 @@
     return {"id": request_id, "server": server, "at": at, "headers": {}}
 
 
+def event(number: int, version: str) -> bytes:
+    return b"id: %d\ndata: %d %s\n\n" % (number, number, version.encode())
+
+
+def versioned(number: int, version: str, first: int, last: int, whole: bool = True) -> Call:
+    """Returns a try of stream r1, with the events from the first to the last."""
+    body = b"".join(event(each, version) for each in range(first, last + 1))
+    more = {} if number == 1 else {"resumes": "r1", "last_event_id": first - 1}
+    return call("draft", body=body, request_id=f"r{number}", whole=whole, sent_at=5.0,
+                ended_at=5.1, **more)
+
+
 class PromisesTest(unittest.TestCase):
 
     def test_booking_that_ran_twice_is_found(self) -> None:
@@ -168,6 +181,51 @@
             0.0, 0.6, 0.7, 1.9, kind="link_delayed", target="s1"), [])
         self.assertEqual(paused_server_findings(0.0, 0.6, 0.7, 1.9, kind="pause", target="7"), [])
 
+    def test_stream_of_two_versions_is_found(self) -> None:
+        """Guards against a check that looks only at single answers."""
+        self.assertEqual(promises.joined_streams([versioned(1, "v1", 1, 2), versioned(
+            2, "v1", 3, 4), call("draft", request_id="r3", body=event(1, "v2"))]), [])
+        self.assertIn("JOINED", promises.joined_streams([call(
+            "draft", body=event(1, "v1") + event(2, "v2"))])[0])
+        self.assertIn("JOINED", promises.joined_streams([versioned(1, "v1", 1, 2),
+                                                         versioned(2, "v2", 3, 4)])[0])
+
+    def test_complete_stream_without_its_last_event_is_found(self) -> None:
+        """Guards against a check that accepts an early end after a whole event."""
+        for found, tried in ((0, versioned(1, "v1", 1, 5)), (0, versioned(2, "v1", 3, 5)),
+                             (0, versioned(2, "v1", 6, 5)), (1, versioned(1, "v1", 1, 4)),
+                             (1, versioned(2, "v1", 3, 2)), (0, versioned(1, "v1", 1, 4, False))):
+            self.assertEqual(len(promises.streams_without_last_event([tried])), found, tried)
+
+    def test_repeated_and_missing_events_over_tries_are_found(self) -> None:
+        """Guards against a check that forgets the events of earlier tries."""
+        for found, first in ((0, 3), (1, 2), (1, 4), (1, 1)):
+            calls = [versioned(1, "v1", 1, 2, False), versioned(2, "v1", 3, 2, False),
+                     versioned(3, "v1", first, 5)]
+            self.assertEqual(len(promises.events_over_tries(calls)), found, first)
+
+    def test_refused_take_ups_are_found(self) -> None:
+        """Guards against a share over calls that do not count, or over too few of them."""
+        def findings(taken_up: int, refused: int, new: int = 10, **options) -> list[str]:
+            refusal = call("draft", 503, resumes="r1", last_event_id=2, sent_at=5.0, ended_at=5.1)
+            runners = [SimpleNamespace(name=f"s{i}", serving_periods=[
+                ServingPeriod("v1", 0.0)])
+                       for i in range(options.get("runners", 2))]
+            calls = ([versioned(1, "v1", 1, 2, False)] + [versioned(2, "v1", 3, 5)] * taken_up
+                     + [refusal] * refused + [call("draft", 200 if i < new else 503,
+                        request_id=f"new{i}", body=event(1, "v1")) for i in range(10)])
+            return promises.take_ups(*promises.shares_that_go_on(
+                calls, runners, options.get("faults", []), []))
+
+        self.assertIn("TAKE-UP 0.00 of 12", findings(0, 12)[0])
+        self.assertIn("TAKE-UP", findings(5, 7)[0])
+        for accepted in (findings(6, 6), findings(0, 11), findings(5, 7, new=2),
+                         findings(0, 12, runners=1)):
+            self.assertEqual(accepted, [])
+        for target in ("n0", "store-n0", "s1"):
+            fault = SimpleNamespace(kind="link_cut", target=target, begin=4.9, end=4.9)
+            self.assertEqual(findings(0, 12, faults=[fault]), [], target)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,9 +1,10 @@
 """Randomized soak test: injects faults into real instances while callers send requests.
 
 Run `soak.py --seeds 1-50 --jobs 3` by hand; `--untimed` (for CI) leaves out the promises that
-a slow machine could break. Seeds from 5000 on stop instances again and again under streams whose
-runners are silent for a while; in seeds from 4000 to 4999 streams end with their connections. A
-seed that fails is added to seeds.txt.
+a slow machine could break. Seeds from 5000 to 6999 stop instances again and again under streams
+whose runners are silent for a while; in seeds from 4000 to 4999 streams end with their connections.
+In seeds from 7000 on, releases replace runners while callers take up streams that broke off. A seed
+that fails is added to seeds.txt.
 """
 
 from __future__ import annotations
@@ -24,7 +25,8 @@
 from callers import Call  # noqa: E402
 from entry_fleet import HANG_LIMIT_S, Instance, wait_until  # noqa: E402
 from faults import FaultPlayer  # noqa: E402
-from soak_fleet import INSTANCE_COUNT, QUOTA_BURST, QUOTA_RATE, SoakFleet  # noqa: E402
+from soak_fleet import (  # noqa: E402
+    INSTANCE_COUNT, QUOTA_BURST, QUOTA_RATE, Fault, SoakFleet)
 from stop_load import last_run_ends  # noqa: E402
 
 RECOVERY_S = 12.0
@@ -90,13 +92,22 @@
         found += promises.withdrawn_keys(calls, runs, fleet.withdrawn)
         found += promises.quotas(calls, runs, "small", QUOTA_RATE, QUOTA_BURST)
         found += promises.orders(fleet.servers)
+        faults = fleet.faults + [Fault("early_end", runner.name, at, at)
+                                 for runner in fleet.versioned_runners()
+                                 for at in runner.early_ends]
         arrivals = [{"id": name, "server": server.name, "at": at}
                     for server in fleet.servers for at, name in server.arrivals]
-        found += promises.planned_stops(calls, arrivals, fleet.stops, fleet.faults, not untimed)
+        found += promises.planned_stops(calls, arrivals, fleet.stops, faults, not untimed)
         found += promises.streams_without_end(calls, runs, last_run_ends(fleet.servers),
-                                              fleet.stops, fleet.faults)
+                                              fleet.stops, faults)
         found += promises.leaving_servers(calls, fleet.servers)
+        found += promises.joined_streams(calls)
+        found += promises.streams_without_last_event(calls)
+        found += promises.events_over_tries(calls)
+        begun, taken_up = promises.shares_that_go_on(calls, fleet.versioned_runners(),
+                                                     fleet.faults, fleet.stops)
         if not untimed:
+            found += promises.take_ups(begun, taken_up)
             found += promises.paused_servers(calls, fleet.servers, fleet.faults)
             found += promises.runs_at_departed_servers(calls, runs, fleet.departed_at,
                                                        fleet.is_undisturbed)
@@ -105,7 +116,9 @@
         streams = sum(call.kind == "draft" and call.status == 200 for call in calls)
         print(f"seed {seed}: {len(fleet.faults)} faults, {len(fleet.stops)} stops, "
               f"{len(alone)} of them by SIGTERM alone, {len(calls)} requests, {served} served, "
-              f"{streams} streams begun, {len(found)} broken", flush=True)
+              f"{streams} streams begun, {sum(bool(call.resumes) for call in calls)} taken up "
+              f"({sum(taken_up)} of {len(taken_up)} in touch went on), {len(found)} broken",
+              flush=True)
         if found and keep:
             keep_logs(fleet, found, keep / f"seed-{seed}")
             keep_calls(calls, arrivals, keep / f"seed-{seed}")
--- a/tests/soak/soak_fleet.py
+++ b/tests/soak/soak_fleet.py
@@ -8,18 +8,20 @@
 import time
 from dataclasses import dataclass
 
-from callers import Caller
+import release_load
+from callers import Caller, ResumingCaller
 from entry_fleet import Instance, configuration
 from fault_proxy import FaultProxy, ProxyLoop
 from platform_fleet import BackendServer, Store
 from promises import NON_DISRUPTIVE_KINDS
+from release_load import VersionedRunner
 from stop_load import UnevenRunner, profile_of, settings
 
 # Instances of a fleet of the usual size. The numbers of runners and callers are those of such a
 # fleet; a larger one has as many times more.
 INSTANCE_COUNT = 3
 RUNNER_COUNT = 3
-STOP_LOAD_RUNNER_COUNT = 6
+LOAD_RUNNER_COUNT = 6
 # Styles of the callers, for seeds that play only the original kinds of fault and for all others.
 ORIGINAL_CALLER_STYLES = ("brisk",) * 6
 CALLER_STYLES = ("brisk",) * 6 + ("halves",) * 8 + ("idle",) * 4
@@ -64,6 +66,9 @@
         self.random = random.Random(seed)
         self.seed = seed
         self.stop_load = profile_of(seed)
+        self.release_load = release_load.profile_of(seed)
+        self.newest = self.release_load.versions if self.release_load else 0
+        self.ended_empty: set[str] = set()
         self.plays_all_kinds = seed >= FIRST_SEED_WITH_ALL_KINDS
         self.unframed_streams = seed in UNFRAMED_STREAM_SEEDS
         self.proxies = ProxyLoop()
@@ -82,23 +87,28 @@
         self.write_configuration()
         self.settings = settings(instance_count) if self.stop_load else ""
         self.servers = [self.add_server("plain") for _ in range(2 * scale)]
-        runners = STOP_LOAD_RUNNER_COUNT if self.stop_load else RUNNER_COUNT
-        self.servers += [self.add_server("llm") for _ in range(runners * scale)]
+        runners = LOAD_RUNNER_COUNT if self.stop_load or self.release_load else RUNNER_COUNT
+        self.servers += [self.add_server("llm", number) for number in range(runners * scale)]
         self.instances = [self.add_instance(f"n{i}") for i in range(instance_count)]
         for instance in self.instances:
             instance.wait_until_serving(servers=len(self.servers))
-        self.callers = [Caller(f"c{seed}-{i}", seed * 100 + i, self.instances,
+        caller = ResumingCaller if self.release_load else Caller
+        self.callers = [caller(f"c{seed}-{i}", seed * 100 + i, self.instances,
                                self.sampled_keys, style, scale > 1)
                         for i, style in enumerate(self._caller_styles() * scale)]
 
     def _caller_styles(self) -> tuple[str, ...]:
+        if self.release_load:
+            return release_load.CALLER_STYLES
         if self.stop_load:
             return STOP_LOAD_CALLER_STYLES
         return CALLER_STYLES if self.plays_all_kinds else ORIGINAL_CALLER_STYLES
 
     def sampled_keys(self) -> list[str]:
         """Returns the keys that callers choose from: valid ones twice, the key withdrawn last, and
-        the key with the small quota."""
+        the key with the small quota. In a release load, no quota limits the streams."""
+        if self.release_load:
+            return self.keys
         return [*self.keys, *self.keys, *list(self.withdrawn)[-1:], "small"]
 
     def link(self, owner: str, address: str) -> FaultProxy:
@@ -106,13 +116,20 @@
         self.links.setdefault(owner, []).append(proxy)
         return proxy
 
-    def add_server(self, service: str) -> BackendServer:
+    def add_server(self, service: str, number: int | None = None) -> BackendServer:
+        """Adds a server. In a release load, the first runners are numbered and share the first
+        versions; others have the newest one."""
         name = next(self.names)
         models = ["m1"] if service == "llm" else None
         arguments = (self.store, name, service, models,
                      lambda address: self.link(name, address).address)
         if self.stop_load and service == "llm":
             return UnevenRunner(*arguments, seed=self.seed, silent=self.stop_load.silent)
+        if self.release_load and service == "llm":
+            version = self.newest if number is None else 1 + number % self.newest
+            return VersionedRunner(*arguments, seed=self.seed, number=version,
+                                   early_share=self.release_load.early_share,
+                                   ended_empty=self.ended_empty)
         server = BackendServer(*arguments)
         server.framed_streams = not self.unframed_streams
         return server
@@ -154,6 +171,19 @@
         return not any(fault.begin <= end and fault.end >= begin for fault in self.faults
                        if fault.kind not in NON_DISRUPTIVE_KINDS)
 
+    def versioned_runners(self) -> list[VersionedRunner]:
+        return [server for server in self.servers if isinstance(server, VersionedRunner)]
+
+    def start_release(self) -> list[VersionedRunner]:
+        """Returns the runners of the oldest version. A new version begins if fewer versions serve
+        than the seed's profile says."""
+        serving = [runner for runner in self.versioned_runners()
+                   if runner.name not in self.departed_at]
+        numbers = {runner.number for runner in serving}
+        if len(numbers) < self.release_load.versions:
+            self.newest += 1
+        return [runner for runner in serving if runner.number == min(numbers)]
+
     def close(self) -> None:
         for instance in self.instances:
             instance.close()
--- a/tests/soak/stop_load.py
+++ b/tests/soak/stop_load.py
@@ -8,8 +8,8 @@
 
 from platform_fleet import BackendServer
 
-# Seeds from this one on play a stop load; PROFILES[seed % len(PROFILES)] is its profile.
-FIRST_SEED = 5000
+# Seeds that play a stop load; PROFILES[seed % len(PROFILES)] is the profile of a seed.
+SEEDS = range(5000, 7000)
 SCHEDULE_S = 20.0
 SILENCE_S = (0.3, 3.0)
 MAX_SILENT_SHARE = 0.4
@@ -42,7 +42,7 @@
 
 
 def profile_of(seed: int) -> Profile | None:
-    return PROFILES[seed % len(PROFILES)] if seed >= FIRST_SEED else None
+    return PROFILES[seed % len(PROFILES)] if seed in SEEDS else None
 
 
 class UnevenRunner(BackendServer):
