--- a/standins/misbehaving_server.py
+++ b/standins/misbehaving_server.py
@@ -472,6 +472,12 @@
     def close(self) -> None:
         self._listener.close()
 
+    def refuse_connections(self) -> None:
+        """Stops listening, as when the process has ended. Open connections remain."""
+        # Closing alone does not end the accept() that is in progress.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
     def play(self, way) -> None:
         """Selects a behaviour by its name in WAYS or as a function. `way` is "cut" for every
         function."""
