Take an unframed stream for a broken one if its server's process has ended

A server that is killed between two events of a stream without a length and without chunks ends its connection like one that is done, and the caller's stream, which has chunks, ended as complete.

Cause: the protocol marks the end of such a stream with the end of the connection, which the system also closes for a process that ends. Nothing in the answer tells one from the other.

Change: when such a stream ends after a whole event, its server is asked for a connection. If the address refuses it within 200 ms, the process has ended, and the stream is resumed like any that broke off. A connection that opens is kept for the next request. Servers that are leaving, paused or evacuated are not asked, and a silence is no refusal. What remains: a process that is replaced at its address within that time.

--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -520,6 +520,23 @@
     return ended ? continuation_fault::none : continuation_fault::no_event;
 }
 
+task<bool> request_flow::server_ended_with_stream(stream_continuation const& continuation)
+{
+    if (!exchange_->ends_with_connection() || !continuation.has_events() ||
+        services_.backends.is_leaving(server_.id) ||
+        !services_.backends.may_send(server_, boot_now()))
+        co_return false;
+    auto const refused =
+        co_await refuses_connections(services_, server_.id, server_.address, connecting_);
+    if (!refused)
+        co_return false;
+    if (interrupted())
+        co_return false;
+    exchange_->set_cut("the server ended with the connection");
+    services_.backends.note_failure(server_.id, boot_now());
+    co_return true;
+}
+
 task<request_flow::attempt_outcome> request_flow::finish_stream()
 {
     // A server that crashes may end its connection anywhere, so that is looked at first.
@@ -531,6 +548,9 @@
         co_return reject_continuation(accepted.fault);
     if (!exchange_->ends_with_connection() && stream_cut_short(ended))
         co_return failure_outcome();
+    bool const gone = co_await server_ended_with_stream(ended);
+    if (gone)
+        co_return failure_outcome();
     bool written = true;
     if (!stream_begun_)
         written = co_await writer_.begin(answer_head_, std::nullopt);
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -333,6 +333,11 @@
     /// Goes on with the silent server, because the other one did not accept the request.
     void return_to_server(silent_attempt& silent, attempt_outcome outcome);
     [[nodiscard]] task<attempt_outcome> finish_stream();
+    /// Whether a stream that ended with its connection ended because its server's process
+    /// did, which closes the connection like the end of a stream. If so, records that as
+    /// the exchange's failure.
+    [[nodiscard]] task<bool>
+    server_ended_with_stream(stream_continuation const& continuation);
     /// Whether the answer on a streaming route is an event stream. Servers may omit its
     /// Content-Type or send another one, so its body counts too.
     [[nodiscard]] bool holds_events(stream_continuation const& continuation) const;
--- a/src/transport/entry/server_crash.cpp
+++ b/src/transport/entry/server_crash.cpp
@@ -11,6 +11,12 @@
 /// Time limit for the check of a server.
 constexpr duration check_timeout = std::chrono::milliseconds(400);
 
+/// Time limit for the question whether a server's process has ended. Its machine refuses
+/// a connection within a round trip.
+constexpr duration refusal_timeout = std::chrono::milliseconds(200);
+/// How long a connection is kept that was opened for that question.
+constexpr duration unused_keep_alive = std::chrono::seconds(1);
+
 } // namespace
 
 void note_server_crash(entry_services& services, std::string const& server)
@@ -39,4 +45,17 @@
     note_server_crash(services, server);
 }
 
+task<bool> refuses_connections(entry_services& services, std::string server,
+                               std::string address,
+                               std::weak_ptr<deadline_socket>& connecting)
+{
+    auto const limit = boot_now() + refusal_timeout;
+    auto opened = co_await services.connections.open(address, limit, &connecting);
+    if (!opened.socket)
+        co_return boot_now() < limit;
+    services.connections.release(server, std::move(opened.socket), unused_keep_alive,
+                                 boot_now());
+    co_return false;
+}
+
 } // namespace carawayturn::entry
--- a/src/transport/entry/server_crash.hpp
+++ b/src/transport/entry/server_crash.hpp
@@ -17,4 +17,12 @@
 [[nodiscard]] task<void> check_for_crash(entry_services& services, std::string server,
                                          std::string address);
 
+/// Returns whether the server's address refuses connections, as that of a process that
+/// has ended does. A connection that opens is kept for another request; a server that
+/// does not answer in time is not known to have ended.
+/// @param connecting refers to the new socket while the connection is being opened.
+[[nodiscard]] task<bool> refuses_connections(entry_services& services, std::string server,
+                                             std::string address,
+                                             std::weak_ptr<deadline_socket>& connecting);
+
 } // namespace carawayturn::entry
