--- a/src/transport/entry/stream_registry.cpp
+++ b/src/transport/entry/stream_registry.cpp
@@ -366,6 +366,7 @@
     if (expired_.empty() && versions == written_versions_ && !due)
         co_return;
     std::vector<platform::row_change> changes;
+    changes.reserve(platform::max_row_changes);
     for (auto const& version : versions)
         changes.push_back(version_row(version));
     expired_.resize(std::min(expired_.size(), max_batch));
