--- a/src/transport/entry/stream_registry.cpp
+++ b/src/transport/entry/stream_registry.cpp
@@ -4,6 +4,7 @@
 #include "platform/version_codec.hpp"
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/http_call.hpp"
+#include "transport/entry/server_notice.hpp"
 
 #include <algorithm>
 #include <array>
@@ -24,6 +25,7 @@
 constexpr duration initial_versions_poll = std::chrono::milliseconds(20);
 constexpr duration check_poll = std::chrono::milliseconds(5);
 constexpr duration report_timeout = std::chrono::milliseconds(300);
+constexpr std::size_t max_report_bytes = std::size_t{256} * 1024;
 constexpr duration retry_interval = std::chrono::milliseconds(500);
 constexpr duration max_retry_interval = std::chrono::milliseconds(4000);
 constexpr duration min_write_interval = std::chrono::milliseconds(100);
@@ -197,8 +199,13 @@
     call.target = platform::report_target;
     call.server_id = record.id;
     call.timeout = report_timeout;
+    call.answer_limits.max_bytes = max_report_bytes;
     call.log = &services_.log;
+    call.may_send = [this, &record]
+    { return services_.backends.may_send(record, boot_now()); };
     auto const answer = co_await http_call(services_.connections, std::move(call));
+    if (answer)
+        apply_server_notice(services_, record.id, record.born_ms, answer->notice);
     if (!answer || answer->status != 200)
         co_return std::nullopt;
     auto const report = platform::decode_report(record.id, answer->body);
@@ -243,7 +250,7 @@
 task<void> stream_registry::write_streams()
 {
     steady_timer timer(services_.io);
-    for (;;)
+    for (auto pause = retry_interval;;)
     {
         auto const now = boot_now();
         streams_.expire(now);
@@ -258,8 +265,9 @@
         bool const done = co_await write_batch(batch);
         if (!done)
             streams_.return_batch(std::move(batch));
-        timer.expires_after(done ? write_interval() : retry_interval);
+        timer.expires_after(done ? write_interval() : pause);
         co_await timer.async_wait(use_task);
+        pause = done ? retry_interval : std::min(2 * pause, max_retry_interval);
     }
 }
 
