--- /dev/null
+++ b/review/common-3/case.py
@@ -0,0 +1,207 @@
+"""What the scripts of this review share: the instances, a store for drills and the record.
+
+Instances are processes of the deployed program, started by the project's own stand-ins on
+loopback addresses. Exit status of a script: 1 if the rule was broken, 0 if it held, 2 if the case
+could not be run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import sys
+import threading
+import time
+import traceback
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "standins"))
+os.environ["CARAWAYTURN_ENTRY"] = str(ROOT / "target" / "carawayturn-entry")
+os.chdir(ROOT)
+
+from entry_fleet import Instance  # noqa: E402
+from platform_fleet import BackendServer, Store  # noqa: E402
+
+# Bounds of the small deployments `sites/mthunzi-minutes.toml` and `sites/nilerest-ops.toml`, as
+# DEPLOY.md shows them.
+SETTINGS = """role=entry
+machine_class=front
+serves=front
+limits.cpu_share=0.17
+limits.cpu_cores=1
+limits.memory_mb=182
+limits.max_fds=2940
+limits.link_mbps=700.0
+heartbeat_ms=1200
+bounds.seed_lag_s=3
+bounds.reuse_after_s=2
+bounds.contact_ms=3000
+bounds.ack_ms=4000
+bounds.catch_up_s=4
+bounds.drain_ms=2000
+bounds.loss_slack_ms=200
+bounds.config_apply_ms=2000
+bounds.rollback_slack_ms=250
+bounds.outer_ms=5000
+bounds.strict_revoke=true
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_slack=108
+bounds.quota_window_s=8
+bounds.recovery_s=12
+bounds.require_fencing=false
+bounds.thaw_ms=300
+"""
+HEARTBEAT_S = 1.2
+# Interval at which the store takes the copies from which it may come back.
+COPY_INTERVAL_S = 0.1
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
+class CaseError(Exception):
+    """The case could not be run as described."""
+
+
+class Record:
+    """The file record.txt: what was sent, answered and run, with the time since the start."""
+
+    def __init__(self, folder: Path) -> None:
+        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        self._began = time.monotonic()
+        self._lock = threading.Lock()
+
+    def write(self, text: str) -> None:
+        with self._lock:
+            self._file.write(f"{time.monotonic() - self._began:8.3f} s  {text}\n")
+            self._file.flush()
+
+
+class DrillStore(Store):
+    """The platform's store, which may come back from a copy that is some seconds old.
+
+    Each answer has the header Store-Era, which rises by one each time. A feed from a version that
+    the store does not have gets 410. What the operator and the runners wrote since the copy was
+    taken is written again.
+    """
+
+    SYSTEM_TABLES = ("carawayturn", "carawayturn_streams", "carawayturn_versions")
+
+    def __init__(self) -> None:
+        self.era = 1
+        self.away = False
+        self._copies: list[tuple[float, dict, list, int]] = []
+        super().__init__()
+        threading.Thread(target=self._keep_copies, daemon=True).start()
+
+    def _keep_copies(self) -> None:
+        while True:
+            with self.lock:
+                self._copies.append((time.monotonic(), dict(self.rows), list(self.history),
+                                     self.version))
+            del self._copies[:-200]
+            time.sleep(COPY_INTERVAL_S)
+
+    def leave(self) -> None:
+        self.away = True
+
+    def return_from_copy_of(self, moment: float) -> None:
+        """Ends the absence with the last copy that was taken before this moment."""
+        with self.lock:
+            present = dict(self.rows)
+            _, rows, history, self.version = [
+                copy for copy in self._copies if copy[0] <= moment][-1]
+            self.rows, self.history = dict(rows), list(history)
+            for (table, key), row in present.items():
+                if table not in self.SYSTEM_TABLES and self.rows.get((table, key)) != row:
+                    self._write(table, key, row["value"], row["part"])
+            self.era += 1
+            self.away = False
+            self.lock.notify_all()
+
+    def handle(self, call, body: bytes, rewrite_answer=lambda value: value) -> None:
+        if self.away:
+            call.drop()
+            return
+        send_answer = call.answer
+        era = self.era
+
+        def answer(status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+            # A call that was open when the store left gets no answer.
+            if self.away or self.era != era:
+                call.drop()
+            else:
+                send_answer(status, body, {**(headers or {}), "Store-Era": str(era)})
+
+        call.answer = answer
+        super().handle(call, body, rewrite_answer)
+        call.__dict__.pop("answer", None)
+
+    def _feed(self, query: dict, body: bytes) -> tuple[int, dict]:
+        with self.lock:
+            if int(query["after"]) > self.version:
+                return 410, {}
+        return super()._feed(query, body)
+
+
+class Fleet(contextlib.ExitStack):
+    """A store, backend servers and instances, which all end with the script."""
+
+    def __init__(self, store: Store) -> None:
+        super().__init__()
+        self.store = store
+        self.instances: list[Instance] = []
+        self.servers: list[BackendServer] = []
+        self.callback(store.close)
+
+    def add_server(self, name: str, service: str, models: list[str] | None) -> BackendServer:
+        server = BackendServer(self.store, name, service, models)
+        self.servers.append(server)
+        self.callback(server.close)
+        return server
+
+    def add_instance(self, name: str) -> Instance:
+        instance = Instance(self.store, name, more_settings=SETTINGS)
+        self.instances.append(instance)
+        self.callback(instance.close)
+        return instance
+
+    def send_heartbeats(self) -> None:
+        """Lets each server write its row again at every heartbeat."""
+        def beat() -> None:
+            while True:
+                time.sleep(HEARTBEAT_S)
+                for server in self.servers:
+                    if not self.store.away:
+                        server.record()
+        threading.Thread(target=beat, daemon=True).start()
+
+
+def hub_of(store: Store) -> dict:
+    """Returns the row of the lease: name, address and fence of the holder."""
+    return store.get("carawayturn", "hub") or {}
+
+
+def run_case(folder: str, play) -> None:
+    """Plays the case and ends the process with its exit status. `play` gets the record and
+    returns what broke the rule, or nothing."""
+    record = Record(Path(folder))
+    try:
+        broken = play(record)
+    except Exception as failure:
+        record.write(f"the case could not be run: {failure!r}")
+        traceback.print_exc()
+        sys.stdout.flush()
+        os._exit(2)
+    for line in broken:
+        record.write(f"BROKEN: {line}")
+    record.write("the rule was broken" if broken else "the rule held")
+    print("\n".join(broken) or "the rule held")
+    sys.stdout.flush()
+    os._exit(1 if broken else 0)
+
+
+def describe(order: dict) -> str:
+    return json.dumps({name: order.get(name) for name in
+                       ("op_type", "model", "expected", "holder", "fencing_token")})
