--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,67 +1,129 @@
-"""A plain server crashes while it sends an answer that has neither a length nor chunks. The caller
-gets the first half as a complete success."""
+"""A hub is restarted as planned, and the store comes back from a copy older than its successor's
+claim. The restarted process takes the lease of its former process for its own."""
 
 from __future__ import annotations
 
 import sys
 import threading
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
-from case import TROUBLE, CaseError, Fleet, ServerProcess, Store, run_case  # noqa: E402
+from case import TROUBLE, CaseError, DrillStore, Fleet, describe, hub_of, run_case  # noqa: E402
 from entry_fleet import configuration, wait_until  # noqa: E402
 
-WHOLE_BODY = b"first half, second half"
-# Pause between the halves of a body.
-BODY_PAUSE_S = 1.0
-REQUESTS = 28
-# `srv_crash` takes a share of 0.15 down: one of seven.
-SERVERS = 7
+MODELS = tuple(f"m{number}" for number in range(1, 9))
+# Callers that each ask for one model after the other. Two models fit into a runner.
+CALLERS = 6
+CALL_PAUSE_S = 0.15
+# The store is away for this long.
+AWAY_S = 1.0
+# The copy was taken this long before the SIGTERM, so that it is some seconds old.
+COPY_BEFORE_STOP_S = 0.2
+LATEST_TAKE_OVER_S = 8.0
+# How long orders are watched after the restarted process serves.
+WATCH_S = 8.0
 
 
-def send_request(record, instance, number: int, outcomes: dict) -> None:
-    request = f"q{number}"
-    path = "/status/a" if number % 2 else "/book/a"
-    try:
-        status, body, headers = instance.request(path, id=request)
-    except OSError as failure:
-        outcomes[request] = (0, b"", False)
-        record.write(f"caller of {request}, {path}: {failure!r}")
-        return
-    outcomes[request] = (status, body, "X-Server-Seal" in headers)
-    record.write(f"caller of {request}, {path}: {status}, {body!r}, {headers}")
+class Orders:
+    """All orders that reached the runners, in their order of arrival."""
+
+    def __init__(self, record, runners) -> None:
+        self._record = record
+        self._lock = threading.Lock()
+        self.arrived: list[tuple[float, str, dict]] = []
+        for runner in runners:
+            self._watch(runner)
+
+    def _watch(self, runner) -> None:
+        carry_out = runner._order
+
+        def receive(call, order: dict) -> None:
+            with self._lock:
+                self.arrived.append((time.monotonic(), runner.name, order))
+            self._record.write(f"{runner.name} gets the order {describe(order)}")
+            carry_out(call, order)
+
+        runner._order = receive
+
+    def holders_with_one_fence(self) -> list[str]:
+        """ONE: two holders with one fence number, in the orders to one runner."""
+        holders: dict[tuple[str, int], list[str]] = {}
+        for _, runner, order in self.arrived:
+            names = holders.setdefault((runner, order["fencing_token"]), [])
+            if order["holder"] not in names:
+                names.append(order["holder"])
+        return [f"{runner} got orders of {' and '.join(names)} with the fence number {fence}"
+                for (runner, fence), names in sorted(holders.items()) if len(names) > 1]
+
+
+def call_in_turn(record, fleet: Fleet, number: int) -> None:
+    """Asks ready instances for streams of one model after the other."""
+    for turn in range(10**6):
+        instance = fleet.instances[(number + turn) % len(fleet.instances)]
+        model = MODELS[(number * 3 + turn) % len(MODELS)]
+        request = f"s{number}-{turn}"
+        try:
+            body, complete, _ = instance.stream("/draft/a", model, request)
+            record.write(f"{request} for {model} at {instance.name}: {len(body)} bytes, "
+                         f"{'200' if complete else 'no success'}")
+        except OSError as failure:
+            record.write(f"{request} for {model} at {instance.name}: {failure!r}")
+        time.sleep(CALL_PAUSE_S)
 
 
 def play(record) -> list[str]:
-    store = Store()
+    store = DrillStore()
     with Fleet(store) as fleet:
-        store.put("op", "config", configuration(1, ["k1"]))
-        servers = [ServerProcess(fleet, record, f"p{number}", "plain", 0, BODY_PAUSE_S)
-                   for number in range(1, SERVERS + 1)]
-        crashing = servers[0]
-        instance = fleet.add_instance("front-1")
-        instance.wait_until_serving(servers=SERVERS)
-        outcomes: dict[str, tuple[int, bytes, bool]] = {}
-        callers = [threading.Thread(target=send_request, daemon=True,
-                                    args=(record, instance, number, outcomes))
-                   for number in range(REQUESTS)]
-        for caller in callers:
-            caller.start()
-        wait_until(lambda: sum(server.count("half") for server in servers) == REQUESTS,
-                   "the first half of all answers", 10)
-        if not crashing.count("half"):
-            raise CaseError("no request runs at the server that crashes")
+        config = configuration(1, ["k1"], models=MODELS)
+        store.put("op", "config", config)
+        runners = [fleet.add_server(f"r{number}", "llm", ["m1"]) for number in (1, 2, 3)]
+        orders = Orders(record, runners)
+        fleet.send_heartbeats()
+        for number in (1, 2, 3):
+            fleet.add_instance(f"front-{number}")
+        for instance in fleet.instances:
+            instance.wait_until_serving(servers=3)
+        former_name = wait_until(lambda: hub_of(store).get("name"), "a hub")
+        former = next(each for each in fleet.instances if each.name == former_name)
+        for number in range(CALLERS):
+            threading.Thread(target=call_in_turn, args=(record, fleet, number),
+                             daemon=True).start()
+        wait_until(lambda: len(orders.arrived) > 5, "orders of the first hub", 20)
+        time.sleep(2)
+        copied_at = time.monotonic()
+        time.sleep(COPY_BEFORE_STOP_S)
+        record.write(f"{former_name}, the hub, gets SIGTERM; lease row {hub_of(store)}")
+        former.process.terminate()
+        successor = wait_until(
+            lambda: hub_of(store).get("address") and hub_of(store)["name"] != former_name
+            and hub_of(store)["name"], "another hub", LATEST_TAKE_OVER_S)
+        record.write(f"{successor} holds the lease: {hub_of(store)}")
+        before = len(orders.arrived)
+        wait_until(lambda: any(order["holder"] == successor
+                               for _, _, order in orders.arrived[before:]),
+                   "an order of the next hub", 10)
+        wait_until(lambda: former.process.poll() is not None, "the former hub ends", 10)
+        record.write(f"{former_name} has ended with {former.process.returncode}")
+        if TROUBLE:
+            store.leave()
+            record.write("the store is away")
+        former.start()
+        record.write(f"{former_name} is started again")
         if TROUBLE:
-            crashing.kill()
-            record.write("p1 has crashed")
-        for caller in callers:
-            caller.join(30)
-        if len(outcomes) < REQUESTS:
-            raise CaseError("a request did not end")
-        return [f"{request} got {status} with a signature and the body {body!r} of {WHOLE_BODY!r}"
-                for request, (status, body, signed) in sorted(outcomes.items())
-                if status == 200 and body != WHOLE_BODY]
+            time.sleep(AWAY_S)
+            age = time.monotonic() - copied_at
+            store.return_from_copy_of(copied_at)
+            record.write(f"the store is back from a copy {age:.1f} s old, era {store.era}; "
+                         f"lease row {hub_of(store)}")
+            if hub_of(store).get("name") != former_name:
+                raise CaseError("the copy does not name the former hub")
+        wait_until(former.ready, "the restarted process is ready", 20)
+        record.write(f"{former_name} is ready; lease row {hub_of(store)}")
+        time.sleep(WATCH_S)
+        record.write(f"lease row {hub_of(store)}")
+        return orders.holders_with_one_fence()
 
 
 run_case(str(FOLDER), play)
