--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 for folder in ("standins", "review/common-3", "review/11", "review/12", "review/13", "review/14",
-               "review/15"):
+               "review/15", "review/beside-3"):
     for source in sorted(Path(folder).glob("*.py")):
         ast.parse(source.read_text(encoding="utf-8"), str(source))
 CHECK
--- a/review/common-3/case.py
+++ b/review/common-3/case.py
@@ -202,14 +202,17 @@
     """A backend server that runs as a process; see server_process.py."""
 
     def __init__(self, fleet: Fleet, record: Record, name: str, service: str, events: int,
-                 pause_s: float, framing: str = "unframed", version: str = "v1") -> None:
+                 pause_s: float, framing: str = "unframed", version: str = "v1",
+                 models: str = "m1", slots: int = 32) -> None:
         self.store, self.record, self.name, self.service = fleet.store, record, name, service
-        self.version = version
+        self.version, self.slots = version, slots
+        self.models = models if service == "llm" else ""
         self.lines: list[str] = []
         self._row: dict | None = None
         program = Path(__file__).resolve().parent / "server_process.py"
         self.process = subprocess.Popen(
-            [sys.executable, "-B", str(program), name, str(events), str(pause_s), framing],
+            [sys.executable, "-B", str(program), name, str(events), str(pause_s), framing,
+             self.models],
             stdout=subprocess.PIPE, text=True)
         fleet.callback(self.kill)
         port, born = self.process.stdout.readline().split()
@@ -222,6 +225,9 @@
         for line in self.process.stdout:
             self.lines.append(line.strip())
             self.record.write(f"{self.name}: {line.strip()}")
+            if line.startswith("models ") and self._row is not None:
+                self.models = line.split()[1] if len(line.split()) > 1 else ""
+                self._row["models"] = self._model_list()
 
     def _send_heartbeats(self) -> None:
         while self.process.poll() is None:
@@ -231,11 +237,14 @@
                 if not getattr(self.store, "away", False):
                     self.store.put("servers", self.name, self._row)
 
+    def _model_list(self) -> list[dict]:
+        return [{"name": model, "version": 1, "adapters": []}
+                for model in self.models.split(",") if model]
+
     def write_row(self, state: str, **more) -> None:
-        models = [{"name": "m1", "version": 1, "adapters": []}] if self.service == "llm" else []
-        self._row = {"service": self.service, "address": self.address, "zone": "a", "slots": 16,
+        self._row = {"service": self.service, "address": self.address, "zone": "a", "slots": self.slots,
                      "state": state, "seq": 1, "born": self.born, "version": self.version,
-                     "models": models, **more}
+                     "models": self._model_list(), **more}
         self.store.put("servers", self.name, self._row)
 
     def count(self, word: str) -> int:
--- a/review/common-3/server_process.py
+++ b/review/common-3/server_process.py
@@ -1,6 +1,7 @@
 """A backend server as a process of its own, so that it can be killed as one.
 
-Usage: server_process.py NAME EVENTS PAUSE_S FRAMING. Prints its port. A request with X-Model gets a stream
+Usage: server_process.py NAME EVENTS PAUSE_S FRAMING MODELS. Prints its port. MODELS are the models
+that it holds at the start, separated by commas; orders to load and unload models are carried out. A request with X-Model gets a stream
 of EVENTS events, with PAUSE_S seconds between them, from the one after Last-Event-Id on; any other
 request gets a plain body in two halves with PAUSE_S seconds between them. With FRAMING `unframed`,
 answers have neither a length nor chunks and end with their connection; with `chunked`, they have
@@ -17,9 +18,10 @@
 import time
 
 PIECE = 65536
+LOAD_S = 1.0
 
 
-def read_request(stream: socket.socket) -> tuple[str, dict[str, str]] | None:
+def read_request(stream: socket.socket) -> tuple[str, dict[str, str], bytes] | None:
     data = b""
     while b"\r\n\r\n" not in data:
         piece = stream.recv(PIECE)
@@ -35,7 +37,7 @@
         if not piece:
             return None
         body += piece
-    return lines[0].split(" ")[1], headers
+    return lines[0].split(" ")[1], headers, body
 
 
 def log(*words: object) -> None:
@@ -50,8 +52,11 @@
 
 
 class Server:
-    def __init__(self, name: str, events: int, pause_s: float, framing: str) -> None:
+    def __init__(self, name: str, events: int, pause_s: float, framing: str,
+                 models: str) -> None:
         self.name, self.events, self.pause_s = name, events, pause_s
+        self.models = [model for model in models.split(",") if model]
+        self.orders, self.busy, self.lock = 0, False, threading.Lock()
         self.chunked = framing == "chunked"
         self.born = int(time.time() * 1000)
 
@@ -64,19 +69,43 @@
             except OSError:
                 pass
 
-    def answer(self, stream: socket.socket, path: str, headers: dict[str, str]) -> None:
+    def answer(self, stream: socket.socket, path: str, headers: dict[str, str],
+               body: bytes) -> None:
         request_id = headers.get("x-request-id", "")
         if headers.get("x-expect-instance", self.name) != self.name:
             stream.sendall(framed("421 Misdirected", b"", f"X-Request-Id: {request_id}\r\n"))
         elif path == "/report":
-            report = {"models": [{"name": "m1", "version": 1, "adapters": []}], "busy": False,
-                      "seq": 0, "born": self.born}
+            models = [{"name": model, "version": 1, "adapters": []} for model in self.models]
+            report = {"models": models, "busy": self.busy, "seq": self.orders, "born": self.born}
             stream.sendall(framed("200 OK", json.dumps(report).encode()))
         elif path == "/order":
-            stream.sendall(framed("409 Conflict", b"{}"))
+            accepted = self.accept_order(json.loads(body))
+            stream.sendall(framed("202 Accepted" if accepted else "409 Conflict", b"{}"))
+        elif headers.get("x-model") and headers["x-model"] not in self.models:
+            stream.sendall(framed("421 Misdirected", b"", f"X-Request-Id: {request_id}\r\n"))
         else:
             self.run(stream, request_id, headers)
 
+    def accept_order(self, order: dict) -> bool:
+        with self.lock:
+            if self.busy or order.get("expected", self.orders) != self.orders:
+                return False
+            self.orders += 1
+            log("order", order["op_type"], order["model"])
+            if order["op_type"] == "model_unload":
+                self.models = [model for model in self.models if model != order["model"]]
+                log("models", ",".join(self.models))
+            else:
+                self.busy = True
+                threading.Timer(LOAD_S, self.loaded, [order["model"]]).start()
+            return True
+
+    def loaded(self, model: str) -> None:
+        with self.lock:
+            self.models.append(model)
+            self.busy = False
+            log("models", ",".join(self.models))
+
     def run(self, stream: socket.socket, request_id: str, headers: dict[str, str]) -> None:
         log("run", request_id)
         is_stream = "x-model" in headers
@@ -107,7 +136,8 @@
 
 
 def main() -> None:
-    server = Server(sys.argv[1], int(sys.argv[2]), float(sys.argv[3]), sys.argv[4])
+    server = Server(sys.argv[1], int(sys.argv[2]), float(sys.argv[3]), sys.argv[4],
+                    sys.argv[5])
     with socket.create_server(("127.0.0.1", 0), backlog=64) as listener:
         log(listener.getsockname()[1], server.born)
         while True:
