Take an answer whose connection was reset for a broken one, also if the write was told

The kernel reports the reset of a connection once (tcp_recvmsg and tcp_sendmsg take the socket's error), and then an end of file. A body of more than 16 KB is written by a coroutine of its own, whose error nobody looked at. When both a read and a write wait, the event loop performs the write first, so that it takes the report, each time. The read gets an end of file, which is the complete end of an answer that is framed by its connection. The same holds if a short request's write fails: the answer is read all the same.

Change: an exchange keeps the error of its write. At the end of an answer that its connection frames, an error other than a broken pipe makes the read fail with it. A broken pipe means that the server had ended the connection in order before (the kernel reports a reset in CLOSE_WAIT as EPIPE), so a sound answer that comes before its upload was read is complete as before. All that reads answers of servers and of the store goes through this: requests, hedged and repeated ones, streams, health and report calls, orders, calls to the store.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -67,6 +68,13 @@
     return std::find(ends.begin(), ends.end(), failure) != ends.end();
 }
 
+/// Whether an error shows that the connection broke before the other end had ended it in
+/// order. A write fails with a broken pipe if the other end had.
+bool breaks_connection(boost::system::error_code failure)
+{
+    return failure && failure != asio::error::broken_pipe;
+}
+
 } // namespace
 
 std::string_view name_of(body_framing framing)
@@ -82,6 +90,8 @@
     http::request<http::span_body<char const>> request;
     std::string body;
     bool finished = false;
+    /// Why writing failed, if it did.
+    boost::system::error_code failure;
 };
 
 backend_exchange::backend_exchange(std::shared_ptr<deadline_socket> socket,
@@ -119,6 +129,7 @@
         auto const [failure, size] =
             co_await http::async_write(socket_->socket(), upload_->request, use_task);
         upload_->finished = !failure;
+        upload_->failure = failure;
         if (failure)
             note_failure(failure);
         co_return upload_->finished;
@@ -131,6 +142,7 @@
         auto const [failure, size] =
             co_await http::async_write(socket->socket(), data->request, use_task);
         data->finished = !failure;
+        data->failure = failure;
     };
     // If the write throws, closing the socket makes reading the answer fail too.
     asio::co_spawn(socket_->socket().get_executor(), write(socket_, upload_),
@@ -265,14 +277,26 @@
         failure_ = socket_->expired() ? "deadline passed" : failure.message();
 }
 
+task<read_outcome> backend_exchange::check_end()
+{
+    if (parser_->need_eof() && upload_)
+    {
+        // The kernel reports an error of the connection once, and then the end of the
+        // input. The result of a write that was told waits in the event loop at most.
+        if (!upload_->finished && !upload_->failure)
+            co_await asio::post(socket_->socket().get_executor(), use_task);
+        if (breaks_connection(upload_->failure))
+            co_return failed_read(upload_->failure);
+    }
+    complete_ = true;
+    co_return read_outcome::complete;
+}
+
 task<read_outcome> backend_exchange::read_body()
 {
     piece_size_ = 0;
     if (parser_->is_done())
-    {
-        complete_ = true;
-        co_return read_outcome::complete;
-    }
+        co_return co_await check_end();
     auto& body = parser_->get().body();
     body.data = piece_.data();
     body.size = piece_.size();
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -123,6 +123,9 @@
     /// the reason and returns `failed`.
     [[nodiscard]] read_outcome failed_read(boost::system::error_code failure);
     void note_failure(boost::system::error_code failure);
+    /// Returns the outcome of an answer whose end has been read: `failed` if only the end
+    /// of the connection marks it, and the connection did not end in order.
+    [[nodiscard]] task<read_outcome> check_end();
 
     std::shared_ptr<deadline_socket> socket_;
     std::string request_id_;
--- a/tests/entry/http_call_test.cpp
+++ b/tests/entry/http_call_test.cpp
@@ -71,6 +71,24 @@
         co_await asio::async_write(socket, asio::buffer(answer), use_task);
     }
 
+    /// Sends a part of an answer that has neither a length nor chunks, and resets the
+    /// connection while the call is still being written.
+    task<void> send_part_and_reset()
+    {
+        server_.set_option(asio::socket_base::receive_buffer_size(8 * 1024));
+        auto [failure, socket] = co_await server_.async_accept(use_task);
+        if (failure)
+            co_return;
+        std::array<char, 1024> piece{};
+        static_cast<void>(co_await socket.async_read_some(asio::buffer(piece), use_task));
+        std::string const part = head_ + "\r\n\r\nhalf";
+        co_await asio::async_write(socket, asio::buffer(part), use_task);
+        steady_timer timer(io_);
+        timer.expires_after(std::chrono::milliseconds(50));
+        co_await timer.async_wait(use_task);
+        socket.set_option(asio::socket_base::linger(true, 0));
+    }
+
     task<void> call()
     {
         answer_ = co_await http_call(connections_, request_);
@@ -122,6 +140,18 @@
 }
 
 // Guards against a runner whose answer is held up to a limit that was made for the store.
+// Guards against a part of an answer of the store or of a server that passes for the
+// whole one, because the write of the call took the report of the reset.
+TEST_F(http_call_test, answer_cut_by_a_reset_during_the_upload_is_no_answer)
+{
+    request_.method = boost::beast::http::verb::post;
+    request_.body.assign(std::size_t{16} << 20U, 'u');
+    asio::co_spawn(io_, send_part_and_reset(), asio::detached);
+    asio::co_spawn(io_, call(), asio::detached);
+    io_.run();
+    EXPECT_FALSE(answered_);
+}
+
 TEST_F(http_call_test, answer_beyond_its_limit_is_left_out)
 {
     body_.assign(10'000, 'a');
