Keep the report of a reset that a look for unread input takes

What callers see: a server falls silent in a stream that ends with its connection, the instance asks another one to go on, and meanwhile the first one's connection is reset. If the other refuses, the stream ends as complete after the events that came before the silence.

While another server is asked, the silent one is looked at each 50 ms with a recv() that leaves the bytes (MSG_PEEK). That call takes the kernel's only report of the reset, and the next read gets an end of file.

Change: has_unread_input() keeps the error, and the end of an answer that its connection frames weighs it like that of a write. The other places that look without reading drop the connection on an error: open_and_idle(), client_connection::idle_and_open(), and the watch over callers.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -14,6 +14,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace carawayturn::entry
@@ -261,10 +262,14 @@
 
 bool backend_exchange::has_unread_input()
 {
+    if (!buffer_parsed_ && buffer_.size() > 0)
+        return true;
     char byte = 0;
-    return (!buffer_parsed_ && buffer_.size() > 0) ||
-           ::recv(socket_->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >
-               0;
+    auto const received =
+        ::recv(socket_->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+        peek_failure_ = {errno, boost::system::system_category()};
+    return received > 0;
 }
 
 void backend_exchange::note_failure(boost::system::error_code failure)
@@ -285,8 +290,9 @@
         // input. The result of a write that was told waits in the event loop at most.
         if (!upload_->finished && !upload_->failure)
             co_await asio::post(socket_->socket().get_executor(), use_task);
-        if (breaks_connection(upload_->failure))
-            co_return failed_read(upload_->failure);
+        for (auto const& failure : {upload_->failure, peek_failure_})
+            if (breaks_connection(failure))
+                co_return failed_read(failure);
     }
     complete_ = true;
     co_return read_outcome::complete;
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -107,7 +107,8 @@
     /// Ends a read with `idle` if nothing has arrived until then; time_point::max() means
     /// never.
     void set_idle_limit(time_point limit) { idle_limit_ = limit; }
-    /// Whether bytes of the answer have arrived that the next read can use.
+    /// Returns whether bytes of the answer have arrived that the next read can use.
+    /// Records an error of the connection, which later reads are not told.
     [[nodiscard]] bool has_unread_input();
     void close() { socket_->close(); }
 
@@ -149,6 +150,8 @@
     /// The buffer holds only bytes that cannot be parsed before more of them arrive.
     bool buffer_parsed_ = false;
     time_point idle_limit_ = time_point::max();
+    /// Error of the connection that has_unread_input() was told.
+    boost::system::error_code peek_failure_;
     std::string failure_;
     bool malformed_ = false;
     bool connection_broken_ = false;
--- a/tests/entry/reset_answer_test.py
+++ b/tests/entry/reset_answer_test.py
@@ -11,6 +11,7 @@
 import itertools
 import socket
 import sys
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -245,5 +246,37 @@
                 self.assertEqual(self.call("/draft/a", LONG_UPLOAD), (200, body, True))
 
 
+class SilentStreamTest(ResetAnswerCase):
+    """A server falls silent in a stream without a length and chunks. Its connection is reset while
+    the instance asks the other server to go on."""
+
+    stream_options = {"max_attempts": 2, "gap_target_ms": 100}
+
+    def test_reset_while_another_server_is_asked_does_not_end_the_stream_as_complete(self) -> None:
+        """Guards against a look for unread input that takes the report of the reset."""
+        asked, reset_done = threading.Event(), threading.Event()
+
+        def way(connection: Connection, request: Request) -> None:
+            connection.read_body(request)
+            if request.path == "/order":
+                connection.send(head(request.id, "Content-Length: 0\r\n", 409))
+            elif "last-event-id" in request.headers:
+                asked.set()
+                reset_done.wait(HANG_LIMIT_S)
+                time.sleep(2 * END_DELAY_S)
+                connection.send(head(request.id, "Content-Length: 0\r\nX-Not-Executed: 1\r\n", 503))
+            else:
+                connection.send(head(request.id, "") + event(1) + event(2))
+                asked.wait(HANG_LIMIT_S)
+                reset_done.set()
+                connection.reset()
+
+        for server in self.servers:
+            server.play(way)
+        status, received, complete = self.call("/draft/a", b"u")
+        self.assertTrue(asked.is_set())
+        self.assertEqual((status, received, complete), (200, event(1) + event(2), False))
+
+
 if __name__ == "__main__":
     unittest.main()
