Report an answer to a command as incomplete if its connection was reset during the call

What callers see: the command line's and the daemon's blocking calls (call_http) return a part of an answer as the whole one, if the server resets the connection before it has read the request.

Change: after such a write, an answer that its connection frames fails with the reset. After a broken pipe it is complete, as before.

Result: call_answer_cut_by_a_reset_during_the_upload_has_unknown_outcome failed before and passes now; call_answer_that_ends_before_its_upload_was_read_is_returned passes before and after. The daemon's client_connection gives up when a write fails, and peers read frames with a length, so neither has the fault.

--- a/src/transport/http_call.cpp
+++ b/src/transport/http_call.cpp
@@ -135,6 +135,7 @@
         // A server may answer and close before it has read the whole request.
         if (ec && ec != asio::error::broken_pipe && ec != asio::error::connection_reset)
             return;
+        reset_while_sending_ = ec == asio::error::connection_reset;
         step_ = "http.receive";
         receive();
     }
@@ -150,7 +151,11 @@
     void received(beast::error_code ec, std::size_t size)
     {
         failure_ = ec;
-        if (ec || !is_informational(parser_->get().result_int()))
+        // The kernel reports a reset once. The end of the connection that follows is not
+        // the end of the answer.
+        if (!ec && reset_while_sending_ && parser_->need_eof())
+            failure_ = asio::error::connection_reset;
+        if (failure_ || !is_informational(parser_->get().result_int()))
             return;
         informational_bytes_ += size;
         if (informational_bytes_ > max_informational_bytes)
@@ -169,6 +174,7 @@
     std::size_t max_answer_bytes_;
     bool answers_head_;
     std::size_t informational_bytes_ = 0;
+    bool reset_while_sending_ = false;
     std::string step_ = "http.connect";
     boost::system::error_code failure_;
 };
--- a/tests/transport/http_call_test.cpp
+++ b/tests/transport/http_call_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <string_view>
 #include <thread>
 
 namespace carawayturn
@@ -52,6 +53,33 @@
         connection_.reset();
     }
 
+    /// Answers a long upload that is not read, without a length or chunks, and resets the
+    /// connection. Ends the answer before, if it is `whole`.
+    result<http_answer> call_with_early_answer(bool whole)
+    {
+        call_.method = "POST";
+        call_.body.assign(std::size_t{16} << 20U, 'u');
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(8 * 1024));
+        server_ = std::thread([this, whole] { answer_early(whole); });
+        auto outcome = call_http(call_);
+        server_.join();
+        return outcome;
+    }
+
+    void answer_early(bool whole)
+    {
+        auto connection = acceptor_.accept();
+        boost::system::error_code ignored;
+        boost::asio::read_until(connection, boost::asio::dynamic_buffer(request_),
+                                "\r\n\r\n", ignored);
+        std::string_view const answer = "HTTP/1.1 200 OK\r\n\r\n[]";
+        boost::asio::write(connection, boost::asio::buffer(answer), ignored);
+        if (whole)
+            connection.shutdown(tcp::socket::shutdown_send, ignored);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        connection.set_option(boost::asio::socket_base::linger(true, 0));
+    }
+
     static void expect_error(result<http_answer> const& outcome, error_code code,
                              std::string const& step)
     {
@@ -104,6 +132,21 @@
                  error_code::unknown_outcome, "http.receive");
 }
 
+// Guards against a part of an answer that passes for the whole one, because the write of
+// the call took the report of the reset.
+TEST_F(http_call_test, call_answer_cut_by_a_reset_during_the_upload_has_unknown_outcome)
+{
+    expect_error(call_with_early_answer(false), error_code::unknown_outcome,
+                 "http.receive");
+}
+
+TEST_F(http_call_test, call_answer_that_ends_before_its_upload_was_read_is_returned)
+{
+    auto const outcome = call_with_early_answer(true);
+    ASSERT_TRUE(succeeded(outcome)) << to_string(std::get<error>(outcome));
+    EXPECT_EQ(std::get<0>(outcome).body, "[]");
+}
+
 // Guards against a command that takes an informational answer for the final one.
 TEST_F(http_call_test, call_informational_answers_are_skipped)
 {
