Let streams go on by what was read after the take-up came, not before

Cause: stream_registry::find() took the only version of the last reading before it looked for the stream's record, up to 3 s after that reading. is_recorded_process() and versions_unstated() took the same, and so did a new stream: it was attributed to the version of a server's record that was no longer the process's, without a check. Besides, an update of the hub counted as read when it arrived, so that one that had waited in the socket during a freeze looked new; and a hub counted its directory as read before it had applied it.

Change: - version_history::sole() takes how recent the reading has to be. A take-up needs one that began after it arrived. If the hub gives none, version_reader reads the versions and the servers from the store, once for all that wait (shared_reading). Where several versions are known, the record decides, as before, without such a reading. - A stream that this instance began counts as known once a reading that began later shows its server's record, or its server has told its start. Streams since the last reading are unknown if the server's id returned at another version, however long the instance was cut off. - An update of the hub is as old as the status that it answers. - An instance whose reading shows servers that its directory lacks reads the directory for itself. - Within an answer, the next server is asked for its start unless the service is known to have one version; if it does not tell, the store is asked. If neither hub nor store tells, the take-up is refused with stream_version_unknown, and an answer is not continued elsewhere.

--- a/src/coordination/entry/stream_versions.cpp
+++ b/src/coordination/entry/stream_versions.cpp
@@ -13,8 +13,8 @@
 
 /// Streams that are kept. Bounds the memory; the oldest ones give way.
 constexpr std::size_t max_streams = 4096;
-/// The directory learns of a new process within this time from its start.
-constexpr duration directory_lag = std::chrono::seconds(3);
+/// A server writes its record within this time from the start of its process.
+constexpr duration record_lag = std::chrono::seconds(3);
 constexpr std::size_t min_removals = 50;
 /// Seed of the second half of a key.
 constexpr std::uint64_t second_seed = 0x9e3779b97f4a7c15;
@@ -84,26 +84,50 @@
             mark_unknown(key, known->second);
     }
     else if (!origin.version.empty())
-        add(key, {origin, stable_hash(server), now, record_state::unwritten});
+        add(key, {origin, stable_hash(server), now, record_state::unwritten, false});
 }
 
 void stream_versions::learn(stream_key key, server_version const& origin, time_point now)
 {
     if (entries_.count(key) == 0)
-        add(key, {origin, 0, now, record_state::foreign});
+        add(key, {origin, 0, now, record_state::foreign, true});
 }
 
-void stream_versions::note_replaced(std::string_view server, time_point now)
+bool stream_versions::note_replaced(std::string_view server, time_point read_at)
 {
     auto const hash = stable_hash(server);
+    bool changed = false;
     for (auto key = order_.rbegin(); key != order_.rend(); ++key)
     {
         auto& known = entries_.at(*key);
-        if (now - known.begun_at > directory_lag)
-            return;
-        if (known.server == hash)
-            mark_unknown(*key, known);
+        if (read_at - known.begun_at > record_lag)
+            break;
+        if (known.server != hash || known.confirmed)
+            continue;
+        changed = changed || !known.origin.version.empty();
+        mark_unknown(*key, known);
     }
+    return changed;
+}
+
+void stream_versions::confirm(stream_key key)
+{
+    if (auto const known = entries_.find(key); known != entries_.end())
+        known->second.confirmed = true;
+}
+
+std::optional<time_point> stream_versions::unconfirmed_since(stream_key key) const
+{
+    auto const found = entries_.find(key);
+    if (found == entries_.end() || found->second.confirmed)
+        return std::nullopt;
+    return found->second.begun_at;
+}
+
+bool stream_versions::is_unknown(stream_key key) const
+{
+    auto const found = entries_.find(key);
+    return found != entries_.end() && found->second.origin.version.empty();
 }
 
 void stream_versions::forget(stream_key key)
--- a/src/coordination/entry/stream_versions.hpp
+++ b/src/coordination/entry/stream_versions.hpp
@@ -69,14 +69,24 @@
     /// Records what the store says about a stream.
     void learn(stream_key key, server_version const& origin, time_point now);
     /// Records that a newer process, of another version, has the server's id. It may have
-    /// begun the streams that were attributed to the server of late.
-    void note_replaced(std::string_view server, time_point now);
+    /// begun the streams that were attributed to the server since its record was read.
+    /// Returns whether that makes the version of a stream unknown.
+    /// @param read_at when the reading began that showed the former record last.
+    bool note_replaced(std::string_view server, time_point read_at);
+    /// Records that the process of the server's record has begun the stream.
+    void confirm(stream_key key);
 
     /// Records that the version at which a stream began is not known after all.
     void forget(stream_key key);
 
     /// Returns the version at which the stream began; nothing if that is not known.
     [[nodiscard]] std::optional<server_version> find(stream_key key) const;
+    /// Returns when the stream began, if a newer process with the server's id may have
+    /// begun it. The servers that are read from then on tell.
+    [[nodiscard]] std::optional<time_point> unconfirmed_since(stream_key key) const;
+    /// Returns whether this instance knows that the version is not known, whatever the
+    /// store has.
+    [[nodiscard]] bool is_unknown(stream_key key) const;
 
     /// Returns the next changes for the store, at most `limit`, and regards them as
     /// carried out.
@@ -104,6 +114,8 @@
         std::uint64_t server = 0;
         time_point begun_at{};
         record_state state = record_state::unwritten;
+        /// The version is known to be that of the process that began the stream.
+        bool confirmed = false;
     };
     void add(stream_key key, entry added);
     void mark_unknown(stream_key key, entry& known);
--- a/src/coordination/entry/version_history.cpp
+++ b/src/coordination/entry/version_history.cpp
@@ -8,9 +8,6 @@
 namespace
 {
 
-/// A version that appeared since the servers were read this long ago has hardly begun a
-/// stream: its servers load their models first.
-constexpr duration max_reading_age = std::chrono::seconds(3);
 /// Versions that are kept beside those of servers. Bounds the memory that rows of other
 /// writers can take.
 constexpr std::size_t max_former_versions = 64;
@@ -74,9 +71,9 @@
     return version.servers > 0 || now - version.last_seen < retention_;
 }
 
-bool version_history::is_current(time_point now) const
+bool version_history::is_current(time_point since) const
 {
-    return complete_ && now - confirmed_at_ <= max_reading_age;
+    return complete_ && confirmed_at_ != time_point{} && confirmed_at_ >= since;
 }
 
 bool version_history::is_mixed(std::string_view service, time_point now) const
@@ -88,10 +85,10 @@
                          }) > 1;
 }
 
-std::optional<std::string> version_history::sole(std::string_view service,
-                                                 time_point now) const
+std::optional<std::string> version_history::sole(std::string_view service, time_point now,
+                                                 time_point since) const
 {
-    if (!is_current(now))
+    if (!is_current(since))
         return std::nullopt;
     std::optional<std::string> sole;
     for (auto const& [version, present] : versions_)
--- a/src/coordination/entry/version_history.hpp
+++ b/src/coordination/entry/version_history.hpp
@@ -21,8 +21,9 @@
 /// served so recently that a caller may have a part of a stream of theirs.
 ///
 /// Answers the question which versions may have begun a stream of which nothing else is
-/// known. The answer holds only if the servers were read recently, and if the versions
-/// that served before this process started are known.
+/// known. The answer rests on a reading of the servers. A reading that began before the
+/// question came proves nothing about streams that began since, so the asker says how
+/// recent it has to be.
 class version_history
 {
 public:
@@ -37,19 +38,28 @@
     /// Records that the versions which served before this process started are known.
     void set_complete() { complete_ = true; }
     [[nodiscard]] bool complete() const { return complete_; }
-    /// Records that the servers known here are those of the store at `read_at`.
+    /// Records that the versions of all servers in the store at `read_at` are known here.
     void confirm(time_point read_at);
+    /// Returns when the last reading began that was confirmed.
+    [[nodiscard]] time_point confirmed_at() const { return confirmed_at_; }
 
-    /// Returns whether the versions in service are known: the servers were read recently,
-    /// and so were those that served before this process started.
-    [[nodiscard]] bool is_current(time_point now) const;
+    /// Returns whether the versions in service are known as of `since`: a reading of the
+    /// servers began then or later, and the versions that served before this process
+    /// started are known.
+    [[nodiscard]] bool is_current(time_point since) const;
+    /// Returns whether the version is known to serve, or to have served recently.
+    [[nodiscard]] bool contains(server_version const& version) const
+    {
+        return versions_.count(version) != 0;
+    }
 
     /// Returns whether servers of several versions serve, or served recently.
     [[nodiscard]] bool is_mixed(std::string_view service, time_point now) const;
-    /// Returns the only version that may have begun a stream of the service, which is
-    /// empty if no server states its version; nothing if there may be several.
+    /// Returns the only version that may have begun a stream of the service until
+    /// `since`, which is empty if no server states its version; nothing if there may be
+    /// several.
     [[nodiscard]] std::optional<std::string> sole(std::string_view service,
-                                                  time_point now) const;
+                                                  time_point now, time_point since) const;
     /// Returns the versions of all services, at most `limit`.
     [[nodiscard]] std::vector<server_version> all(std::size_t limit) const;
     /// Removes and returns the versions whose retention is over.
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -429,9 +429,12 @@
         read_policy_.hub_read_failure_received();
     if (update.directory_hub != 0 && (hub_active_ || hub_reads))
         apply_directory(update);
-    if (hub_reads && update.directory_hub == directory_.hub() &&
+    // The update may have been sent long before it is read, but not before the status
+    // that it answers.
+    if (hub_reads && update.echo_us != 0 && update.directory_hub == directory_.hub() &&
         update.directory_revision == directory_.revision())
-        streams_.confirm_directory(now - duration(update.directory_age_us));
+        streams_.confirm_directory(
+            time_point{duration(update.echo_us - update.directory_age_us)});
     if (update.complete || !update.crashes.empty())
         crashes_.merge_fleet_counts(update.crashes, update.cleared_signatures, now);
     if (update.complete)
@@ -477,9 +480,11 @@
             settle_quota();
         }
         update_hub_role();
-        if (reader_.active())
+        // What is pushed has not been applied yet.
+        if (reader_.active() && !directory_is_pushed())
             streams_.confirm_directory(reader_.servers_read_at());
-        reader_.set_mode(hub_active_ || read_policy_.should_read(now, link_.period()),
+        reader_.set_mode(hub_active_ || streams_.directory_behind() ||
+                             read_policy_.should_read(now, link_.period()),
                          read_policy_.should_read_config(now, authority_.outdated()));
         reader_.set_hub_retries(!hub_active_ && link_.connected() &&
                                 read_policy_.hub_cannot_read());
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -180,7 +180,8 @@
     /// stream that the caller has taken up goes on at the version that was found then.
     [[nodiscard]] bool version_known() const;
     /// Whether the chosen server's process has the version that the request requires,
-    /// which its record states. Another process may have taken the server's id.
+    /// which its record states. Another process may have taken the server's id. What was
+    /// read before the request arrived, or before its stream broke off, does not count.
     [[nodiscard]] task<bool> has_required_version();
     [[nodiscard]] task<std::optional<refusal>> charge_quota();
     [[nodiscard]] task<std::optional<refusal>> spend_units();
@@ -458,6 +459,8 @@
     std::optional<std::string> version_;
     /// How the version of a stream that the caller takes up became known.
     std::optional<version_source> version_source_;
+    /// Neither the hub nor the store could tell whether the stream may go on.
+    bool version_denied_ = false;
     end_confirmation end_;
     http::response_header<> answer_head_;
     /// begin_run() was called for the current exchange.
--- a/src/transport/entry/request_version.cpp
+++ b/src/transport/entry/request_version.cpp
@@ -27,7 +27,8 @@
 {
     if (route_->kind != request_kind::stream || head_.resume_after.empty())
         co_return std::nullopt;
-    auto const found = co_await services_.streams.find(head_.begun_as, service_->name);
+    auto const found =
+        co_await services_.streams.find(head_.begun_as, service_->name, arrival_);
     version_source_ = found.source;
     if (found.source == version_source::unknown)
         co_return refusal{refusal_reason::stream_version_unknown, {}};
@@ -46,6 +47,8 @@
 
 bool request_flow::version_known() const
 {
+    if (version_denied_)
+        return false;
     if (!version_ || version_source_)
         return true;
     bool const known = !version_->empty() && services_.streams.knows(head_.id);
@@ -54,13 +57,21 @@
 
 task<bool> request_flow::has_required_version()
 {
-    if (!version_ || version_->empty() || !service_->engine)
+    if (!version_ || !service_->engine)
         co_return true;
-    if (!version_source_)
-        co_await services_.streams.wait_for_check(head_.id);
-    if (!version_known())
-        co_return false;
-    bool const same = co_await services_.streams.is_recorded_process(server_);
+    // What goes on within this answer has begun after the request arrived.
+    auto const since = stream_begun_ ? boot_now() : arrival_;
+    bool confirmed = version_source_.has_value();
+    if (!confirmed)
+        confirmed = co_await services_.streams.is_begin_confirmed(head_.id);
+    if (!confirmed || version_->empty())
+    {
+        bool const unstated =
+            co_await services_.streams.versions_unstated_since(service_->name, since);
+        version_denied_ = !unstated;
+        co_return unstated;
+    }
+    bool const same = co_await services_.streams.is_recorded_process(server_, since);
     if (!same)
         excluded_.insert(server_.id);
     co_return same;
--- a/src/transport/entry/stream_registry.cpp
+++ b/src/transport/entry/stream_registry.cpp
@@ -24,6 +24,11 @@
 constexpr duration initial_versions_timeout = std::chrono::milliseconds(1500);
 constexpr duration initial_versions_poll = std::chrono::milliseconds(20);
 constexpr duration check_poll = std::chrono::milliseconds(5);
+/// An instance whose directory lacks a server reads the servers within this time.
+constexpr duration directory_timeout = std::chrono::milliseconds(500);
+/// While a service has one version as of this long ago, the server that begins a stream
+/// is not asked which process it is. The next reading of the servers tells.
+constexpr duration unchecked_begin_age = std::chrono::seconds(3);
 constexpr duration report_timeout = std::chrono::milliseconds(300);
 constexpr std::size_t max_report_bytes = std::size_t{256} * 1024;
 constexpr duration retry_interval = std::chrono::milliseconds(500);
@@ -67,7 +72,8 @@
 }
 
 stream_registry::stream_registry(entry_services& services, store_client& store)
-    : services_(services), store_(store), begun_(services.io), swept_at_(boot_now())
+    : services_(services), store_(store), reader_(services, store, *this),
+      begun_(services.io), swept_at_(boot_now())
 {
 }
 
@@ -82,21 +88,67 @@
 {
     auto const now = boot_now();
     auto const* const known = services_.backends.find(record.id);
-    if (known != nullptr && known->software_version != record.software_version)
-        streams_.note_replaced(record.id, now);
-    bool const is_new =
-        history_.put(record.id, {record.service, record.software_version}, now);
-    if (!is_new)
+    bool const replaced =
+        known != nullptr && known->software_version != record.software_version;
+    if (replaced && streams_.note_replaced(record.id, history_.confirmed_at()))
+        begun_.notify();
+    server_version const version{record.service, record.software_version};
+    learn_version(version, record.id);
+    history_.put(record.id, version, now);
+}
+
+void stream_registry::learn_version(server_version const& version,
+                                    std::string_view server)
+{
+    if (history_.contains(version))
         return;
+    auto const now = boot_now();
+    history_.remember(version, now);
     services_.log.write(
         entry_event::version_found,
-        {{"service", record.service},
-         {"version", record.software_version},
-         {"server", record.id},
-         {"several", std::int64_t{history_.is_mixed(record.service, now)}}});
+        {{"service", version.service},
+         {"version", version.version},
+         {"server", server},
+         {"several", std::int64_t{history_.is_mixed(version.service, now)}}});
     begun_.notify();
 }
 
+void stream_registry::versions_read(version_reading const& reading)
+{
+    for (auto const& version : reading.versions)
+        learn_version(version, "");
+    bool different = false;
+    bool replaced = false;
+    for (auto const& [id, version] : reading.servers)
+    {
+        learn_version(version, id);
+        auto const* const known = services_.backends.find(id);
+        if (known != nullptr && known->software_version == version.version)
+            continue;
+        different = true;
+        if (known != nullptr && streams_.note_replaced(id, history_.confirmed_at()))
+            replaced = true;
+    }
+    if (different)
+        difference_read_at_ = reading.began_at;
+    history_.set_complete();
+    history_.confirm(reading.began_at);
+    if (replaced)
+        begun_.notify();
+    services_.changes.notify();
+}
+
+void stream_registry::confirm_directory(time_point read_at)
+{
+    directory_confirmed_at_ = std::max(directory_confirmed_at_, read_at);
+    history_.confirm(read_at);
+}
+
+bool stream_registry::directory_behind() const
+{
+    return difference_read_at_ > directory_confirmed_at_;
+}
+
 void stream_registry::server_removed(std::string const& id)
 {
     history_.remove(id, boot_now());
@@ -117,12 +169,14 @@
 {
     auto const* const known = services_.backends.find(server.id);
     // A newer process may have answered.
-    if (known != nullptr && known->software_version != server.software_version)
+    auto const read = reader_.find(server.id);
+    if ((known != nullptr && known->software_version != server.software_version) ||
+        (read && directory_behind() && read->version != server.software_version))
         return {};
     auto const now = boot_now();
     streams_.note_begun(request_id, {server.service, server.software_version}, server.id,
                         now);
-    if (!history_.sole(server.service, now))
+    if (!history_.sole(server.service, now, now - unchecked_begin_age))
     {
         begun_.notify();
         if (server_is_runner(server))
@@ -137,20 +191,74 @@
 
 bool stream_registry::versions_unstated(std::string const& service) const
 {
-    return history_.sole(service, boot_now()) == "";
+    return history_.sole(service, boot_now(), time_point{}) == "";
+}
+
+task<bool> stream_registry::versions_unstated_since(std::string service, time_point since)
+{
+    if (!versions_unstated(service))
+        co_return false;
+    auto const sole = co_await sole_version(std::move(service), since);
+    co_return sole == "";
+}
+
+task<std::optional<std::string>> stream_registry::sole_version(std::string service,
+                                                               time_point since)
+{
+    if (history_.is_mixed(service, boot_now()))
+        co_return std::nullopt;
+    if (!history_.is_current(since))
+        static_cast<void>(co_await reader_.read_since(since));
+    co_return history_.sole(service, boot_now(), since);
+}
+
+task<bool> stream_registry::is_begin_confirmed(std::string request_id)
+{
+    auto const found = co_await find_own(stream_key::of(request_id));
+    co_return found.has_value();
 }
 
-task<stream_lookup> stream_registry::find(std::string begun_as, std::string service)
+task<std::optional<server_version>> stream_registry::find_own(stream_key key)
+{
+    co_await wait_for_check(key);
+    auto const begun_at = streams_.unconfirmed_since(key);
+    if (begun_at && streams_.find(key) && history_.confirmed_at() < *begun_at)
+        static_cast<void>(co_await reader_.read_since(*begun_at));
+    if (begun_at && history_.confirmed_at() < *begun_at)
+        co_return std::nullopt;
+    co_return streams_.find(key);
+}
+
+task<stream_lookup> stream_registry::find(std::string begun_as, std::string service,
+                                          time_point asked_at)
 {
     auto const key = stream_key::of(begun_as);
     bool const named = !begun_as.empty();
-    if (auto const known = named ? streams_.find(key) : std::nullopt)
-        co_return stream_lookup{*known, version_source::memory};
+    std::optional<server_version> own;
+    if (named)
+        own = co_await find_own(key);
+    if (own)
+        co_return stream_lookup{*own, version_source::memory};
     co_await wait_for_versions();
-    if (auto const sole = history_.sole(service, boot_now()))
+    auto const sole = co_await sole_version(service, asked_at);
+    if (sole)
+    {
+        co_await wait_for_directory();
         co_return stream_lookup{{service, *sole}, version_source::sole_version};
-    if (!named)
+    }
+    // Records are written only while a service has several versions.
+    if (!named || streams_.is_unknown(key) || !history_.is_mixed(service, boot_now()))
+        co_return stream_lookup{};
+    auto const record = co_await find_record(key);
+    if (!record || record->version.empty())
         co_return stream_lookup{};
+    streams_.learn(key, *record, boot_now());
+    co_await wait_for_directory();
+    co_return stream_lookup{*record, version_source::store};
+}
+
+task<std::optional<server_version>> stream_registry::find_record(stream_key key)
+{
     auto record = co_await read_record(key);
     if (!record)
     {
@@ -159,19 +267,20 @@
         co_await timer.async_wait(use_task);
         record = co_await read_record(key);
     }
-    // The versions in service may have become known in the meantime.
-    if (auto const sole = history_.sole(service, boot_now()); !record && sole)
-        co_return stream_lookup{{service, *sole}, version_source::sole_version};
-    if (!record || record->version.empty())
-        co_return stream_lookup{};
-    streams_.learn(key, *record, boot_now());
-    co_return stream_lookup{*record, version_source::store};
+    co_return record;
+}
+
+task<void> stream_registry::wait_for_directory()
+{
+    auto const limit = boot_now() + directory_timeout;
+    while (directory_behind() && boot_now() < limit)
+        co_await services_.changes.wait(limit - boot_now());
 }
 
 task<void> stream_registry::wait_for_versions()
 {
     auto const limit = services_.started_at + initial_versions_timeout;
-    while (!history_.is_current(boot_now()) && boot_now() < limit)
+    while (!history_.is_current(services_.started_at) && boot_now() < limit)
         co_await services_.changes.wait(initial_versions_poll);
 }
 
@@ -214,12 +323,15 @@
     co_return std::get<runner_report>(report).born_ms.value_or(0);
 }
 
-task<bool> stream_registry::is_recorded_process(backend_record const& record)
+task<bool> stream_registry::is_recorded_process(backend_record record, time_point since)
 {
-    if (history_.sole(record.service, boot_now()))
+    if (history_.sole(record.service, boot_now(), since))
         co_return true;
     auto const started = co_await ask_start_time(record);
-    co_return started == record.born_ms;
+    if (started)
+        co_return started == record.born_ms;
+    auto const sole = co_await sole_version(record.service, since);
+    co_return sole.has_value();
 }
 
 task<void> stream_registry::check_begin(std::string request_id, backend_record server)
@@ -227,15 +339,16 @@
     auto const key = stream_key::of(request_id);
     auto const started = co_await ask_start_time(server);
     checked_.erase(key);
+    if (started == server.born_ms)
+        streams_.confirm(key);
     if (!started || *started == server.born_ms)
         co_return;
     streams_.forget(key);
     begun_.notify();
 }
 
-task<void> stream_registry::wait_for_check(std::string request_id)
+task<void> stream_registry::wait_for_check(stream_key key)
 {
-    auto const key = stream_key::of(request_id);
     auto const limit = boot_now() + report_timeout;
     while (checked_.count(key) != 0 && boot_now() < limit)
         co_await services_.changes.wait(check_poll);
@@ -308,7 +421,9 @@
     steady_timer timer(services_.io);
     for (auto pause = retry_interval;; pause = std::min(2 * pause, max_retry_interval))
     {
-        auto const rows = co_await read_all(platform::store_table::versions);
+        std::uint64_t ignored = 0;
+        auto const rows = co_await read_table(store_, platform::store_table::versions,
+                                              write_timeout, ignored);
         auto const now = boot_now();
         if (rows)
         {
@@ -325,29 +440,6 @@
     }
 }
 
-task<std::optional<std::vector<platform::store_row>>>
-stream_registry::read_all(platform::store_table table)
-{
-    std::vector<platform::store_row> rows;
-    std::string from;
-    for (;;)
-    {
-        auto reply = co_await store_.call(platform::encode_table_read(table, from),
-                                          write_timeout, outage_tracking::off);
-        if (!reply || !reply->done())
-            co_return std::nullopt;
-        auto& page = reply->answer;
-        table_version_ = page.version;
-        bool const more =
-            page.truncated && !page.rows.empty() && page.rows.back().key >= from;
-        if (more)
-            from = page.rows.back().key + '\0';
-        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(rows));
-        if (!more)
-            co_return rows;
-    }
-}
-
 task<void> stream_registry::keep_versions()
 {
     steady_timer timer(services_.io);
@@ -393,7 +485,8 @@
 task<void> stream_registry::sweep_streams()
 {
     swept_at_ = boot_now();
-    auto const rows = co_await read_all(platform::store_table::streams);
+    auto const rows = co_await read_table(store_, platform::store_table::streams,
+                                          write_timeout, table_version_);
     if (!rows)
         co_return;
     // Rows that were there at the last sweep are older than any stream. Versions go back
--- a/src/transport/entry/stream_registry.hpp
+++ b/src/transport/entry/stream_registry.hpp
@@ -2,7 +2,7 @@
 
 #include "coordination/entry/stream_versions.hpp"
 #include "coordination/entry/version_history.hpp"
-#include "transport/entry/store_client.hpp"
+#include "transport/entry/version_reader.hpp"
 
 #include <optional>
 #include <set>
@@ -36,7 +36,7 @@
 
 /// Keeps the versions at which streams began, in memory and, while a service has servers
 /// of several versions, in the store, so that they outlast this process and the fleet.
-class stream_registry
+class stream_registry : private version_sink
 {
 public:
     stream_registry(entry_services& services, store_client& store);
@@ -47,7 +47,10 @@
     void server_put(backend_record const& record);
     void server_removed(std::string const& id);
     /// Records that the directory is that of the store at this time.
-    void confirm_directory(time_point read_at) { history_.confirm(read_at); }
+    void confirm_directory(time_point read_at);
+    /// Returns whether the store has had other servers, or versions of them, than the
+    /// directory, and the directory has not been read since.
+    [[nodiscard]] bool directory_behind() const;
     /// Adapts the time for which versions are kept to the routes' timeouts.
     void apply_config(serving_config const& config);
 
@@ -57,23 +60,44 @@
                                          backend_record const& server);
     /// Finds the version of the stream that the request `begun_as` began at the service.
     /// Asks the store if this instance does not know.
-    [[nodiscard]] task<stream_lookup> find(std::string begun_as, std::string service);
+    /// @param asked_at when the request arrived that takes the stream up.
+    [[nodiscard]] task<stream_lookup> find(std::string begun_as, std::string service,
+                                           time_point asked_at);
 
-    /// Returns whether a stream of an unknown version may go on at any server: no server
-    /// of the service states a version.
+    /// Returns whether a stream of an unknown version might go on at any server: as far
+    /// as this instance knows, no server of the service states a version.
     [[nodiscard]] bool versions_unstated(std::string const& service) const;
+    /// Returns whether that is known as of `since`. Asks the store if necessary.
+    [[nodiscard]] task<bool> versions_unstated_since(std::string service,
+                                                     time_point since);
     /// Returns whether the version of a stream that this instance began is still known.
     [[nodiscard]] bool knows(std::string_view request_id) const
     {
         return streams_.find(stream_key::of(request_id)).has_value();
     }
-    /// Waits until the server that began the stream has told which process it is.
-    [[nodiscard]] task<void> wait_for_check(std::string request_id);
+    /// Returns whether the version of a stream that this instance began is known to be
+    /// that of the process that began it. Waits for what tells, and asks the store if
+    /// necessary.
+    [[nodiscard]] task<bool> is_begin_confirmed(std::string request_id);
     /// Returns whether the server's process is the one that the record describes, as far
-    /// as that matters: a service with one version only is not checked.
-    [[nodiscard]] task<bool> is_recorded_process(backend_record const& record);
+    /// as that matters: a service that has one version only as of `since` is not checked.
+    [[nodiscard]] task<bool> is_recorded_process(backend_record record, time_point since);
 
 private:
+    void versions_read(version_reading const& reading) override;
+    void learn_version(server_version const& version, std::string_view server);
+    /// Returns the version that serves alone as of `since`; nothing if there are several,
+    /// or if neither the hub nor the store tells.
+    [[nodiscard]] task<std::optional<std::string>> sole_version(std::string service,
+                                                                time_point since);
+    /// Returns the version that this instance knows for the stream, if it is confirmed.
+    [[nodiscard]] task<std::optional<server_version>> find_own(stream_key key);
+    /// Reads the record of a stream, again after a moment if there is none.
+    [[nodiscard]] task<std::optional<server_version>> find_record(stream_key key);
+    /// Waits until the directory has the servers that the store was seen to have.
+    [[nodiscard]] task<void> wait_for_directory();
+    /// Waits until the server that began the stream has told which process it is.
+    [[nodiscard]] task<void> wait_for_check(stream_key key);
     [[nodiscard]] task<void> load_versions();
     /// Waits after the start of the process until the versions in service are known.
     [[nodiscard]] task<void> wait_for_versions();
@@ -91,17 +115,19 @@
     [[nodiscard]] task<void> sweep_streams();
     [[nodiscard]] task<bool> write_batch(stream_record_batch const& batch);
     [[nodiscard]] task<bool> write(std::vector<platform::row_change> const& changes);
-    /// Reads all rows of a table. Returns nothing if the store does not answer.
-    [[nodiscard]] task<std::optional<std::vector<platform::store_row>>>
-    read_all(platform::store_table table);
     [[nodiscard]] task<std::optional<server_version>> read_record(stream_key key);
     [[nodiscard]] duration write_interval() const;
 
     entry_services& services_;
     store_client& store_;
     version_history history_;
+    version_reader reader_;
     stream_versions streams_;
     change_signal begun_;
+    time_point directory_confirmed_at_{};
+    /// When the last reading began that showed a difference between the store and the
+    /// directory.
+    time_point difference_read_at_{};
     /// Streams whose server is being asked which process it is.
     std::set<stream_key> checked_;
     /// The versions whose rows this instance has written as the hub, and when.
--- a/tests/entry/stream_version_case.py
+++ b/tests/entry/stream_version_case.py
@@ -294,12 +294,15 @@
             self.add_runner(f"r{number}", version)
         self.instances: list[Instance] = []
         for name in ("n1", "n2"):
-            instance = Instance(self.store, name, more_settings=RETRIES)
+            instance = self.create_instance(name)
             self.addCleanup(instance.close)
             self.instances.append(instance)
         self.first, self.other = self.instances
         self.wait_until_serving()
 
+    def create_instance(self, name: str) -> Instance:
+        return Instance(self.store, name, more_settings=RETRIES)
+
     def wait_until_serving(self, *instances: Instance) -> None:
         """Waits until these instances, or all, know the runners in the store's rows."""
         for instance in instances or self.instances:
--- a/tests/entry/stream_versions_test.cpp
+++ b/tests/entry/stream_versions_test.cpp
@@ -69,6 +69,43 @@
     EXPECT_EQ(version_of("other"), "v1");
 }
 
+// Guards against streams that began at the newer process while the instance could not
+// read the servers, however long that took.
+TEST_F(stream_versions_test, streams_since_the_last_reading_are_unknown)
+{
+    begin("old");
+    now_ += std::chrono::seconds(4);
+    auto const read_at = now_;
+    begin("unread");
+    now_ += std::chrono::seconds(10);
+    begin("new");
+    EXPECT_TRUE(streams_.note_replaced("r1", read_at));
+    EXPECT_FALSE(streams_.note_replaced("r1", read_at));
+    EXPECT_EQ(version_of("old"), "v1");
+    EXPECT_EQ(version_of("unread"), std::nullopt);
+    EXPECT_EQ(version_of("new"), std::nullopt);
+    EXPECT_TRUE(streams_.is_unknown(stream_key::of("new")));
+    EXPECT_FALSE(streams_.is_unknown(stream_key::of("none")));
+}
+
+// Guards against the loss of streams whose server has told which process it was.
+TEST_F(stream_versions_test, confirmed_stream_stays_known_after_its_server_returned)
+{
+    begin("a");
+    EXPECT_EQ(streams_.unconfirmed_since(stream_key::of("a")), now_);
+    streams_.confirm(stream_key::of("a"));
+    EXPECT_EQ(streams_.unconfirmed_since(stream_key::of("a")), std::nullopt);
+    EXPECT_FALSE(streams_.note_replaced("r1", now_));
+    EXPECT_EQ(version_of("a"), "v1");
+}
+
+// Guards against a reading of the servers for what the store's record says.
+TEST_F(stream_versions_test, stream_of_a_record_is_confirmed)
+{
+    streams_.learn(stream_key::of("a"), {"llm", "v1"}, now_);
+    EXPECT_EQ(streams_.unconfirmed_since(stream_key::of("a")), std::nullopt);
+}
+
 // Guards against calls to the store that nobody needs.
 TEST_F(stream_versions_test, streams_of_one_version_are_not_written)
 {
--- a/tests/entry/version_history_test.cpp
+++ b/tests/entry/version_history_test.cpp
@@ -22,6 +22,9 @@
         history_.confirm(now_);
     }
 
+    /// The sole version for a question that comes now.
+    std::optional<std::string> sole() const { return history_.sole("llm", now_, now_); }
+
     bool put(std::string const& server, std::string const& version)
     {
         return history_.put(server, {"llm", version}, now_);
@@ -36,10 +39,10 @@
 {
     EXPECT_TRUE(put("r1", "v1"));
     EXPECT_FALSE(put("r2", "v1"));
-    EXPECT_EQ(history_.sole("llm", now_), "v1");
+    EXPECT_EQ(sole(), "v1");
     EXPECT_FALSE(history_.is_mixed("llm", now_));
     history_.put("p1", {"plain", "v7"}, now_);
-    EXPECT_EQ(history_.sole("llm", now_), "v1");
+    EXPECT_EQ(sole(), "v1");
 }
 
 // Guards against a stream that goes on at the only version left, which did not begin it.
@@ -49,12 +52,12 @@
     put("r1", "v1");
     put("r2", "v2");
     history_.remove("r1", now_);
-    EXPECT_EQ(history_.sole("llm", now_), std::nullopt);
+    EXPECT_EQ(sole(), std::nullopt);
     pass(history_.retention() - std::chrono::seconds(1));
     EXPECT_TRUE(history_.is_mixed("llm", now_));
     EXPECT_TRUE(history_.take_expired(now_).empty());
     pass(std::chrono::seconds(1));
-    EXPECT_EQ(history_.sole("llm", now_), "v2");
+    EXPECT_EQ(sole(), "v2");
     EXPECT_EQ(history_.take_expired(now_), (std::vector<server_version>{{"llm", "v1"}}));
 }
 
@@ -64,7 +67,7 @@
     put("r1", "v1");
     EXPECT_TRUE(put("r1", "v2"));
     EXPECT_TRUE(history_.is_mixed("llm", now_));
-    EXPECT_EQ(history_.sole("llm", now_), std::nullopt);
+    EXPECT_EQ(sole(), std::nullopt);
 }
 
 // Guards against a process that takes what it has seen itself for all that there was.
@@ -72,11 +75,11 @@
 {
     put("r1", "v2");
     history_.remember({"llm", "v1"}, now_);
-    EXPECT_EQ(history_.sole("llm", now_), std::nullopt);
+    EXPECT_EQ(sole(), std::nullopt);
     version_history incomplete;
     incomplete.confirm(now_);
     incomplete.put("r1", {"llm", "v2"}, now_);
-    EXPECT_EQ(incomplete.sole("llm", now_), std::nullopt);
+    EXPECT_EQ(incomplete.sole("llm", now_, now_), std::nullopt);
 }
 
 // Guards against an instance that has been cut off and misses a new version.
@@ -84,18 +87,34 @@
 {
     put("r1", "v1");
     now_ += std::chrono::seconds(4);
-    EXPECT_EQ(history_.sole("llm", now_), std::nullopt);
+    EXPECT_EQ(sole(), std::nullopt);
     history_.confirm(now_);
-    EXPECT_EQ(history_.sole("llm", now_), "v1");
+    EXPECT_EQ(sole(), "v1");
+}
+
+// Guards against streams of a version that came after the last reading and before the
+// request: the load pattern "an instance is cut off for a second while another version
+// arrives".
+TEST_F(version_history_test, sole_version_of_a_reading_before_the_question_is_not_known)
+{
+    put("r1", "v1");
+    auto const read_at = now_;
+    now_ += std::chrono::milliseconds(1);
+    EXPECT_EQ(sole(), std::nullopt);
+    EXPECT_EQ(history_.sole("llm", now_, read_at), "v1");
+    EXPECT_FALSE(history_.is_current(now_));
+    // A late confirmation of an earlier reading changes nothing.
+    history_.confirm(read_at - std::chrono::seconds(1));
+    EXPECT_EQ(history_.confirmed_at(), read_at);
 }
 
 // Guards against the refusal of all streams where no server states its version.
 TEST_F(version_history_test, absent_version_of_all_servers_is_the_sole_one)
 {
     put("r1", "");
-    EXPECT_EQ(history_.sole("llm", now_), "");
+    EXPECT_EQ(sole(), "");
     put("r2", "v1");
-    EXPECT_EQ(history_.sole("llm", now_), std::nullopt);
+    EXPECT_EQ(sole(), std::nullopt);
 }
 
 // Guards against memory that grows with each version that a row has had.
