--- a/tests/coroutines_test.py
+++ b/tests/coroutines_test.py
@@ -12,8 +12,7 @@
 import unittest
 from pathlib import Path
 
-# A condition that declares a variable is safe: the value has its own place in the frame.
-CONDITION = re.compile(r"\b(?:if|while|switch) \((?!auto )")
+CONDITION = re.compile(r"\b(?:if|while|switch) \(")
 SOURCE_FOLDER = Path(__file__).resolve().parent.parent / "src"
 
 
@@ -28,11 +27,16 @@
 
 
 def awaiting_conditions(text: str) -> list[int]:
-    """Returns the line numbers of conditions that contain co_await."""
+    """Returns the line numbers of conditions that contain co_await.
+
+    A condition that declares a variable is safe, since the value has its own place in the frame,
+    unless the value is chosen by a conditional operator."""
     lines = []
     for found in CONDITION.finditer(text):
         opening = text.index("(", found.start())
-        if "co_await" in text[opening : closing_parenthesis(text, opening)]:
+        condition = text[opening : closing_parenthesis(text, opening)]
+        declares = condition.startswith("(auto ")
+        if "co_await" in condition and ("?" in condition or not declares):
             lines.append(text.count("\n", 0, found.start()) + 1)
     return lines
 
@@ -48,8 +52,9 @@
     def test_awaiting_condition_is_found(self) -> None:
         """Guards against a check that never finds a violation."""
         text = ("if (co_await a())\n    b();\nwhile (x &&\n       (y = co_await c()) == z)\n"
-                "if (auto const d = co_await e())\nif (f(g)) co_await h();\n")
-        self.assertEqual(awaiting_conditions(text), [1, 3])
+                "if (auto const d = co_await e())\nif (f(g)) co_await h();\n"
+                "if (auto const i = j ? co_await k() : l)\n    m();\n")
+        self.assertEqual(awaiting_conditions(text), [1, 3, 7])
 
 
 if __name__ == "__main__":
