Do not send a stream on by a reading from before a wait or a freeze

The server is now asked for its start unless the reading is less than 0.5 s old, in which no server restarts.

--- a/src/transport/entry/request_version.cpp
+++ b/src/transport/entry/request_version.cpp
@@ -1,3 +1,4 @@
+#include "transport/entry/boot_clock.hpp"
 #include "transport/entry/request_flow.hpp"
 
 #include <algorithm>
@@ -7,6 +8,15 @@
 namespace carawayturn::entry
 {
 
+namespace
+{
+
+/// A server that ends is not back at another version within this time. A request that
+/// waited for longer, also in a pause of this process, needs a newer reading.
+constexpr duration max_reading_age = std::chrono::milliseconds(500);
+
+} // namespace
+
 bool request_flow::use_service(std::string const& name)
 {
     if (service_->name == name)
@@ -59,8 +69,9 @@
 {
     if (!version_ || !service_->engine)
         co_return true;
+    auto const now = boot_now();
     // What goes on within this answer has begun after the request arrived.
-    auto const since = stream_begun_ ? boot_now() : arrival_;
+    auto const since = stream_begun_ ? now : std::max(arrival_, now - max_reading_age);
     bool confirmed = version_source_.has_value();
     if (!confirmed)
         confirmed = co_await services_.streams.is_begin_confirmed(head_.id);
