--- a/tests/entry/out_of_step_test.py
+++ b/tests/entry/out_of_step_test.py
@@ -119,6 +119,17 @@
                 stream.take_up(self.other)
         self.assert_whole(streams)
 
+    def assert_refused_until_healed(self, streams: list[CallerStream]) -> None:
+        """Checks that streams taken up at n2 are refused at once while it reaches neither hub nor
+        store, also when their callers come back at once, and go on afterwards."""
+        self.close_all(streams)
+        self.cut_store()
+        attempts = self.try_all(streams) + self.try_all(streams)
+        self.assert_not_joined(streams)
+        self.assert_refused_at_once(attempts)
+        self.heal()
+        self.assert_whole_in_the_end(streams)
+
 
 class ArrivedVersionTest(OutOfStepCase):
     """Runners of v2 appear while n2 is out of step. Streams that begin there through the hub are
@@ -129,13 +140,7 @@
         self.cut_hub()
         self.add_v2()
         streams = self.begin_v2_streams(self.first)
-        self.close_all(streams)
-        self.cut_store()
-        attempts = self.try_all(streams) + self.try_all(streams)
-        self.assert_not_joined(streams)
-        self.assert_refused_at_once(attempts)
-        self.heal()
-        self.assert_whole_in_the_end(streams)
+        self.assert_refused_until_healed(streams)
 
     def test_stream_goes_on_at_its_version_at_an_instance_without_hub(self) -> None:
         """Guards against the same, and against refusals while the store can be read."""
@@ -211,13 +216,7 @@
         self.cut_hub()
         self.return_as_v2()
         streams = self.begin_v2_streams(self.first)
-        self.close_all(streams)
-        self.cut_store()
-        attempts = self.try_all(streams) + self.try_all(streams)
-        self.assert_not_joined(streams)
-        self.assert_refused_at_once(attempts)
-        self.heal()
-        self.assert_whole_in_the_end(streams)
+        self.assert_refused_until_healed(streams)
 
     def test_own_stream_of_a_returned_runner_is_not_joined_within_its_answer(self) -> None:
         """Guards against streams that n2 itself begins at r0 as if r0 were of version v1, and that
--- a/tests/tools/load_test.py
+++ b/tests/tools/load_test.py
@@ -21,9 +21,8 @@
 LOAD_TOOL = ""
 
 
-class MalformedServer:
-    """Says that it is ready, after an informational answer, and answers all else with a status
-    that is none."""
+class FaultyServer:
+    """Says that it is ready, and leaves all other requests to answer()."""
 
     def __init__(self):
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -35,36 +34,35 @@
             while True:
                 connection, _ = self.listener.accept()
                 with connection:
-                    ready = b"/readyz" in connection.recv(65536)
-                    connection.sendall(b"HTTP/1.1 102 Said\r\n\r\n"
-                                       b"HTTP/1.1 %s Said\r\nConnection: close\r\n"
-                                       b"Content-Length: 0\r\n\r\n"
-                                       % (b"200" if ready else b"000"))
+                    if b"/readyz" in connection.recv(1024):
+                        connection.sendall(b"HTTP/1.1 102 Said\r\n\r\n"
+                                           b"HTTP/1.1 200 Said\r\nConnection: close\r\n"
+                                           b"Content-Length: 0\r\n\r\n")
+                    else:
+                        self.answer(connection)
+
+
+class MalformedServer(FaultyServer):
+    """Answers with a status that is none, after an informational answer."""
 
+    def answer(self, connection):
+        connection.sendall(b"HTTP/1.1 102 Said\r\n\r\n"
+                           b"HTTP/1.1 000 Said\r\nConnection: close\r\n"
+                           b"Content-Length: 0\r\n\r\n")
 
-class EarlyServer:
-    """Says that it is ready, and resets all other connections in the middle of an answer that has
-    no length, without reading the request to its end."""
+
+class EarlyServer(FaultyServer):
+    """Resets the connection in the middle of an answer that has no length, without reading the
+    request to its end."""
 
     def __init__(self):
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        super().__init__()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 * 1024)
-        self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self.serve, daemon=True).start()
 
-    def serve(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self.listener.accept()
-                with connection:
-                    if b"/readyz" in connection.recv(1024):
-                        connection.sendall(b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
-                                           b"Content-Length: 0\r\n\r\n")
-                        continue
-                    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n{")
-                    time.sleep(0.1)
-                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                          struct.pack("ii", 1, 0))
+    def answer(self, connection):
+        connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n{")
+        time.sleep(0.1)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
 class LoadTest(standins_test.StandinCase):
