--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -429,8 +429,7 @@
         read_policy_.hub_read_failure_received();
     if (update.directory_hub != 0 && (hub_active_ || hub_reads))
         apply_directory(update);
-    // The update may have been sent long before it is read, but not before the status
-    // that it answers.
+    // The update may have waited to be read, but was sent after the status it answers.
     if (hub_reads && update.echo_us != 0 && update.directory_hub == directory_.hub() &&
         update.directory_revision == directory_.revision())
         streams_.confirm_directory(
