Read the tables of servers and versions a page at a time

The readings for take-ups kept all rows of the servers' table until the last one had come, in which other writers can put any number of long rows.

--- a/src/transport/entry/stream_registry.cpp
+++ b/src/transport/entry/stream_registry.cpp
@@ -233,16 +233,12 @@
     steady_timer timer(services_.io);
     for (auto pause = retry_interval;; pause = std::min(2 * pause, max_retry_interval))
     {
-        std::uint64_t ignored = 0;
-        auto const rows = co_await read_table(store_, platform::store_table::versions,
-                                              write_timeout, ignored);
+        auto const versions = co_await read_versions(store_, write_timeout);
         auto const now = boot_now();
-        if (rows)
+        if (versions)
         {
-            for (auto const& row : *rows)
-                if (auto decoded = platform::decode_version(row.value);
-                    succeeded(decoded))
-                    history_.remember(std::get<server_version>(std::move(decoded)), now);
+            for (auto const& version : *versions)
+                history_.remember(version, now);
             history_.set_complete();
             begun_.notify();
             co_return;
@@ -297,20 +293,23 @@
 task<void> stream_registry::sweep_streams()
 {
     swept_at_ = boot_now();
-    auto const rows = co_await read_table(store_, platform::store_table::streams,
-                                          write_timeout, table_version_);
-    if (!rows)
+    std::vector<std::pair<std::string, std::uint64_t>> rows;
+    auto const version =
+        co_await read_table(store_, platform::store_table::streams, write_timeout,
+                            [&rows](platform::store_row const& row)
+                            { rows.emplace_back(row.key, row.version); });
+    if (!version)
         co_return;
     // Rows that were there at the last sweep are older than any stream. Versions go back
     // if the store comes back from a copy.
-    auto const limit = std::exchange(swept_version_, table_version_);
+    auto const limit = std::exchange(swept_version_, *version);
     if (limit > swept_version_)
         co_return;
     std::vector<platform::row_change> changes;
-    for (auto const& row : *rows)
+    for (auto const& [key, written_at] : rows)
     {
-        if (row.version <= limit)
-            changes.push_back({platform::store_table::streams, row.key, std::nullopt});
+        if (written_at <= limit)
+            changes.push_back({platform::store_table::streams, key, std::nullopt});
         if (changes.size() < platform::max_row_changes)
             continue;
         bool const done = co_await write(changes);
--- a/src/transport/entry/stream_registry.hpp
+++ b/src/transport/entry/stream_registry.hpp
@@ -136,7 +136,6 @@
     std::vector<server_version> expired_;
     /// Newest version of the table of streams when it was last swept, and when.
     std::uint64_t swept_version_ = 0;
-    std::uint64_t table_version_ = 0;
     time_point swept_at_{};
 };
 
--- a/src/transport/entry/version_reader.cpp
+++ b/src/transport/entry/version_reader.cpp
@@ -15,9 +15,12 @@
 
 /// Time for all calls of a reading. A caller that takes a stream up waits for it.
 constexpr duration reading_timeout = std::chrono::milliseconds(400);
-/// Servers that are kept. A store with more rows is not read, which bounds the memory
-/// that rows of other writers can take.
+/// Servers that are kept. A reading that shows more fails, which bounds the memory that
+/// rows of other writers can take.
 constexpr std::size_t max_servers = 20'000;
+/// Versions that are taken from their rows; several of a service are enough to know that
+/// there is more than one.
+constexpr std::size_t max_versions = 1'000;
 /// Pages of changes that are read; the whole table is shorter than more of them.
 constexpr int max_change_pages = 8;
 /// Changes are read instead of the whole table if the last reading is no older. A store
@@ -46,32 +49,47 @@
 
 } // namespace
 
-task<std::optional<std::vector<platform::store_row>>>
+task<std::optional<std::uint64_t>>
 read_table(store_client& store, platform::store_table table, duration call_timeout,
-           std::uint64_t& table_version)
+           std::function<void(platform::store_row const&)> apply)
 {
-    std::vector<platform::store_row> rows;
+    std::optional<std::uint64_t> version;
     std::string from;
-    table_version = 0;
     for (;;)
     {
-        auto reply = co_await store.call(platform::encode_table_read(table, from),
-                                         call_timeout, outage_tracking::off);
+        auto const reply = co_await store.call(platform::encode_table_read(table, from),
+                                               call_timeout, outage_tracking::off);
         if (!reply || !reply->done())
             co_return std::nullopt;
-        auto& page = reply->answer;
-        if (table_version == 0)
-            table_version = page.version;
+        auto const& page = reply->answer;
+        if (!version)
+            version = page.version;
+        std::for_each(page.rows.begin(), page.rows.end(), apply);
         bool const more =
             page.truncated && !page.rows.empty() && page.rows.back().key >= from;
-        if (more)
-            from = page.rows.back().key + '\0';
-        std::move(page.rows.begin(), page.rows.end(), std::back_inserter(rows));
         if (!more)
-            co_return rows;
+            co_return version;
+        from = page.rows.back().key + '\0';
     }
 }
 
+task<std::optional<std::vector<server_version>>> read_versions(store_client& store,
+                                                               duration call_timeout)
+{
+    std::vector<server_version> versions;
+    auto const read = co_await read_table(
+        store, platform::store_table::versions, call_timeout,
+        [&versions](platform::store_row const& row)
+        {
+            auto decoded = platform::decode_version(row.value);
+            if (succeeded(decoded) && versions.size() < max_versions)
+                versions.push_back(std::get<server_version>(std::move(decoded)));
+        });
+    if (!read)
+        co_return std::nullopt;
+    co_return versions;
+}
+
 version_reader::version_reader(entry_services& services, store_client& store,
                                version_sink& sink)
     : services_(services), store_(store), sink_(sink), ended_(services.io)
@@ -109,21 +127,15 @@
 task<bool> version_reader::read_tables()
 {
     auto const began_at = schedule_.began_at();
-    std::uint64_t ignored = 0;
-    auto const rows = co_await read_table(store_, platform::store_table::versions,
-                                          reading_timeout, ignored);
+    auto versions = co_await read_versions(store_, reading_timeout);
     auto const left = began_at + reading_timeout - boot_now();
-    if (!rows || left <= duration::zero())
+    if (!versions || left <= duration::zero())
         co_return false;
     bool const listed = co_await read_servers(left);
     if (!listed || servers_.size() > max_servers)
         co_return false;
     listed_at_ = began_at;
-    version_reading reading{began_at, {}, servers_};
-    for (auto const& row : *rows)
-        if (auto decoded = platform::decode_version(row.value); succeeded(decoded))
-            reading.versions.push_back(std::get<server_version>(std::move(decoded)));
-    sink_.versions_read(reading);
+    sink_.versions_read({began_at, std::move(*versions), servers_});
     co_return true;
 }
 
@@ -141,16 +153,12 @@
 
 task<bool> version_reader::list_servers(duration timeout)
 {
-    std::uint64_t version = 0;
-    auto const rows = co_await read_table(store_, platform::store_table::backend_servers,
-                                          timeout, version);
-    if (!rows)
-        co_return false;
     servers_.clear();
-    for (auto const& row : *rows)
-        apply_row(row);
-    servers_version_ = version;
-    co_return true;
+    auto const version =
+        co_await read_table(store_, platform::store_table::backend_servers, timeout,
+                            [this](platform::store_row const& row) { apply_row(row); });
+    servers_version_ = version.value_or(0);
+    co_return version.has_value();
 }
 
 task<version_reader::change_outcome> version_reader::read_changes(std::uint64_t after,
@@ -187,7 +195,7 @@
 void version_reader::apply_row(platform::store_row const& row)
 {
     servers_.erase(row.key);
-    if (row.removed)
+    if (row.removed || servers_.size() > max_servers)
         return;
     auto const decoded = platform::decode_server(row.key, row.value);
     if (!succeeded(decoded))
--- a/src/transport/entry/version_reader.hpp
+++ b/src/transport/entry/version_reader.hpp
@@ -4,6 +4,7 @@
 #include "state/entry/server_version.hpp"
 #include "transport/entry/store_client.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,11 +13,17 @@
 namespace carawayturn::entry
 {
 
-/// Reads all rows of a table. Returns nothing if the store does not answer in time.
-/// @param table_version set to the newest version of any row when the read began.
-[[nodiscard]] task<std::optional<std::vector<platform::store_row>>>
+/// Reads all rows of a table, page by page, and passes each to `apply`. Returns the
+/// newest version of any row when the read began; nothing if the store does not answer in
+/// time.
+[[nodiscard]] task<std::optional<std::uint64_t>>
 read_table(store_client& store, platform::store_table table, duration call_timeout,
-           std::uint64_t& table_version);
+           std::function<void(platform::store_row const&)> apply);
+
+/// Reads the rows of the versions that serve or served recently, without those that
+/// cannot be decoded. Returns nothing if the store does not answer in time.
+[[nodiscard]] task<std::optional<std::vector<server_version>>>
+read_versions(store_client& store, duration call_timeout);
 
 /// What a reading of the store has shown.
 struct version_reading
