Count the memory that held answers take, not their bytes

Cause: the budget for answers was charged with the length of what is held. A string allocates up to twice its length, and keeps its memory when an empty one is assigned, so that what was passed on or discarded took memory that nothing counted. How much depends on how the pieces of streams interleave, so it shows beside load.

Change: the budget counts what is allocated, memory is given back when its bytes have gone, and taking all events moves them instead of copying them.

A new test of event_splitter holds that bytes that have gone take no memory.

--- a/src/protocol/entry/event_splitter.cpp
+++ b/src/protocol/entry/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "protocol/entry/event_splitter.hpp"
 
+#include <utility>
+
 namespace carawayturn::entry
 {
 
@@ -49,6 +51,8 @@
 
 void event_splitter::discard_incomplete_event()
 {
+    // An assignment alone would keep the memory.
+    std::string().swap(pending_);
     *this = {};
 }
 
@@ -67,8 +71,10 @@
 std::string event_splitter::take_events()
 {
     last_taken_has_data_ = has_event_with_data();
-    std::string events(complete_events());
-    pending_.erase(0, events_end_);
+    if (events_end_ == 0)
+        return {};
+    auto events = std::exchange(pending_, std::string(incomplete_event()));
+    events.resize(events_end_);
     searched_bytes_ = pending_.size();
     events_end_ = 0;
     return events;
--- a/src/protocol/entry/event_splitter.hpp
+++ b/src/protocol/entry/event_splitter.hpp
@@ -26,8 +26,9 @@
     /// Returns whether the events of the last take_events() contain data or an id.
     /// Comment lines count as neither.
     [[nodiscard]] bool last_taken_has_data() const { return last_taken_has_data_; }
-    /// Returns the number of received bytes that were not taken.
-    [[nodiscard]] std::size_t size() const { return pending_.size(); }
+    /// Returns the memory that the received bytes take, in bytes. It may be twice as much
+    /// as they are.
+    [[nodiscard]] std::size_t allocated_bytes() const { return pending_.capacity(); }
     /// Returns whether the bytes that were not taken exceed max_event_bytes.
     [[nodiscard]] bool exceeds_limit() const { return pending_.size() > max_event_bytes; }
 
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -286,11 +286,11 @@
 
 bool request_flow::reserve_answer_memory()
 {
-    auto held = answer_body_.size() + events_.size();
+    auto held = answer_body_.capacity() + events_.allocated_bytes();
     if (failure_answer_)
-        held += failure_answer_->body.size();
+        held += failure_answer_->body.capacity();
     if (silent_)
-        held += silent_->events.size();
+        held += silent_->events.allocated_bytes();
     return answer_memory_.resize(held);
 }
 
@@ -342,7 +342,8 @@
     bool written = co_await writer_.begin(answer_head_, length);
     if (written)
         written = co_await writer_.append(answer_body_);
-    answer_body_ = {};
+    // An assignment would keep the memory.
+    std::string().swap(answer_body_);
     failure_answer_.reset();
     static_cast<void>(reserve_answer_memory());
     auto read = read_outcome::more;
--- a/tests/entry/event_splitter_test.cpp
+++ b/tests/entry/event_splitter_test.cpp
@@ -138,5 +138,25 @@
     EXPECT_EQ(events_.take_events(), "id: 2\ndata: b\n\n");
 }
 
+// Guards against memory that stays allocated after its bytes have gone, and that the
+// memory budget does not count.
+TEST_F(event_splitter_test, bytes_that_have_gone_take_no_memory)
+{
+    std::string const piece(100'000, 'd');
+    auto const empty = events_.allocated_bytes();
+    events_.append(piece);
+    EXPECT_GE(events_.allocated_bytes(), piece.size());
+    events_.append("\n\nid: 2\n");
+    EXPECT_EQ(events_.take_events(), piece + "\n\n");
+    EXPECT_EQ(events_.incomplete_event(), "id: 2\n");
+    EXPECT_LT(events_.allocated_bytes(), 100U);
+    events_.append(piece);
+    events_.discard_incomplete_event();
+    EXPECT_EQ(events_.allocated_bytes(), empty);
+    events_.append("id: 3\n\n");
+    EXPECT_EQ(events_.take_events(), "id: 3\n\n");
+    EXPECT_EQ(events_.allocated_bytes(), empty);
+}
+
 } // namespace
 } // namespace carawayturn::entry
