Log what was known of a stream's version when it was taken up

Change: 1145 stream_taken_up for each take-up (source and version, or why it is not known; what is known of the service's versions and the age of that reading), and 1146 stream_kept_back when a stream does not go on at a server. The search for a record tells a store that does not answer from one that has no record.

A fault of the fixture: n2 found the hub's own address through another instance 1.5 s after a cut, so that no cut lasted longer. Its proxy now rewrites that address in what the hub tells.

--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -37,6 +37,8 @@
     hub_found = 1142,
     hub_lost = 1143,
     peer_asked = 1144,
+    stream_taken_up = 1145,
+    stream_kept_back = 1146,
     lease_claimed = 1150,
     lease_row_unreadable = 1151,
     lease_released = 1152,
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -112,6 +112,8 @@
     {1142, info, "hub_found"},
     {1143, warning, "hub_lost"},
     {1144, info, "peer_asked"},
+    {1145, info, "stream_taken_up"},
+    {1146, info, "stream_kept_back"},
     {1150, info, "lease_claimed"},
     {1151, warning, "lease_row_unreadable"},
     {1152, info, "lease_released"},
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -172,6 +172,12 @@
     /// Finds the version at which the stream began that the caller takes up, so that it
     /// goes on only there. Refuses a take-up whose version is not known.
     [[nodiscard]] task<std::optional<refusal>> find_stream_version();
+    /// Logs what was known of the versions, of which age, when the version of the stream
+    /// was looked for.
+    void log_take_up(stream_lookup const& found);
+    /// Logs the same for a server to which the stream does not go on.
+    /// @param since as of when the versions had to be known.
+    void log_kept_back(std::string_view reason, time_point since);
     /// Sends the request to this service if the route does. Returns whether it does.
     [[nodiscard]] bool use_service(std::string const& name);
     /// Records at which version the stream begins.
--- a/src/transport/entry/request_version.cpp
+++ b/src/transport/entry/request_version.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/boot_clock.hpp"
 #include "transport/entry/request_flow.hpp"
+#include "transport/entry/request_flow_detail.hpp"
 
 #include <algorithm>
 
@@ -40,6 +41,7 @@
     auto const found =
         co_await services_.streams.find(head_.begun_as, service_->name, arrival_);
     version_source_ = found.source;
+    log_take_up(found);
     if (found.source == version_source::unknown)
         co_return refusal{refusal_reason::stream_version_unknown, {}};
     if (!use_service(found.origin.service))
@@ -49,6 +51,36 @@
     co_return std::nullopt;
 }
 
+void request_flow::log_take_up(stream_lookup const& found)
+{
+    auto const known = services_.streams.knowledge(service_->name, arrival_);
+    services_.log.write(
+        entry_event::stream_taken_up,
+        {{"request", head_.id},
+         {"resumes", std::string_view(head_.begun_as).substr(0, flow::max_logged_id)},
+         {"service", service_->name},
+         {"version_source", entry::name_of(found.source)},
+         {"stream_version", found.origin.version},
+         {"unknown_because", entry::name_of(found.gap)},
+         {"versions_known", entry::name_of(known.versions)},
+         {"versions_age_ms", known.age ? to_ms(*known.age) : -1},
+         {"waited_ms", to_ms(boot_now() - arrival_)}});
+}
+
+void request_flow::log_kept_back(std::string_view reason, time_point since)
+{
+    auto const known = services_.streams.knowledge(service_->name, since);
+    services_.log.write(entry_event::stream_kept_back,
+                        {{"request", head_.id},
+                         {"service", service_->name},
+                         {"server", server_.id},
+                         {"stream_version", *version_},
+                         {"reason", reason},
+                         {"versions_known", entry::name_of(known.versions)},
+                         {"versions_age_ms", known.age ? to_ms(*known.age) : -1},
+                         {"versions_needed_ms", to_ms(boot_now() - since)}});
+}
+
 void request_flow::note_stream_begun()
 {
     if (route_->resumable && !version_)
@@ -80,11 +112,16 @@
         bool const unstated =
             co_await services_.streams.versions_unstated_since(service_->name, since);
         version_denied_ = !unstated;
+        if (!unstated)
+            log_kept_back(confirmed ? "version_unstated" : "begin_unconfirmed", since);
         co_return unstated;
     }
     bool const same = co_await services_.streams.is_recorded_process(server_, since);
     if (!same)
+    {
+        log_kept_back("process_unconfirmed", since);
         excluded_.insert(server_.id);
+    }
     co_return same;
 }
 
--- a/src/transport/entry/stream_lookup.cpp
+++ b/src/transport/entry/stream_lookup.cpp
@@ -37,6 +37,38 @@
     return names.at(static_cast<std::size_t>(source));
 }
 
+std::string_view name_of(version_gap gap)
+{
+    static constexpr std::array<std::string_view, 7> names{"",
+                                                           "versions_unread",
+                                                           "stream_unnamed",
+                                                           "begin_unclear",
+                                                           "record_unread",
+                                                           "record_missing",
+                                                           "version_unstated"};
+    return names.at(static_cast<std::size_t>(gap));
+}
+
+std::string_view name_of(known_versions versions)
+{
+    static constexpr std::array<std::string_view, 3> names{"unread", "one", "several"};
+    return names.at(static_cast<std::size_t>(versions));
+}
+
+version_knowledge stream_registry::knowledge(std::string const& service,
+                                             time_point since) const
+{
+    auto const now = boot_now();
+    version_knowledge known;
+    if (history_.is_mixed(service, now))
+        known.versions = known_versions::several;
+    else if (history_.is_current(since))
+        known.versions = known_versions::one;
+    if (history_.confirmed_at() != time_point{})
+        known.age = now - history_.confirmed_at();
+    return known;
+}
+
 bool stream_registry::versions_unstated(std::string const& service) const
 {
     return history_.sole(service, boot_now(), time_point{}) == "";
@@ -86,29 +118,38 @@
     if (named)
         own = co_await find_own(key);
     if (own)
-        co_return stream_lookup{*own, version_source::memory};
+        co_return stream_lookup{*own, version_source::memory, version_gap::none};
     co_await wait_for_versions();
     auto const sole = co_await sole_version(service, asked_at);
     if (sole)
     {
         co_await wait_for_directory();
-        co_return stream_lookup{{service, *sole}, version_source::sole_version};
+        co_return stream_lookup{
+            {service, *sole}, version_source::sole_version, version_gap::none};
     }
+    auto const unknown = [](version_gap gap) {
+        return stream_lookup{{}, version_source::unknown, gap};
+    };
     // Records are written only while a service has several versions.
-    if (!named || streams_.is_unknown(key) || !history_.is_mixed(service, boot_now()))
-        co_return stream_lookup{};
-    auto const record = co_await find_record(key);
-    if (!record || record->version.empty())
-        co_return stream_lookup{};
-    streams_.learn(key, *record, boot_now());
+    if (!history_.is_mixed(service, boot_now()))
+        co_return unknown(version_gap::versions_unread);
+    if (!named)
+        co_return unknown(version_gap::stream_unnamed);
+    if (streams_.is_unknown(key))
+        co_return unknown(version_gap::begin_unclear);
+    auto record = co_await find_record(key);
+    if (record.source == version_source::unknown)
+        co_return record;
+    streams_.learn(key, record.origin, boot_now());
     co_await wait_for_directory();
-    co_return stream_lookup{*record, version_source::store};
+    co_return record;
 }
 
-task<std::optional<server_version>> stream_registry::find_record(stream_key key)
+task<stream_lookup> stream_registry::find_record(stream_key key)
 {
     auto record = co_await read_record(key);
-    if (!record)
+    if (record.gap == version_gap::record_unread ||
+        record.gap == version_gap::record_missing)
     {
         steady_timer timer(services_.io);
         timer.expires_after(second_lookup_delay);
@@ -132,19 +173,31 @@
         co_await services_.changes.wait(initial_versions_poll);
 }
 
-task<std::optional<server_version>> stream_registry::read_record(stream_key key)
+task<stream_lookup> stream_registry::read_record(stream_key key)
 {
+    stream_lookup found;
+    found.gap = version_gap::record_unread;
     auto const name = key.str();
     auto const reply = co_await store_.call(
         platform::encode_row_read(platform::store_table::streams, name), lookup_timeout,
         outage_tracking::off);
     if (!reply || !reply->done())
-        co_return std::nullopt;
+        co_return found;
+    found.gap = version_gap::record_missing;
     for (auto const& row : reply->answer.rows)
-        if (row.key == name)
-            if (auto decoded = platform::decode_version(row.value); succeeded(decoded))
-                co_return std::get<server_version>(std::move(decoded));
-    co_return std::nullopt;
+    {
+        if (row.key != name)
+            continue;
+        auto decoded = platform::decode_version(row.value);
+        if (!succeeded(decoded))
+            continue;
+        found.origin = std::get<server_version>(std::move(decoded));
+        bool const stated = !found.origin.version.empty();
+        found.source = stated ? version_source::store : version_source::unknown;
+        found.gap = stated ? version_gap::none : version_gap::version_unstated;
+        break;
+    }
+    co_return found;
 }
 
 task<std::optional<std::int64_t>>
--- a/src/transport/entry/stream_registry.hpp
+++ b/src/transport/entry/stream_registry.hpp
@@ -27,11 +27,53 @@
 
 [[nodiscard]] std::string_view name_of(version_source source);
 
-/// The version at which a stream began; `origin` is empty if the source is `unknown`.
+/// Why the version of a stream that a caller takes up is not known.
+enum class version_gap : std::uint8_t
+{
+    none,
+    /// Neither the hub nor the store has told the versions in service since the request
+    /// arrived.
+    versions_unread,
+    /// The request does not name the one that began the stream.
+    stream_unnamed,
+    /// This instance began the stream, and several processes may have answered it.
+    begin_unclear,
+    /// The store did not answer when it was asked for the stream's record.
+    record_unread,
+    /// The store has no record of the stream.
+    record_missing,
+    /// The server that began the stream states no version, and others do.
+    version_unstated
+};
+
+[[nodiscard]] std::string_view name_of(version_gap gap);
+
+/// The version at which a stream began; `origin` is empty if the source is `unknown`, and
+/// `gap` says why.
 struct stream_lookup
 {
     server_version origin;
     version_source source = version_source::unknown;
+    version_gap gap = version_gap::none;
+};
+
+/// What an instance knows of the versions that serve or served recently.
+enum class known_versions : std::uint8_t
+{
+    /// No reading is recent enough to tell.
+    unread,
+    one,
+    several
+};
+
+[[nodiscard]] std::string_view name_of(known_versions versions);
+
+/// The versions of a service as an instance knows them, and for how long.
+struct version_knowledge
+{
+    known_versions versions = known_versions::unread;
+    /// Time since the newest confirmed reading began; nothing before the first one.
+    std::optional<duration> age;
 };
 
 /// Keeps the versions at which streams began, in memory and, while a service has servers
@@ -67,6 +109,10 @@
     /// Returns whether a stream of an unknown version might go on at any server: as far
     /// as this instance knows, no server of the service states a version.
     [[nodiscard]] bool versions_unstated(std::string const& service) const;
+    /// Returns what this instance knows of the service's versions as of `since`, and the
+    /// age of that.
+    [[nodiscard]] version_knowledge knowledge(std::string const& service,
+                                              time_point since) const;
     /// Returns whether that is known as of `since`. Asks the store if necessary.
     [[nodiscard]] task<bool> versions_unstated_since(std::string service,
                                                      time_point since);
@@ -92,8 +138,9 @@
                                                                 time_point since);
     /// Returns the version that this instance knows for the stream, if it is confirmed.
     [[nodiscard]] task<std::optional<server_version>> find_own(stream_key key);
-    /// Reads the record of a stream, again after a moment if there is none.
-    [[nodiscard]] task<std::optional<server_version>> find_record(stream_key key);
+    /// Reads the record of a stream, again after a moment if there is none. `origin` is
+    /// empty if nothing was found.
+    [[nodiscard]] task<stream_lookup> find_record(stream_key key);
     /// Waits until the directory has the servers that the store was seen to have.
     [[nodiscard]] task<void> wait_for_directory();
     /// Waits until the server that began the stream has told which process it is.
@@ -115,7 +162,7 @@
     [[nodiscard]] task<void> sweep_streams();
     [[nodiscard]] task<bool> write_batch(stream_record_batch const& batch);
     [[nodiscard]] task<bool> write(std::vector<platform::row_change> const& changes);
-    [[nodiscard]] task<std::optional<server_version>> read_record(stream_key key);
+    [[nodiscard]] task<stream_lookup> read_record(stream_key key);
     [[nodiscard]] duration write_interval() const;
 
     entry_services& services_;
--- a/tests/entry/out_of_step_test.py
+++ b/tests/entry/out_of_step_test.py
@@ -29,6 +29,9 @@
 # second reads the store for itself.
 CUT_S = 0.8
 FREEZE_S = 2.0
+LONG_CUT_S = 4.5
+# Streams that two runners work on at once.
+SLOTS_IN_USE = 6
 # Time within which an instance that reaches the store can say where a stream goes on.
 ANSWER_LIMIT_S = 2.0
 
@@ -65,7 +68,11 @@
 
     def hub_proxy(self, address: str) -> str:
         if address not in self.hub_links:
-            self.hub_links[address] = FaultProxy(self.proxies, address)
+            link = FaultProxy(self.proxies, address)
+            # An instance that lost the hub asks the others, of which the hub has told.
+            self.assertEqual(len(address), len(link.address))
+            link.rewrites[address.encode()] = link.address.encode()
+            self.hub_links[address] = link
         return self.hub_links[address].address
 
     def cut(self, *links: FaultProxy) -> None:
@@ -206,6 +213,107 @@
         self.assert_not_joined(streams)
 
 
+class LongCutTest(OutOfStepCase):
+    """n2 is cut off for several seconds. Its streams are refused while it reaches nothing that
+    tells their version, and go on when it does."""
+
+    def test_stream_goes_on_at_its_version_at_an_instance_long_without_hub(self) -> None:
+        """Guards against an instance that reads the store for itself by then, and whose readings
+        are older than the request."""
+        self.cut_hub()
+        time.sleep(LONG_CUT_S)
+        self.add_v2()
+        streams = self.begin_v2_streams(self.first)
+        self.close_all(streams)
+        attempts = self.try_all(streams)
+        self.assertEqual({attempt.status for attempt in attempts}, {200}, streams)
+        self.assert_whole(streams)
+
+    def test_stream_is_not_joined_at_an_instance_long_without_hub_and_store(self) -> None:
+        """Guards against a version that counts as known for as long as nothing else is heard."""
+        self.cut_hub()
+        self.cut_store()
+        time.sleep(LONG_CUT_S)
+        self.add_v2()
+        streams = self.begin_v2_streams(self.first)
+        self.assert_refused_until_healed(streams)
+
+
+class LoggedTakeUpTest(OutOfStepCase):
+    """The log says what n2 knew of the versions, of which age, and what followed from it."""
+
+    def taken_up(self, attempts: list[Attempt], number: int = 1145) -> list[dict]:
+        """Returns the lines of these requests once there is one for each."""
+        names = {attempt.id for attempt in attempts}
+
+        def lines() -> list[dict]:
+            return [line for line in self.other.events(number) if line["request"] in names]
+
+        return wait_until(lambda: len(lines()) >= len(names) and lines(), "the lines are written")
+
+    def assert_lines(self, attempts: list[Attempt], **expected: str) -> list[dict]:
+        lines = self.taken_up(attempts)
+        self.assertEqual([{name: line[name] for name in expected} for line in lines],
+                         [expected] * len(attempts))
+        return lines
+
+    def test_line_tells_the_only_version_and_a_reading_newer_than_the_request(self) -> None:
+        """Guards against take-ups of which nobody can tell later why they were allowed."""
+        streams = self.begin_streams(self.first, 2)
+        self.close_all(streams)
+        lines = self.assert_lines(self.try_all(streams), version_source="sole_version",
+                                  stream_version="v1", versions_known="one", unknown_because="")
+        for line in lines:
+            self.assertLessEqual(line["versions_age_ms"], line["waited_ms"])
+
+    def test_line_tells_that_the_versions_are_unread_and_since_when(self) -> None:
+        """Guards against refusals that do not tell an outage from a lost record."""
+        self.cut_hub()
+        self.cut_store()
+        self.add_v2()
+        streams = self.begin_v2_streams(self.first)
+        self.close_all(streams)
+        time.sleep(CUT_S)
+        lines = self.assert_lines(self.try_all(streams), version_source="unknown",
+                                  stream_version="", versions_known="unread",
+                                  unknown_because="versions_unread")
+        for line in lines:
+            self.assertGreaterEqual(line["versions_age_ms"], CUT_S * 1000)
+        self.heal()
+
+    def test_line_tells_the_record_of_a_stream(self) -> None:
+        """Guards against a line that does not tell records from the versions in service."""
+        self.add_v2()
+        self.wait_until_serving()
+        streams = self.begin_v2_streams(self.first)
+        time.sleep(CUT_S)
+        self.close_all(streams)
+        self.assert_lines(self.try_all(streams), version_source="store", stream_version="v2",
+                          versions_known="several", unknown_because="")
+
+    def test_line_tells_that_the_store_did_not_answer_for_the_record(self) -> None:
+        """Guards against an outage of the store that looks like a record that is missing."""
+        self.add_v2()
+        self.wait_until_serving()
+        streams = self.begin_v2_streams(self.first)
+        time.sleep(CUT_S)
+        self.close_all(streams)
+        self.cut_store()
+        self.assert_lines(self.try_all(streams), version_source="unknown",
+                          versions_known="several", unknown_because="record_unread")
+        self.heal()
+
+    def test_line_tells_that_the_store_has_no_record(self) -> None:
+        """Guards against the same the other way round."""
+        self.add_v2()
+        self.wait_until_serving()
+        streams = self.begin_v2_streams(self.first)
+        self.close_all(streams)
+        attempts = [stream.try_take_up_as(self.other, [b"never-begun"]) for stream in streams]
+        self.assert_lines(attempts, version_source="unknown", versions_known="several",
+                          unknown_because="record_missing")
+
+
 class ReturnedRunnerTest(OutOfStepCase):
     """The runner r0 comes back under its id at version v2 while n2 is out of step."""
 
@@ -259,6 +367,60 @@
         self.assert_not_joined(streams)
 
 
+class WaitingRequestTest(OutOfStepCase):
+    """Runners come back at version v2 while a runner that was v1 keeps requests that took a stream
+    up waiting, and breaks them off."""
+
+    def test_stream_that_waited_is_not_joined_by_what_was_known_when_it_came(self) -> None:
+        """Guards against a reading that was recent when the request arrived, and is not when it
+        is sent again."""
+        streams = self.begin_streams(self.first, SLOTS_IN_USE)
+        # Until a reading of the servers that began after the streams.
+        time.sleep(CUT_S)
+        self.close_all(streams)
+        self.let_resumed_streams("breaks off late")
+        attempts = [stream.begin_take_up(self.other) for stream in streams]
+        wait_until(lambda: sum(first > 1 for runner in self.runners
+                               for _, first, _ in runner.runs) == SLOTS_IN_USE, "all were sent")
+        self.cut_hub()
+        self.cut_store()
+        time.sleep(CUT_S)
+        self.let_resumed_streams("goes on")
+        for runner in self.runners:
+            runner.version = runner.label = "v2"
+            runner.born += 1000
+            runner.released.set()
+        for attempt in attempts:
+            attempt.wait()
+        self.assert_not_joined(streams)
+        kept_back = self.other.events(1146)
+        self.assertEqual({line["reason"] for line in kept_back}, {"process_unconfirmed"})
+        self.assertTrue(all(line["versions_age_ms"] > line["versions_needed_ms"]
+                            for line in kept_back), kept_back)
+
+
+class HandedOverStreamTest(OutOfStepCase):
+    """A stream's server is silent, so that n2 asks another one to go on, which has come back at
+    version v2 meanwhile."""
+
+    gap_target_ms = 200
+
+    def test_silent_stream_is_not_handed_over_to_a_returned_runner(self) -> None:
+        """Guards against the version of the record of the server that is asked."""
+        streams = self.begin_streams(self.other, STREAMS)
+        self.cut_hub()
+        self.cut_store()
+        time.sleep(CUT_S)
+        self.runners[0].return_as("v2")
+        # Past the silence after which another server is asked.
+        time.sleep(2 * CUT_S)
+        self.let_new_streams("goes on")
+        for stream in streams:
+            stream.attempts[0].wait()
+        self.heal()
+        self.assert_not_joined(streams)
+
+
 class OneVersionTest(OutOfStepCase):
     """One version serves alone, so that streams may go on at each of its runners."""
 
--- a/tests/entry/stream_version_case.py
+++ b/tests/entry/stream_version_case.py
@@ -56,7 +56,8 @@
         # until `released` is set.
         self.new_stream = "goes on"
         # What a stream that is resumed or taken up does: "goes on", "breaks off" before its head,
-        # "refused", or "holds" after one event until `released` is set.
+        # "breaks off late" there when `released` is set, "refused", or "holds" after one event
+        # until `released` is set.
         self.resumed_stream = "goes on"
         self.released = threading.Event()
         self.event_pause_s = 0.0
@@ -125,6 +126,9 @@
             connection.send(head(request.id, "Content-Length: 0\r\nX-Not-Executed: 1\r\n", 503))
             return
         self.runs.append((request.id, first, label))
+        if resumed and self.resumed_stream == "breaks off late":
+            self.released.wait(HANG_LIMIT_S)
+            connection.reset()
         if resumed and self.resumed_stream == "breaks off":
             connection.reset()
         connection.send(head(request.id, STREAM))
--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -45,6 +45,9 @@
     A silenced direction holds its bytes back until the fault ends, like a link that drops
     packets which TCP retransmits. Connections that are open when `silence_open_connections()`
     is called stay silent permanently, while new ones work.
+
+    `rewrites` maps bytes of the target's answers to others of the same length, such as the
+    address of a peer to that of a proxy. Bytes that arrive in two reads are not found.
     """
 
     def __init__(self, proxies: ProxyLoop, target: str) -> None:
@@ -57,6 +60,7 @@
         self.silent_to_target = False
         self.silent_to_caller = False
         self.refuse = False
+        self.rewrites: dict[bytes, bytes] = {}
         self._server = proxies.call(asyncio.start_server(self._serve, "127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
@@ -92,8 +96,9 @@
         self._open.add(pair)
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, lambda: self.silent_to_target),
-                self._forward(target_reader, writer, lambda: self.silent_to_caller))
+                self._forward(reader, target_writer, lambda: self.silent_to_target, {}),
+                self._forward(target_reader, writer, lambda: self.silent_to_caller,
+                              self.rewrites))
         finally:
             self._open.discard(pair)
             self._silenced_writers.difference_update(pair)
@@ -101,13 +106,15 @@
                 each.close()
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                       silent) -> None:
+                       silent, rewrites: dict[bytes, bytes]) -> None:
         try:
             while data := await reader.read(READ_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 while silent() or writer in self._silenced_writers:
                     await asyncio.sleep(SILENCE_POLL_S)
+                for old, new in rewrites.items():
+                    data = data.replace(old, new)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
