Test resets of repeated and hedged requests, and at any moment of an answer

Requests of an idempotent route that are sent again, or hedged, after a reset with the upload unread; resets at 100 random moments within 4 ms of the answer's head; sound answers with chunks or a length that come before their upload was read, with orderly ends and resets (40 cases).

The stand-in of an instance takes variables of its environment, which set the share of hedged requests.

--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -56,11 +56,13 @@
     """An instance of carawayturn-entry; it can be stopped and started again."""
 
     def __init__(self, store: Store, name: str, store_address=None,
-                 more_settings: str = "") -> None:
+                 more_settings: str = "", environment: dict[str, str] | None = None) -> None:
         """Starts the process. `store_address` maps the store endpoint's address to the one that
-        the process uses, such as a proxy's; `more_settings` is appended to the settings file."""
+        the process uses, such as a proxy's; `more_settings` is appended to the settings file, and
+        `environment` holds variables of the process."""
         self.name = name
         self.more_settings = more_settings
+        self.environment = environment or {}
         self.store_endpoint = StoreEndpoint(store)
         address = store_address(
             self.store_endpoint.address) if store_address else self.store_endpoint.address
@@ -101,7 +103,7 @@
         program = os.environ["CARAWAYTURN_ENTRY"]
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [program], env={**self._sanitizer_options(),
+                [program], env={**self._sanitizer_options(), **self.environment,
                                 "CARAWAYTURN_BOOT": str(self.settings)}, stdout=log)
 
     @staticmethod
--- a/tests/entry/reset_answer_test.py
+++ b/tests/entry/reset_answer_test.py
@@ -9,6 +9,7 @@
 
 import http.client
 import itertools
+import random
 import socket
 import sys
 import threading
@@ -40,6 +41,13 @@
 CALLER_VERSIONS = (11, 10)
 FRAMINGS = ("connection", "chunks", "length")
 DEADLINE_MS = "8000"
+# Resets at random moments, up to this time after the head of the answer.
+MOMENTS = 100
+MAX_PAUSE_S = 0.004
+# A request whose first server has not answered within the delay may be hedged, every fifth one.
+HEDGE_DELAY_S = 0.2
+HEDGE_ROUNDS = 6
+PROMPT_CALLS = 4
 # An answer that is complete must not wait for its upload, which takes until the deadline.
 PROMPT_S = 4.0
 
@@ -68,7 +76,10 @@
 
 def end_and_read_on(connection: Connection) -> None:
     """Ends the answer in order and reads the rest of the upload."""
-    connection.stream.shutdown(socket.SHUT_WR)
+    try:
+        connection.stream.shutdown(socket.SHUT_WR)
+    except OSError as failure:
+        raise Closed from failure
     connection.wait_for_close()
 
 
@@ -105,15 +116,18 @@
     """Runs one store, servers of both services and one instance. By default, no request is sent
     twice."""
 
-    # Fields of the streaming route.
+    # Fields of the streaming and of the idempotent route.
     stream_options: dict[str, int] = {}
+    status_options: dict[str, int] = {}
+    # Variables of the instance's environment.
+    environment: dict[str, str] = {}
 
     def setUp(self) -> None:
         self.store = Store()
         self.addCleanup(self.store.close)
         config = configuration(1, ["k1"], ("m1",))
         config["routes"] = [route("book", "non_idempotent", "plain"),
-                            route("status", "idempotent", "plain"),
+                            route("status", "idempotent", "plain", **self.status_options),
                             route("draft", "streaming", "llm", resumable=True,
                                   **self.stream_options)]
         config["limits"]["max_body_bytes"] = 2 * len(LONG_UPLOAD)
@@ -123,7 +137,8 @@
                         for number in range(SERVERS)]
         for server in self.servers:
             self.addCleanup(server.close)
-        self.instance = Instance(self.store, "n1", more_settings=SETTINGS)
+        self.instance = Instance(self.store, "n1", more_settings=SETTINGS,
+                                 environment=self.environment)
         self.addCleanup(self.instance.close)
         self.instance.wait_until_serving(servers=2 * SERVERS)
 
@@ -193,15 +208,49 @@
                 received_status, received, complete = self.call("/book/a", LONG_UPLOAD, version)
                 self.assertFalse(complete and received_status == status, received[:40])
 
+    def assert_arrives_whole(self, path: str, body: bytes, version: int) -> None:
+        began = time.monotonic()
+        self.assertEqual(self.call(path, LONG_UPLOAD, version), (200, body, True))
+        self.assertLess(time.monotonic() - began, PROMPT_S)
+
     def test_answer_that_ends_in_order_before_its_upload_was_read_is_complete(self) -> None:
         """Guards against the refusal of sound answers whose servers did not need the upload."""
         for path, body, end, version in itertools.product(self.paths, self.bodies, ORDERLY_ENDS,
                                                           CALLER_VERSIONS):
             with self.subTest(path=path, body=len(body), end=end.__name__, version=version):
                 self.play(end, "", body)
-                began = time.monotonic()
-                self.assertEqual(self.call(path, LONG_UPLOAD, version), (200, body, True))
-                self.assertLess(time.monotonic() - began, PROMPT_S)
+                self.assert_arrives_whole(path, body, version)
+
+    def test_answer_with_an_end_of_its_own_before_its_upload_was_read_is_complete(self) -> None:
+        """Guards against the same for answers that are complete before their connection ends,
+        in order or not."""
+        for framing, body, end, version in itertools.product(
+                ("chunks", "length"), self.bodies, (*ORDERLY_ENDS, *RESETS), CALLER_VERSIONS):
+            with self.subTest(framing=framing, body=len(body), end=end.__name__, version=version):
+                if framing == "chunks":
+                    self.play(end, CHUNKED, chunk(body) + END)
+                else:
+                    self.play(end, f"Content-Length: {len(body)}\r\n", body)
+                self.assert_arrives_whole("/book/a", body, version)
+
+    def test_part_of_an_answer_before_a_reset_at_any_moment_is_not_complete(self) -> None:
+        """Guards against an order of the write's and the read's results in which neither shows
+        the reset: the reset comes while parts of the answer are read and of the upload written,
+        or after the end of the connection's input would have been read."""
+        for seed in range(MOMENTS):
+            generator = random.Random(seed)
+            pause, parts = generator.uniform(0, MAX_PAUSE_S), generator.randrange(1, 4)
+
+            def reset_soon(connection: Connection, pause=pause, parts=parts) -> None:
+                for _ in range(parts):
+                    time.sleep(pause / parts)
+                    connection.send(SHORT_BODY)
+                connection.reset()
+
+            path, upload = generator.choice(self.paths), generator.choice(UPLOADS)
+            with self.subTest(seed=seed, path=path, upload=len(upload), pause=pause, parts=parts):
+                self.play(reset_soon, "", generator.choice(self.bodies))
+                self.assert_not_complete(path, upload, generator.choice(CALLER_VERSIONS))
 
     def test_reset_in_an_answer_is_logged_as_such(self) -> None:
         """Guards against a log line that does not tell the reset from the end of the answer."""
@@ -246,6 +295,76 @@
                 self.assertEqual(self.call("/draft/a", LONG_UPLOAD), (200, body, True))
 
 
+class RepeatedRequestTest(ResetAnswerCase):
+    """Requests of an idempotent route, which may be sent again. Servers reset the connection of
+    their first answer while the upload is unread."""
+
+    status_options = {"max_attempts": 2, "target_latency_ms": int(2000 * HEDGE_DELAY_S)}
+    environment = {"CARAWAYTURN_HEDGE_SHARE": "0.2", "CARAWAYTURN_HEDGE_SPARE_SHARE": "1"}
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.runs: list[str] = []
+
+    def play_in_turn(self, *ways) -> None:
+        """Lets the first request to any server be answered in the first way, and so on; the last
+        way serves all others."""
+        numbers = itertools.count()
+        def way(connection: Connection, request: Request) -> None:
+            chosen = ways[min(next(numbers), len(ways) - 1)]
+            self.runs.append(chosen.__name__)
+            chosen(connection, request)
+        for server in self.servers:
+            server.play(way)
+
+    def test_request_is_sent_again_after_a_reset(self) -> None:
+        """Guards against a part of the first answer that counts as the whole one."""
+        def broken(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, "") + SHORT_BODY)
+            reset(connection)
+
+        def sound(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, "") + SHORT_BODY * 2)
+            end_and_read_on(connection)
+
+        for upload, version in itertools.product(UPLOADS, CALLER_VERSIONS):
+            with self.subTest(upload=len(upload), version=version):
+                self.runs.clear()
+                self.play_in_turn(broken, sound)
+                self.assertEqual(self.call("/status/a", upload, version),
+                                 (200, SHORT_BODY * 2, True))
+                self.assertEqual(self.runs, ["broken", "sound"])
+
+    def hedges(self) -> int:
+        return sum(not line["denied"] for line in self.instance.events(1104))
+
+    def test_part_of_a_hedged_answer_before_a_reset_is_not_complete(self) -> None:
+        """Guards against the same for a server that was asked because the first one was slow."""
+        whole = SHORT_BODY * 2
+
+        def prompt(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, "") + whole)
+            end_and_read_on(connection)
+
+        def slow(connection: Connection, request: Request) -> None:
+            time.sleep(HEDGE_DELAY_S + 4 * END_DELAY_S)
+            prompt(connection, request)
+
+        def broken(connection: Connection, request: Request) -> None:
+            connection.send(head(request.id, "") + SHORT_BODY)
+            reset(connection)
+
+        for _ in range(HEDGE_ROUNDS):
+            # Prompt answers add to the share of requests that may be hedged.
+            self.play_in_turn(prompt)
+            for _ in range(PROMPT_CALLS):
+                self.assertEqual(self.call("/status/a", b"u"), (200, whole, True))
+            self.play_in_turn(slow, broken)
+            status, received, complete = self.call("/status/a", LONG_UPLOAD)
+            self.assertFalse(complete and status == 200 and received != whole, received)
+        self.assertGreater(self.hedges(), 0)
+
+
 class SilentStreamTest(ResetAnswerCase):
     """A server falls silent in a stream without a length and chunks. Its connection is reset while
     the instance asks the other server to go on."""
