--- a/tests/entry/out_of_step_test.py
+++ b/tests/entry/out_of_step_test.py
@@ -257,6 +257,16 @@
                          [expected] * len(attempts))
         return lines
 
+    def leave_recorded_streams(self) -> list[CallerStream]:
+        """Returns streams of v2 at the hub that their callers have left, and whose records it has
+        written. n2 knows the runners of v2."""
+        self.add_v2()
+        self.wait_until_serving()
+        streams = self.begin_v2_streams(self.first)
+        time.sleep(CUT_S)
+        self.close_all(streams)
+        return streams
+
     def test_line_tells_the_only_version_and_a_reading_newer_than_the_request(self) -> None:
         """Guards against take-ups of which nobody can tell later why they were allowed."""
         streams = self.begin_streams(self.first, 2)
@@ -283,21 +293,13 @@
 
     def test_line_tells_the_record_of_a_stream(self) -> None:
         """Guards against a line that does not tell records from the versions in service."""
-        self.add_v2()
-        self.wait_until_serving()
-        streams = self.begin_v2_streams(self.first)
-        time.sleep(CUT_S)
-        self.close_all(streams)
+        streams = self.leave_recorded_streams()
         self.assert_lines(self.try_all(streams), version_source="store", stream_version="v2",
                           versions_known="several", unknown_because="")
 
     def test_line_tells_that_the_store_did_not_answer_for_the_record(self) -> None:
         """Guards against an outage of the store that looks like a record that is missing."""
-        self.add_v2()
-        self.wait_until_serving()
-        streams = self.begin_v2_streams(self.first)
-        time.sleep(CUT_S)
-        self.close_all(streams)
+        streams = self.leave_recorded_streams()
         self.cut_store()
         self.assert_lines(self.try_all(streams), version_source="unknown",
                           versions_known="several", unknown_because="record_unread")
@@ -305,10 +307,7 @@
 
     def test_line_tells_that_the_store_has_no_record(self) -> None:
         """Guards against the same the other way round."""
-        self.add_v2()
-        self.wait_until_serving()
-        streams = self.begin_v2_streams(self.first)
-        self.close_all(streams)
+        streams = self.leave_recorded_streams()
         attempts = [stream.try_take_up_as(self.other, [b"never-begun"]) for stream in streams]
         self.assert_lines(attempts, version_source="unknown", versions_known="several",
                           unknown_because="record_missing")
