Do not let a stream go on at a runner that is about to leave in stream_version_test

Cause, in the test: the two runners of v1 leave one after the other. A stream of the first may go on at the second until that leaves too, which is right; beside other tests the instance was fast enough for one event.

Change: the runners refuse streams that are resumed before they leave. The expectations are unchanged: exactly the events before the break, no joined stream.

--- a/tests/entry/stream_version_test.py
+++ b/tests/entry/stream_version_test.py
@@ -47,6 +47,9 @@
     def test_stream_whose_versions_servers_have_left_is_cut(self) -> None:
         """Guards against a resumption at another version when it is the only one in service."""
         streams = self.begin_streams(self.first)
+        # A stream of the runner that leaves first may go on at the next one until that leaves too.
+        for runner in self.runners_of("v1"):
+            runner.resumed_stream = "refused"
         for runner in self.runners_of("v1"):
             runner.leave()
         self.break_streams(streams)
