Read the store's era, and read its tables again when it has come back from a copy

Callers saw: after a drill of the store, requests with a key that the operator had taken away ran at all instances to the end of the watch, 12 s after the ack (5 s are allowed).

Cause: versions were kept without the era of the store. The hub went on to read changes from its version before the drill, which the store had given out again; the change below it was never read, and each empty answer confirmed the old configuration.

Change: store_client, through which every call goes, reads Store-Era in every answer and owns the era (store_era). An answer of a former era, or without a readable one while others name it, is no answer. Versions are pairs of era and number (store_version). An answer of another era is not taken for the changes since a version; the table is read whole. For a second after a restoration an answer confirms the configuration only if its row was written in the new era. Log events 1124 and 1125, gauge store_era, counters store_restorations_total and store_answers_rejected_total. A store that names no era is treated as before.

--- a/src/coordination/entry/evacuations.cpp
+++ b/src/coordination/entry/evacuations.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 evacuation_reading evacuation_reading::received(evacuated_domains set, time_point echo,
-                                                time_point now)
+                                                time_point now, std::uint64_t era)
 {
     // The ages may have any value in an odd message.
     auto const limit = now.time_since_epoch().count();
@@ -35,7 +35,7 @@
     auto const asked_at = echo == time_point{} || echo - time_point{} <= since_call
                               ? time_point{}
                               : echo - since_call;
-    return {std::move(set), asked_at, now - since_answer};
+    return {std::move(set), asked_at, now - since_answer, era};
 }
 
 void evacuations::set_bound(duration bound)
@@ -47,6 +47,11 @@
 {
     if (!known_)
         return true;
+    if (reading.era > era_)
+        return true;
+    // Versions of different eras tell nothing about each other.
+    if (reading.era < era_)
+        return reading.asked_at > answered_at_;
     if (reading.set.version == version_)
         return reading.asked_at > asked_at_;
     // Versions fall only when the store is restored to an earlier state. Two readings are
@@ -73,6 +78,7 @@
             changed.push_back({name, row_version, false});
     domains_ = std::move(next);
     known_ = true;
+    era_ = reading.era;
     version_ = reading.set.version;
     // A higher version is at least as recent as the reading before, also if its earliest
     // time is unknown.
--- a/src/coordination/entry/evacuations.hpp
+++ b/src/coordination/entry/evacuations.hpp
@@ -18,12 +18,15 @@
     /// time_point{} if the earliest possible time is unknown.
     time_point asked_at{};
     time_point answered_at{};
+    /// Era of the store in which the set was read; 0 if the store names none.
+    std::uint64_t era = 0;
 
     /// Returns the reading that another instance passed on with a message.
     /// @param echo when this instance sent the status that the message answers;
     ///     time_point{} for a message that answers none.
     [[nodiscard]] static evacuation_reading received(evacuated_domains set,
-                                                     time_point echo, time_point now);
+                                                     time_point echo, time_point now,
+                                                     std::uint64_t era = 0);
 };
 
 /// The beginning or end of an evacuation at this instance.
@@ -84,6 +87,7 @@
 
     duration max_age_{};
     bool known_ = false;
+    std::uint64_t era_ = 0;
     std::uint64_t version_ = 0;
     std::map<std::string, std::uint64_t> domains_;
     time_point asked_at_{};
--- a/src/state/entry/entry_event.hpp
+++ b/src/state/entry/entry_event.hpp
@@ -22,6 +22,8 @@
     store_regained = 1121,
     store_answer_unreadable = 1122,
     own_reading_changed = 1123,
+    store_restored = 1124,
+    store_answer_rejected = 1125,
     backend_changed = 1130,
     backend_row_unreadable = 1131,
     backend_gone = 1132,
--- a/src/state/log_catalogue.cpp
+++ b/src/state/log_catalogue.cpp
@@ -97,6 +97,8 @@
     {1121, info, "store_regained"},
     {1122, warning, "store_answer_unreadable"},
     {1123, info, "own_reading_changed"},
+    {1124, warning, "store_restored"},
+    {1125, warning, "store_answer_rejected"},
     {1130, info, "backend_changed"},
     {1131, warning, "backend_row_unreadable"},
     {1132, info, "backend_gone"},
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -172,6 +172,8 @@
 
 void entry_node::erase_server(std::string const& id)
 {
+    if (auto const* const known = backends_.find(id))
+        removed_servers_.note_removed(*known, boot_now());
     backends_.remove(id);
     streams_.server_removed(id);
     backends_.cold().remove(id, boot_now());
@@ -239,6 +241,16 @@
     return ids;
 }
 
+backend_record const* entry_node::known_server(std::string const& id) const
+{
+    return backends_.find(id);
+}
+
+bool entry_node::removed_lately(backend_record const& record) const
+{
+    return removed_servers_.contains(record, boot_now());
+}
+
 void entry_node::config_changed()
 {
     update_cold_terms();
@@ -333,7 +345,7 @@
     if (!status.wants_config || status.config_version >= authority_.version())
         return;
     update.packed_config = reader_.packed_config();
-    update.config_row = reader_.config_row();
+    update.config_row = reader_.config_row().number;
 }
 
 void entry_node::apply_config_and_lease(node_update const& update)
@@ -344,10 +356,11 @@
         link_.send_status_soon();
     authority_.note_version(update.config_version);
     if (!update.packed_config.empty())
-        reader_.apply_packed_config(update.packed_config, update.config_row);
+        reader_.apply_packed_config(update.packed_config,
+                                    {store_.era(), update.config_row});
     time_point const asked_at{duration(update.echo_us)};
-    learn_evacuations(
-        evacuation_reading::received(update.evacuated, asked_at, boot_now()));
+    learn_evacuations(evacuation_reading::received(update.evacuated, asked_at, boot_now(),
+                                                   store_.era()));
     if (update.echo_us == 0)
         return;
     authority_.confirm(update.config_version,
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "coordination/entry/order_authorization.hpp"
 #include "coordination/entry/pause_detector.hpp"
 #include "coordination/entry/peer_addresses.hpp"
+#include "coordination/entry/removed_servers.hpp"
 #include "coordination/entry/store_read_policy.hpp"
 #include "state/result.hpp"
 #include "transport/entry/boot_clock.hpp"
@@ -55,6 +56,9 @@
     void server_put(backend_record const& record) override;
     void server_removed(std::string const& id) override;
     [[nodiscard]] std::set<std::string> known_servers() const override;
+    [[nodiscard]] backend_record const*
+    known_server(std::string const& id) const override;
+    [[nodiscard]] bool removed_lately(backend_record const& record) const override;
     void config_changed() override;
     void evacuations_read(evacuation_reading const& reading) override;
 
@@ -213,6 +217,7 @@
     std::uint64_t pushed_config_ = 0;
     /// Number of changes of the evacuations at the last push.
     std::uint64_t pushed_evacuations_ = 0;
+    removed_servers removed_servers_;
     time_point next_settings_check_{};
     bool was_ready_ = false;
     /// Organisations whose requests wait for quota at this hub, as last logged, and when
--- a/src/transport/entry/http_call.cpp
+++ b/src/transport/entry/http_call.cpp
@@ -72,6 +72,7 @@
     call_answer answer;
     answer.status = exchange.head().result_int();
     answer.notice = exchange.metadata().notice;
+    answer.store_era = platform::decode_store_era(exchange.head());
     auto const read =
         co_await read_call_body(exchange, request.answer_limits, answer.body);
     if (read == read_outcome::failed)
--- a/src/transport/entry/http_call.hpp
+++ b/src/transport/entry/http_call.hpp
@@ -58,6 +58,8 @@
     unsigned status = 0;
     std::string body;
     server_notice notice;
+    /// The store's era, if the answer names one.
+    std::optional<std::uint64_t> store_era;
 };
 
 /// Makes one call. Returns nothing if no complete answer arrived in time, or bytes that
--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -24,6 +24,12 @@
 /// server restores a row that expired in the outage within two seconds of the store's
 /// return.
 constexpr duration removal_grace = std::chrono::milliseconds(2300);
+/// For this long after the store has come back from a copy, it may lack what the
+/// operators wrote since the copy was taken, unless their row was written since. Keyed
+/// requests are served meanwhile on the confirmation from before.
+constexpr duration operators_rewrite_time = std::chrono::milliseconds(1000);
+/// The same for the rows of servers.
+constexpr duration servers_rewrite_time = removal_grace;
 /// Limit for the size of an unpacked configuration from another instance. The store
 /// accepts none above this size.
 constexpr std::size_t max_config_bytes = std::size_t{8} << 20U;
@@ -115,7 +121,7 @@
 
 bool store_reader::servers_listed() const
 {
-    return servers_version_ != 0;
+    return servers_version_.number != 0;
 }
 
 task<void> store_reader::follow_config()
@@ -130,7 +136,11 @@
         auto const asked_at = boot_now();
         // After a pause of the process, requests wait for a newer reading, which a long
         // poll would delay.
-        bool const missing = config_version_ == 0 || services_.authority.outdated() ||
+        // What was kept in place of lost rows ends with the time for writing them again.
+        bool const kept_too_long =
+            evacuations_kept_ && !may_be_restored(operators_rewrite_time, asked_at);
+        bool const missing = !follows_from(config_version_) || kept_too_long ||
+                             services_.authority.outdated() ||
                              services_.backends.evacuated().must_refresh(asked_at);
         bool const answered = missing ? co_await read_config() : co_await watch_config();
         // The store may not have the version that another instance announced.
@@ -143,11 +153,34 @@
     }
 }
 
+bool store_reader::follows_from(store_version version) const
+{
+    return version.number != 0 && version.era == store_.era();
+}
+
+void store_reader::confirm_config(time_point asked_at)
+{
+    auto& authority = services_.authority;
+    // Another instance has seen a newer configuration, which the store had before it came
+    // back from a copy.
+    if (authority.outdated())
+        return;
+    if (!may_be_restored(operators_rewrite_time, asked_at) ||
+        config_row_ > first_version_in_era_)
+        authority.confirm(authority.version(), asked_at);
+}
+
+void store_reader::note_version_read(store_version version)
+{
+    if (first_version_in_era_.era != version.era)
+        first_version_in_era_ = version;
+}
+
 task<bool> store_reader::read_config()
 {
     auto const asked_at = boot_now();
     evacuation_rows evacuations;
-    std::uint64_t version = 0;
+    store_version version;
     bool found = false;
     std::string from(platform::configuration_key);
     for (int page = 0; page < max_config_pages; ++page)
@@ -156,18 +189,25 @@
             co_await store_.call(platform::encode_operators_read(from), call_timeout);
         if (!reply || !reply->done())
             co_return false;
-        found = apply_operators_rows(reply->answer.rows, evacuations) || found;
         // The later pages may show changes after this version, which are read once more.
         if (page == 0)
-        {
-            version = reply->answer.version;
-            services_.authority.confirm(services_.authority.version(), asked_at);
-        }
+            version = reply->version();
+        // The store has come back from a copy between two pages.
+        if (reply->era != version.era)
+            co_return false;
+        note_version_read(version);
+        found =
+            apply_operators_rows(reply->answer.rows, reply->era, evacuations) || found;
+        if (page == 0)
+            confirm_config(asked_at);
         auto const next = next_operators_page(reply->answer, from);
         if (!next || evacuations.ignored() > 0)
             break;
         from = *next;
     }
+    evacuations_kept_ = may_be_restored(operators_rewrite_time, asked_at);
+    if (evacuations_kept_)
+        keep_evacuations(evacuations);
     config_version_ = version;
     evacuation_rows_ = std::move(evacuations);
     publish_evacuations(version, asked_at);
@@ -177,26 +217,30 @@
 task<bool> store_reader::watch_config()
 {
     auto const asked_at = boot_now();
+    auto const watch_time = config_watch_time();
     auto const reply = co_await store_.call(
         platform::encode_table_watch(platform::store_table::configuration,
-                                     config_version_, config_watch_timeout),
-        config_watch_timeout + call_timeout);
+                                     config_version_.number, watch_time),
+        watch_time + call_timeout);
     if (reply && reply->changes_unavailable())
         co_return co_await read_config();
     if (!reply || !reply->done())
         co_return false;
-    apply_operators_rows(reply->answer.rows, evacuation_rows_);
-    services_.authority.confirm(services_.authority.version(), asked_at);
-    // A version lower than before means that the store was restored to an earlier state.
-    // The table is read again, because the store would report no change until it reaches
-    // the previous version.
-    bool const went_back = reply->answer.version < config_version_;
-    if (went_back || evacuation_rows_.incomplete())
+    // The changes since a version of another era are not those since what was read. The
+    // same shows if a store that names no eras has a lower version than before.
+    if (reply->era != config_version_.era || reply->version() < config_version_)
+    {
+        config_version_ = {};
+        co_return co_await read_config();
+    }
+    apply_operators_rows(reply->answer.rows, reply->era, evacuation_rows_);
+    confirm_config(asked_at);
+    if (evacuation_rows_.incomplete())
     {
-        config_version_ = 0;
+        config_version_ = {};
         co_return true;
     }
-    config_version_ = reply->answer.version;
+    config_version_ = reply->version();
     // Changes are missing in a truncated answer, so it proves nothing about the present.
     publish_evacuations(config_version_,
                         reply->answer.truncated ? time_point{} : asked_at);
@@ -204,14 +248,14 @@
 }
 
 bool store_reader::apply_operators_rows(std::vector<platform::store_row> const& rows,
-                                        evacuation_rows& evacuations)
+                                        std::uint64_t era, evacuation_rows& evacuations)
 {
     bool found = false;
     for (auto const& row : rows)
     {
         if (row.key == platform::configuration_key && !row.removed)
         {
-            apply_config(row.value, {}, row.version);
+            apply_config(row.value, {}, {era, row.version});
             found = true;
         }
         auto const domain = platform::decode_evacuation_key(row.key);
@@ -223,21 +267,31 @@
     return found;
 }
 
-void store_reader::publish_evacuations(std::uint64_t version, time_point asked_at)
+void store_reader::publish_evacuations(store_version version, time_point asked_at)
 {
     bool const ignored = evacuation_rows_.ignored() > 0;
     if (ignored && !evacuations_ignored_)
-        services_.log.write(
-            entry_event::evacuation_rows_ignored,
-            {{"rows", std::uint64_t{evacuation_rows_.ignored()}}, {"version", version}});
+        services_.log.write(entry_event::evacuation_rows_ignored,
+                            {{"rows", std::uint64_t{evacuation_rows_.ignored()}},
+                             {"version", version.number}});
     evacuations_ignored_ = ignored;
-    sink_.evacuations_read({evacuation_rows_.as_of(version), asked_at, boot_now()});
+    sink_.evacuations_read(
+        {evacuation_rows_.as_of(version.number), asked_at, boot_now(), version.era});
+}
+
+void store_reader::keep_evacuations(evacuation_rows& evacuations)
+{
+    auto const read = evacuations.as_of(0).domains;
+    for (auto const& [name, row_version] : services_.backends.evacuated().domains())
+        if (std::none_of(read.begin(), read.end(),
+                         [&name](auto const& domain) { return domain.name == name; }))
+            evacuations.put(name, row_version);
 }
 
 void store_reader::apply_packed_config(std::string const& packed,
-                                       std::uint64_t row_version)
+                                       store_version row_version)
 {
-    if (row_version == config_row_)
+    if (packed == packed_config_)
         return;
     auto const text = unpack(packed, max_config_bytes);
     if (succeeded(text))
@@ -248,7 +302,7 @@
 }
 
 void store_reader::apply_config(std::string const& value, std::string const& packed,
-                                std::uint64_t row_version)
+                                store_version row_version)
 {
     if (row_version == config_row_)
         return;
@@ -261,6 +315,9 @@
     }
     auto config = std::get<std::shared_ptr<serving_config const>>(std::move(decoded));
     auto const version = config->version;
+    // The row of a configuration that is in force already may have been written again.
+    if (version == services_.authority.version())
+        config_row_ = row_version;
     // The version in the configuration decides, not that of the row: a store that was
     // restored to an earlier state may hold an older configuration in a newer row. It
     // must not be passed on to other instances either.
@@ -269,7 +326,9 @@
     config_row_ = row_version;
     packed_config_ = packed.empty() ? pack(value) : packed;
     services_.log.write(entry_event::configuration_in_force,
-                        {{"version", version}, {"row_version", row_version}});
+                        {{"version", version},
+                         {"row_version", row_version.number},
+                         {"store_era", row_version.era}});
     services_.metrics.set_gauge("config_version", static_cast<double>(version));
     sink_.config_changed();
     services_.changes.notify();
@@ -284,7 +343,7 @@
             co_await wake_.wait(inactive_poll_interval);
             // Read the whole table next time. The changes since the last answer would
             // arrive page by page and include servers that no longer exist.
-            servers_version_ = 0;
+            servers_version_ = {};
             continue;
         }
         // Calls for the configuration suffice to notice that the store answers again.
@@ -294,8 +353,8 @@
             continue;
         }
         auto const asked_at = boot_now();
-        bool const answered =
-            servers_version_ == 0 ? co_await list_servers() : co_await watch_servers();
+        bool const answered = follows_from(servers_version_) ? co_await watch_servers()
+                                                             : co_await list_servers();
         if (answered)
             servers_read_at_ = asked_at;
         remove_due_servers();
@@ -307,7 +366,7 @@
 {
     std::set<std::string> listed;
     std::string from;
-    std::uint64_t version = 0;
+    store_version version;
     // Includes the keys of rows that cannot be decoded.
     std::size_t listed_bytes = 0;
     bool complete = true;
@@ -321,16 +380,19 @@
         // The hub answers again, and its directory may be newer than what was read here.
         if (!active_)
             co_return false;
+        // Changes are followed from the version of the first page, so that none is missed
+        // that happens while the later pages are read.
+        if (version.number == 0)
+            version = reply->version();
+        // The store has come back from a copy between two pages.
+        if (reply->era != version.era)
+            co_return false;
         for (auto const& row : reply->answer.rows)
         {
             if (listed.insert(row.key).second)
                 listed_bytes += row.key.size() + record_overhead_bytes;
-            apply_server_row(row);
+            apply_server_row(row, row_source::list);
         }
-        // Changes are followed from the version of the first page, so that none is missed
-        // that happens while the later pages are read.
-        if (version == 0)
-            version = reply->answer.version;
         if (!reply->answer.truncated)
             break;
         // More rows exist, but the page does not lead to them.
@@ -370,31 +432,31 @@
     {
         auto const reply = co_await store_.call(
             platform::encode_table_watch(platform::store_table::backend_servers,
-                                         servers_version_, duration::zero()),
+                                         servers_version_.number, duration::zero()),
             call_timeout);
         if (reply && reply->changes_unavailable())
         {
-            servers_version_ = 0;
+            servers_version_ = {};
             co_return co_await list_servers();
         }
         if (!reply || !reply->done() || !active_)
             co_return false;
+        // The store has come back from a copy, so the whole table is read again. A store
+        // that names no eras shows a lower version than before.
+        if (reply->era != servers_version_.era || reply->version() < servers_version_)
+        {
+            servers_version_ = {};
+            co_return co_await list_servers();
+        }
         for (auto const& row : reply->answer.rows)
         {
             if (row.removed)
                 schedule_removal(row.key);
             else
-                apply_server_row(row);
+                apply_server_row(row, row_source::change);
         }
-        // A version lower than before means that the store was restored to an earlier
-        // state. The whole table is read again.
-        if (reply->answer.version < servers_version_)
-        {
-            servers_version_ = 0;
-            co_return false;
-        }
-        bool const advanced = reply->answer.version > servers_version_;
-        servers_version_ = reply->answer.version;
+        bool const advanced = reply->version() > servers_version_;
+        servers_version_ = reply->version();
         if (!reply->answer.truncated)
             co_return true;
         // The version did not advance, so the next call would return the same page.
@@ -404,7 +466,36 @@
     co_return false;
 }
 
-void store_reader::apply_server_row(platform::store_row const& row)
+bool store_reader::may_be_restored(duration rewrite_time, time_point now) const
+{
+    auto const restored_at = store_.eras().restored_at();
+    return restored_at && now - *restored_at < rewrite_time;
+}
+
+duration store_reader::config_watch_time() const
+{
+    auto const restored_at = store_.eras().restored_at();
+    if (!restored_at)
+        return config_watch_timeout;
+    auto const confirmable_at = *restored_at + operators_rewrite_time;
+    if (services_.authority.confirmed_at() >= confirmable_at)
+        return config_watch_timeout;
+    return std::clamp(confirmable_at - boot_now(), duration::zero(),
+                      config_watch_timeout);
+}
+
+bool store_reader::keep_newer_state(backend_record& record) const
+{
+    auto const* const known = sink_.known_server(record.id);
+    if (known == nullptr)
+        return !sink_.removed_lately(record);
+    // A server that leaves does not change its mind.
+    if (known->born_ms == record.born_ms)
+        record.draining = record.draining || known->draining;
+    return known->born_ms <= record.born_ms;
+}
+
+void store_reader::apply_server_row(platform::store_row const& row, row_source source)
 {
     auto decoded = platform::decode_server(row.key, row.value);
     if (!succeeded(decoded))
@@ -423,9 +514,19 @@
                              {"detail", "the directory is full"}});
         return;
     }
+    auto& record = std::get<backend_record>(decoded);
+    if (source == row_source::list && may_be_restored(servers_rewrite_time, boot_now()) &&
+        !keep_newer_state(record))
+    {
+        services_.log.write(entry_event::backend_row_unreadable,
+                            {{"server", row.key},
+                             {"row_version", row.version},
+                             {"detail", "the row is older than what is known"}});
+        return;
+    }
     pending_removals_.erase(row.key);
     known_servers_.insert(row.key);
-    sink_.server_put(std::get<backend_record>(decoded));
+    sink_.server_put(record);
 }
 
 bool store_reader::reserve_row_bytes(platform::store_row const& row)
@@ -475,7 +576,7 @@
     // The directory has room again. Servers that were left out are not reported as
     // changes, so the whole table is read again.
     rows_left_out_ = false;
-    servers_version_ = 0;
+    servers_version_ = {};
 }
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/store_reader.hpp
+++ b/src/transport/entry/store_reader.hpp
@@ -26,6 +26,11 @@
     /// Returns the ids of all servers that this instance knows, from the store or the
     /// hub.
     [[nodiscard]] virtual std::set<std::string> known_servers() const = 0;
+    /// Returns what this instance knows of a server, or null.
+    [[nodiscard]] virtual backend_record const*
+    known_server(std::string const& id) const = 0;
+    /// Whether the server of the record was removed lately.
+    [[nodiscard]] virtual bool removed_lately(backend_record const& record) const = 0;
     /// Another configuration is in force.
     virtual void config_changed() = 0;
     /// The evacuated failure domains were read from the store.
@@ -52,10 +57,10 @@
     /// Whether this instance follows the store.
     [[nodiscard]] bool active() const { return active_; }
     /// Applies a configuration that another instance passed on.
-    void apply_packed_config(std::string const& packed, std::uint64_t row_version);
+    void apply_packed_config(std::string const& packed, store_version row_version);
     /// The configuration in force as stored, packed, and the version of its row.
     [[nodiscard]] std::string const& packed_config() const { return packed_config_; }
-    [[nodiscard]] std::uint64_t config_row() const { return config_row_; }
+    [[nodiscard]] store_version config_row() const { return config_row_; }
     /// Whether all servers have been read since the reader became active.
     [[nodiscard]] bool servers_listed() const;
     /// When the last successful read of the servers was sent to the store.
@@ -66,14 +71,39 @@
     [[nodiscard]] task<void> follow_servers();
     [[nodiscard]] task<bool> read_config();
     [[nodiscard]] task<bool> watch_config();
+    /// Returns whether the changes since this version lead to the present state of the
+    /// table: it was read, and the store has not come back from a copy since.
+    [[nodiscard]] bool follows_from(store_version version) const;
+    /// Records that an answer to a call that was sent at this time has shown no newer
+    /// configuration than the one in force.
+    void confirm_config(time_point asked_at);
+    /// Records the version of the operators' table as of an answer.
+    void note_version_read(store_version version);
     /// Applies the operators' rows. Returns whether the configuration is among them.
     bool apply_operators_rows(std::vector<platform::store_row> const& rows,
-                              evacuation_rows& evacuations);
+                              std::uint64_t era, evacuation_rows& evacuations);
     /// Passes on the evacuations as of this version of the table.
-    void publish_evacuations(std::uint64_t version, time_point asked_at);
+    void publish_evacuations(store_version version, time_point asked_at);
+    /// Adds the evacuations that are in force to rows that may come from a copy.
+    void keep_evacuations(evacuation_rows& evacuations);
     [[nodiscard]] task<bool> list_servers();
     [[nodiscard]] task<bool> watch_servers();
-    void apply_server_row(platform::store_row const& row);
+    /// Whether a row was read with the whole table or as a change.
+    enum class row_source : std::uint8_t
+    {
+        list,
+        change
+    };
+    void apply_server_row(platform::store_row const& row, row_source source);
+    /// Whether the store has come back from a copy less than `rewrite_time` ago, so that
+    /// it may lack rows that their writers write again.
+    [[nodiscard]] bool may_be_restored(duration rewrite_time, time_point now) const;
+    /// Returns how long to wait for a change of the operators' rows: not beyond the time
+    /// from which an answer confirms the configuration after a restoration.
+    [[nodiscard]] duration config_watch_time() const;
+    /// Keeps in the record of a row that may come from a copy what is known to be newer.
+    /// Returns whether the record may be used at all.
+    [[nodiscard]] bool keep_newer_state(backend_record& record) const;
     /// Reserves bytes of the directory for the row. Returns whether they are available.
     [[nodiscard]] bool reserve_row_bytes(platform::store_row const& row);
     /// Schedules the removal of a server whose row is gone from the store.
@@ -92,21 +122,25 @@
     /// @param packed the packed value if it is known, else empty; packing costs more than
     ///     decoding.
     void apply_config(std::string const& value, std::string const& packed,
-                      std::uint64_t row_version);
+                      store_version row_version);
 
     bool active_ = false;
     bool was_hub_ = false;
     bool config_due_ = false;
     bool hub_retries_ = false;
-    std::uint64_t config_row_ = 0;
+    store_version config_row_;
     std::string packed_config_;
-    /// Versions up to which the tables were followed; 0 to read the whole table.
-    std::uint64_t config_version_ = 0;
-    std::uint64_t servers_version_ = 0;
+    /// Versions up to which the tables were followed; number 0 to read the whole table.
+    store_version config_version_;
+    store_version servers_version_;
+    /// Version of the operators' table as of the first answer of its era.
+    store_version first_version_in_era_;
     /// The rows of the evacuations as of config_version_.
     evacuation_rows evacuation_rows_;
     /// Whether the last reading had evacuation rows that were ignored.
     bool evacuations_ignored_ = false;
+    /// Whether evacuation_rows_ has some that the store may have lost.
+    bool evacuations_kept_ = false;
     time_point servers_read_at_{};
     std::set<std::string> known_servers_;
     /// Bytes reserved for the row of each server in the directory, and their sum.
--- a/src/transport/entry/stream_registry.cpp
+++ b/src/transport/entry/stream_registry.cpp
@@ -300,15 +300,15 @@
                             { rows.emplace_back(row.key, row.version); });
     if (!version)
         co_return;
-    // Rows that were there at the last sweep are older than any stream. Versions go back
-    // if the store comes back from a copy.
+    // Rows that were there at the last sweep are older than any stream, unless the store
+    // has come back from a copy since.
     auto const limit = std::exchange(swept_version_, *version);
-    if (limit > swept_version_)
+    if (limit.era != swept_version_.era || limit > swept_version_)
         co_return;
     std::vector<platform::row_change> changes;
     for (auto const& [key, written_at] : rows)
     {
-        if (written_at <= limit)
+        if (written_at <= limit.number)
             changes.push_back({platform::store_table::streams, key, std::nullopt});
         if (changes.size() < platform::max_row_changes)
             continue;
--- a/src/transport/entry/stream_registry.hpp
+++ b/src/transport/entry/stream_registry.hpp
@@ -182,7 +182,7 @@
     time_point versions_written_at_{};
     std::vector<server_version> expired_;
     /// Newest version of the table of streams when it was last swept, and when.
-    std::uint64_t swept_version_ = 0;
+    store_version swept_version_;
     time_point swept_at_{};
 };
 
--- a/src/transport/entry/version_reader.cpp
+++ b/src/transport/entry/version_reader.cpp
@@ -24,7 +24,8 @@
 /// Pages of changes that are read; the whole table is shorter than more of them.
 constexpr int max_change_pages = 8;
 /// Changes are read instead of the whole table if the last reading is no older. A store
-/// that came back from a copy since may have passed the version of that reading again.
+/// that names no eras may have come back from a copy since and have passed the version of
+/// that reading again.
 constexpr duration max_change_age = std::chrono::seconds(2);
 
 /// Ends a reading, also one that throws, and wakes those that wait for it.
@@ -49,11 +50,11 @@
 
 } // namespace
 
-task<std::optional<std::uint64_t>>
+task<std::optional<store_version>>
 read_table(store_client& store, platform::store_table table, duration call_timeout,
            std::function<void(platform::store_row const&)> apply)
 {
-    std::optional<std::uint64_t> version;
+    std::optional<store_version> version;
     std::string from;
     for (;;)
     {
@@ -63,7 +64,9 @@
             co_return std::nullopt;
         auto const& page = reply->answer;
         if (!version)
-            version = page.version;
+            version = reply->version();
+        else if (version->era != reply->era)
+            co_return std::nullopt;
         std::for_each(page.rows.begin(), page.rows.end(), apply);
         bool const more =
             page.truncated && !page.rows.empty() && page.rows.back().key >= from;
@@ -141,8 +144,8 @@
 
 task<bool> version_reader::read_servers(duration timeout)
 {
-    auto const version = std::exchange(servers_version_, 0);
-    if (version != 0 && boot_now() - listed_at_ <= max_change_age)
+    auto const version = std::exchange(servers_version_, {});
+    if (version.number != 0 && boot_now() - listed_at_ <= max_change_age)
     {
         auto const outcome = co_await read_changes(version, timeout);
         if (outcome != change_outcome::unavailable)
@@ -157,30 +160,30 @@
     auto const version =
         co_await read_table(store_, platform::store_table::backend_servers, timeout,
                             [this](platform::store_row const& row) { apply_row(row); });
-    servers_version_ = version.value_or(0);
+    servers_version_ = version.value_or(store_version{});
     co_return version.has_value();
 }
 
-task<version_reader::change_outcome> version_reader::read_changes(std::uint64_t after,
+task<version_reader::change_outcome> version_reader::read_changes(store_version after,
                                                                   duration timeout)
 {
     for (int page = 0; page < max_change_pages; ++page)
     {
         auto const reply = co_await store_.call(
-            platform::encode_table_watch(platform::store_table::backend_servers, after,
-                                         duration::zero()),
+            platform::encode_table_watch(platform::store_table::backend_servers,
+                                         after.number, duration::zero()),
             timeout, outage_tracking::off);
         if (reply && reply->changes_unavailable())
             co_return change_outcome::unavailable;
         if (!reply || !reply->done())
             co_return change_outcome::failed;
-        // A lower version means that the store came back from a copy.
-        if (reply->answer.version < after)
+        // The store came back from a copy. One that names no eras shows a lower version.
+        if (reply->era != after.era || reply->version() < after)
             co_return change_outcome::unavailable;
         for (auto const& row : reply->answer.rows)
             apply_row(row);
-        bool const advanced = reply->answer.version > after;
-        after = reply->answer.version;
+        bool const advanced = reply->version() > after;
+        after = reply->version();
         if (!reply->answer.truncated)
         {
             servers_version_ = after;
--- a/src/transport/entry/version_reader.hpp
+++ b/src/transport/entry/version_reader.hpp
@@ -15,8 +15,8 @@
 
 /// Reads all rows of a table, page by page, and passes each to `apply`. Returns the
 /// newest version of any row when the read began; nothing if the store does not answer in
-/// time.
-[[nodiscard]] task<std::optional<std::uint64_t>>
+/// time, or comes back from a copy meanwhile.
+[[nodiscard]] task<std::optional<store_version>>
 read_table(store_client& store, platform::store_table table, duration call_timeout,
            std::function<void(platform::store_row const&)> apply);
 
@@ -74,7 +74,7 @@
         unavailable
     };
     /// Reads the changes since this version of the table.
-    [[nodiscard]] task<change_outcome> read_changes(std::uint64_t after,
+    [[nodiscard]] task<change_outcome> read_changes(store_version after,
                                                     duration timeout);
     void apply_row(platform::store_row const& row);
 
@@ -85,8 +85,8 @@
     change_signal ended_;
     std::map<std::string, server_version> servers_;
     /// Version of the table up to which `servers_` is known, and when the reading began
-    /// that showed it; 0 to read the whole table.
-    std::uint64_t servers_version_ = 0;
+    /// that showed it; number 0 to read the whole table.
+    store_version servers_version_;
     time_point listed_at_{};
 };
 
--- a/tests/entry/evacuations_test.cpp
+++ b/tests/entry/evacuations_test.cpp
@@ -242,5 +242,19 @@
     EXPECT_FALSE(rows.incomplete());
 }
 
+// Guards against a reading of the former era, with a higher version, that replaces one of
+// the new era, and against a version that means another state in the new era.
+TEST_F(evacuations_test, reading_of_a_later_era_counts_whatever_its_version)
+{
+    evacuations_.learn({{true, 50, {{"a", 9}}}, at(100), at(110), 1});
+    evacuations_.learn({{true, 50, {{"b", 20}}}, at(200), at(210), 2});
+    EXPECT_TRUE(evacuations_.contains("b"));
+    evacuations_.learn({{true, 90, {{"a", 9}}}, at(205), at(300), 1});
+    EXPECT_TRUE(evacuations_.contains("b"));
+    EXPECT_FALSE(evacuations_.contains("a"));
+    evacuations_.learn({{true, 10, {{"c", 5}}}, at(400), at(410), 1});
+    EXPECT_TRUE(evacuations_.contains("c"));
+}
+
 } // namespace
 } // namespace carawayturn::entry
