Believe a lease row only if it was written in the present era of the store

Runners got orders of two machines with one fence number: a hub that was restarted as planned during a drill of the store claimed the lease of its former process from the restored row, with the fence of its successor and beside it.

Cause: the row says nothing about the era in which it was written, so that one from a copy looks like the newest one. An inherited, released or absent row allowed a claim without a wait, and the next fence was one above a number that later claims had used.

Change: the row names its era. One that was not written in the era in which it is read proves nothing: the holder of a valid lease writes its row again with its fence, all others wait for a whole term from when they saw it. A write counts only if it is answered in the era in which the row was read that it expects. Updates between instances carry the era behind their former end, to instances that say that they read it; a lease row is told only if it is proved. A store that names no era: as before.

Why it works: nobody claims in a new era before a term after it has seen the restored store, so after the end of every lease of the former era; and no two eras share a fence.

--- a/src/coordination/entry/hub_lease.hpp
+++ b/src/coordination/entry/hub_lease.hpp
@@ -2,6 +2,7 @@
 
 #include "state/entry/lease_row.hpp"
 #include "state/entry/node_settings.hpp"
+#include "state/entry/store_version.hpp"
 #include "state/time.hpp"
 
 #include <cstdint>
@@ -13,6 +14,12 @@
 /// The lease that makes one instance the hub. The holder counts the term from when it
 /// sent the renewal; all other instances count it from when they saw the renewal.
 /// Therefore two holders never overlap.
+///
+/// A row that was not written in the present era of the store proves nothing: the store
+/// has come back from a copy, and the claims of other instances may be lost. The holder
+/// of a lease that is still valid writes its row again; all other instances wait for a
+/// whole term from when they saw the row. Fences of different eras are in separate
+/// ranges, so that none is used again.
 class hub_lease
 {
 public:
@@ -30,26 +37,28 @@
     ///
     /// Returns whether the holder's address differs from the one in the previous row. A
     /// connection to the previous holder is then useless.
-    bool observe(lease_row const& row, std::uint64_t row_version, time_point seen_at,
+    bool observe(lease_row const& row, store_version version, time_point seen_at,
                  duration remaining);
     /// Processes a row that was read from the store and cannot be decoded. It may have
     /// replaced the row of a holder, which holds the lease for the rest of its term, so
     /// the lease can be claimed one term later. Returns the same as observe().
-    bool observe_unreadable(std::uint64_t row_version, time_point seen_at);
-    /// Records that the store contains no lease row.
-    void observe_absent();
+    bool observe_unreadable(store_version version, time_point seen_at);
+    /// Records that the store contains no lease row. In a store that names its eras, the
+    /// row may be lost, so the lease can be claimed one term later.
+    void observe_absent(std::uint64_t era, time_point seen_at);
+    /// Forgets the row, but not the fences: the store does not know its era.
+    void forget_row();
 
     /// Whether this instance may try to claim the lease: the lease is vacant, released or
     /// not renewed within its term, and earliest_reclaim() has passed.
     [[nodiscard]] bool may_claim(time_point now) const;
-    /// Returns the row to write for a claim or a renewal. The write must expect
-    /// row_version() in the store.
+    /// Returns the row to write for a claim or a renewal. The write must expect the
+    /// number of version() in the store, in the era of version().
     [[nodiscard]] lease_row next_row(time_point now) const;
     [[nodiscard]] lease_row released_row() const;
     /// Records that the store accepted a claim, renewal or release that was sent at
     /// `sent_at`.
-    void record_write(lease_row const& row, std::uint64_t row_version,
-                      time_point sent_at);
+    void record_write(lease_row const& row, store_version version, time_point sent_at);
 
     /// Whether this instance holds the lease and more than `margin` of it is left.
     [[nodiscard]] bool held(time_point now, duration margin = duration::zero()) const;
@@ -68,14 +77,19 @@
     [[nodiscard]] bool inherited_row() const;
 
     [[nodiscard]] lease_row const& row() const { return row_; }
-    [[nodiscard]] std::uint64_t row_version() const { return row_version_; }
+    /// Version of the last known row, or of the table's state without one.
+    [[nodiscard]] store_version version() const { return version_; }
+    /// Whether the last known row was written in the era in which it was read.
+    [[nodiscard]] bool row_proven() const { return row_.era == version_.era; }
     [[nodiscard]] std::uint64_t fence() const { return row_.fence; }
 
 private:
-    void set_row(lease_row const& row, std::uint64_t row_version);
+    void set_row(lease_row const& row, store_version version);
+    /// Processes a row that was not written in the era in which it was read.
+    bool observe_unproven(lease_row row, store_version version, time_point seen_at);
     /// Returns the highest fence that the row may have had before it got this version:
     /// each write raises the fence by at most one, or to the version of the row.
-    [[nodiscard]] std::uint64_t highest_possible_fence(std::uint64_t row_version) const;
+    [[nodiscard]] std::uint64_t highest_possible_fence(store_version version) const;
     /// Returns a fence above all that may have been used.
     [[nodiscard]] std::uint64_t next_fence() const;
 
@@ -85,7 +99,9 @@
     duration term_;
     duration reclaim_delay_;
     lease_row row_;
-    std::uint64_t row_version_ = 0;
+    store_version version_;
+    /// Whether the store has another row than this instance's, whose lease is valid.
+    bool rewrite_due_ = false;
     /// Upper bound of the fences that were used; another writer may have lowered the
     /// fence of the row.
     std::uint64_t highest_fence_ = 0;
@@ -99,7 +115,7 @@
 /// transaction of its own, so it is at most the version of the row, unless the store was
 /// restored to an earlier state; then `known_fence`, the highest known one, may be
 /// higher.
-[[nodiscard]] lease_row substitute_for_unreadable(std::uint64_t row_version,
+[[nodiscard]] lease_row substitute_for_unreadable(store_version version,
                                                   std::uint64_t known_fence);
 
 } // namespace carawayturn::entry
--- a/src/protocol/entry/node_codec.cpp
+++ b/src/protocol/entry/node_codec.cpp
@@ -146,8 +146,14 @@
             value.since_answer_us);
 }
 
+template <class Archive>
+void serialize_fields(Archive& archive, field_reference<Archive, store_state> value)
+{
+    archive(value.era, value.lease_era);
+}
+
 // Serializes an update without its loads and directory parts, which follow as shared
-// byte strings.
+// byte strings, and without the state of the store, which follows those.
 template <class Archive>
 void serialize_fields(Archive& archive, field_reference<Archive, node_update> value)
 {
@@ -236,7 +242,7 @@
 
 /// Reads the loads and the parts of the directory. Merges the parts into one, so that a
 /// message with many empty parts takes no more memory than one with a single part.
-void read_trailing_parts(message_reader& in, node_update& message)
+void read_loads_and_directory(message_reader& in, node_update& message)
 {
     std::uint64_t count = 0;
     bool has_loads = false;
@@ -267,6 +273,16 @@
     message.directory.push_back(all);
 }
 
+void read_trailing_parts(message_reader& in, node_update& message)
+{
+    read_loads_and_directory(in, message);
+    if (in.at_end())
+        return;
+    store_state state;
+    in(state);
+    message.store = state;
+}
+
 template <class Message>
 result<Message> decode_message(std::string_view bytes, std::string_view step)
 {
@@ -352,6 +368,9 @@
     }
     for (auto const& part : update.directory)
         encoded.parts.push_back(encode_part(part));
+    if (update.store)
+        encoded.parts.push_back(std::make_shared<std::string const>(
+            encode_message(*update.store).substr(archive_header_bytes)));
     return encoded;
 }
 
--- a/src/state/entry/lease_row.hpp
+++ b/src/state/entry/lease_row.hpp
@@ -22,6 +22,9 @@
     std::uint64_t holder_incarnation = 0;
     /// Fencing number; increases each time the holder changes.
     std::uint64_t fence = 0;
+    /// Era of the store in which the row was written; 0 if the store names none. A row of
+    /// a former era has come back from a copy, and later rows may be lost.
+    std::uint64_t era = 0;
 };
 
 } // namespace carawayturn::entry
--- a/src/state/entry/node_message.hpp
+++ b/src/state/entry/node_message.hpp
@@ -4,8 +4,10 @@
 #include "state/entry/evacuated_domains.hpp"
 #include "state/entry/lease_row.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -178,6 +180,28 @@
     std::vector<std::string> removed;
 };
 
+/// Id in `cancelled_quota_requests` of no quota request. States that the sender of the
+/// status reads what follows the former end of an update, so that the message format
+/// stays as it was: a receiver that does not know this finds no such request to cancel.
+inline constexpr std::uint64_t reads_store_state = 0;
+
+/// What the sender of an update knows of the store's eras.
+struct store_state
+{
+    /// The newest era; 0 if the store names none.
+    std::uint64_t era = 0;
+    /// The era in which the lease row was written that the update contains.
+    std::uint64_t lease_era = 0;
+};
+
+/// Whether the sender of the status reads the state of the store in the update that
+/// answers it.
+[[nodiscard]] inline bool reads_state_of_store(node_status const& status)
+{
+    auto const& ids = status.cancelled_quota_requests;
+    return std::find(ids.begin(), ids.end(), reads_store_state) != ids.end();
+}
+
 /// Message from the hub to an instance, sent in reply to a status or after a change. An
 /// instance that is not the hub also replies with it to a status.
 struct node_update
@@ -244,6 +268,8 @@
     /// The hub's time of sending, from which the age of grants is told; 0 in an update
     /// without quota replies.
     std::int64_t sent_at_us = 0;
+    /// Only in an update for an instance that reads it.
+    std::optional<store_state> store;
 };
 
 } // namespace carawayturn::entry
--- a/src/transport/entry/entry_hub.cpp
+++ b/src/transport/entry/entry_hub.cpp
@@ -65,9 +65,7 @@
     }
     auto const servers = hub_.servers();
     hub_.start(keeper_.first_holder());
-    // A lease row that was removed does not mean that no slots of a former hub are valid.
-    // This instance then claims the lease with a fence above the one that it knew.
-    hub_.cold().start(keeper_.first_holder() && lease_.fence() <= 1, boot_now());
+    hub_.cold().start(keeper_.first_holder(), boot_now());
     for (auto const& [id, record] : backends_.all())
         if (backends_.cold().is_cold(record, boot_now()))
             hub_.cold().inherit(record, backends_.cold().cold_until(id));
@@ -260,10 +258,13 @@
     auto const revision = directory_is_current() ? hub_.revision() : 0;
     bool const crash_alert = hub_.take_crash_alert();
     auto const evacuations = backends_.evacuated().changes();
+    auto const store_era = store_.eras().newest_known();
     if (revision == pushed_revision_ && authority_.version() == pushed_config_ &&
-        evacuations == pushed_evacuations_ && !crash_alert)
+        evacuations == pushed_evacuations_ && store_era == pushed_store_era_ &&
+        !crash_alert)
         return;
     pushed_evacuations_ = evacuations;
+    pushed_store_era_ = store_era;
     pushed_revision_ = revision;
     pushed_config_ = authority_.version();
     link_.push_updates();
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -271,6 +271,7 @@
     status.directory_hub = directory_.hub();
     status.directory_revision = directory_.revision();
     status.complete = complete;
+    status.cancelled_quota_requests.push_back(reads_store_state);
     if (!complete)
         return status;
     if (status.directory_hub != lease_.row().holder_incarnation)
@@ -339,7 +340,10 @@
                                       node_update& update) const
 {
     update.lease = lease_.row();
-    update.lease_version = lease_.row_version();
+    // A row that has come back from a copy tells other instances nothing.
+    update.lease_version = lease_.row_proven() ? lease_.version().number : 0;
+    if (reads_state_of_store(status))
+        update.store = store_state{store_.eras().newest_known(), lease_.row().era};
     update.lease_remaining_us = lease_.remaining(boot_now()).count();
     update.evacuated = backends_.evacuated().message(boot_now());
     if (!status.wants_config || status.config_version >= authority_.version())
@@ -348,19 +352,33 @@
     update.config_row = reader_.config_row().number;
 }
 
-void entry_node::apply_config_and_lease(node_update const& update)
+void entry_node::observe_told_lease(node_update const& update)
 {
-    if (update.lease_version != 0 &&
-        lease_.observe(update.lease, update.lease_version, boot_now(),
-                       duration(update.lease_remaining_us)))
+    if (update.lease_version == 0)
+        return;
+    auto row = update.lease;
+    row.era = update.store ? update.store->lease_era : 0;
+    // A sender that does not tell the era is assumed to know the same one.
+    store_version const version{update.store ? row.era : lease_.version().era,
+                                update.lease_version};
+    if (lease_.observe(row, version, boot_now(), duration(update.lease_remaining_us)))
         link_.send_status_soon();
+}
+
+void entry_node::apply_config_and_lease(node_update const& update)
+{
+    if (update.store)
+        store_.note_told_era(update.store->era);
+    observe_told_lease(update);
     authority_.note_version(update.config_version);
     if (!update.packed_config.empty())
-        reader_.apply_packed_config(update.packed_config,
-                                    {store_.era(), update.config_row});
+        reader_.apply_packed_config(
+            update.packed_config,
+            {update.store ? update.store->era : store_.era(), update.config_row});
     time_point const asked_at{duration(update.echo_us)};
-    learn_evacuations(evacuation_reading::received(update.evacuated, asked_at, boot_now(),
-                                                   store_.era()));
+    learn_evacuations(
+        evacuation_reading::received(update.evacuated, asked_at, boot_now(),
+                                     update.store ? update.store->era : store_.era()));
     if (update.echo_us == 0)
         return;
     authority_.confirm(update.config_version,
@@ -381,12 +399,12 @@
 
 void entry_node::apply_referral(node_update const& update)
 {
-    auto const before = lease_.row_version();
+    auto const before = lease_.version();
     apply_config_and_lease(update);
     log_.write(entry_event::peer_asked,
                {{"hub", update.lease.holder_name},
                 {"fence", update.lease.fence},
-                {"hub_changed", std::int64_t{lease_.row_version() != before}},
+                {"hub_changed", std::int64_t{lease_.version() != before}},
                 {"config_version", authority_.version()},
                 {"config_age_ms", to_ms(authority_.confirmation_age(boot_now()))}});
     update_hub_role();
--- a/src/transport/entry/entry_node.hpp
+++ b/src/transport/entry/entry_node.hpp
@@ -140,6 +140,8 @@
     void add_config_and_lease(node_status const& status, node_update& update) const;
     /// Applies the configuration and the lease from another instance's update.
     void apply_config_and_lease(node_update const& update);
+    /// Processes the lease row that another instance has told.
+    void observe_told_lease(node_update const& update);
     [[nodiscard]] bool config_unreachable() const;
     /// Takes over a reading of the evacuated failure domains, from the store or another
     /// instance, if it is the newest one.
@@ -217,6 +219,7 @@
     std::uint64_t pushed_config_ = 0;
     /// Number of changes of the evacuations at the last push.
     std::uint64_t pushed_evacuations_ = 0;
+    std::uint64_t pushed_store_era_ = 0;
     removed_servers removed_servers_;
     time_point next_settings_check_{};
     bool was_ready_ = false;
--- a/src/transport/entry/lease_keeper.cpp
+++ b/src/transport/entry/lease_keeper.cpp
@@ -38,6 +38,9 @@
         co_return co_await read() ? duration::zero() : retry_interval;
     if (services_.draining())
         co_return step_interval;
+    bool const row_outdated = lease_.version().era != store_.era();
+    if (row_outdated && lease_.own_row())
+        co_return co_await read() ? duration::zero() : retry_interval;
     if (lease_.renewal_due(now))
         co_return co_await write(lease_.next_row(now)) ? step_interval : retry_interval;
     // An instance that started less than `order_lease` (the term of the lease) ago does
@@ -48,6 +51,9 @@
         row_absent_ || lease_.inherited_row() ||
         now - services_.started_at >= services_.settings.bounds.order_lease;
     bool const claimable = may_compete && lease_.may_claim(now) && store_.answering();
+    // The store has come back from a copy since the row was read.
+    if (claimable && row_outdated)
+        co_return co_await read() ? duration::zero() : retry_interval;
     if (!claimable)
         claimable_since_ = time_point{};
     else if (claimable_since_ == time_point{})
@@ -66,25 +72,26 @@
     co_return answered ? duration::zero() : step_interval;
 }
 
-void lease_keeper::observe_rows(platform::store_answer const& answer)
+void lease_keeper::observe_rows(store_reply const& reply)
 {
-    for (auto const& row : answer.rows)
+    for (auto const& row : reply.answer.rows)
     {
         if (row.key != platform::lease_key || row.removed || row.version == 0)
             continue;
         row_absent_ = false;
+        store_version const version{reply.era, row.version};
         auto const decoded = platform::decode_lease(row.value);
         if (!succeeded(decoded))
         {
             services_.log.write(entry_event::lease_row_unreadable,
                                 {{"row_version", row.version},
                                  {"detail", std::get<error>(decoded).detail}});
-            if (lease_.observe_unreadable(row.version, boot_now()))
+            if (lease_.observe_unreadable(version, boot_now()))
                 services_.hub.send_status_soon();
             continue;
         }
         auto const& lease = std::get<lease_row>(decoded);
-        if (lease_.observe(lease, row.version, boot_now(), duration::max()))
+        if (lease_.observe(lease, version, boot_now(), duration::max()))
             services_.hub.send_status_soon();
     }
 }
@@ -99,24 +106,25 @@
         // The store has lost the row, and another instance may have claimed or renewed
         // the lease with a row that is lost too. The recorded row names no holder, and
         // its time keeps this instance from claiming the lease for one term.
-        if (lease_.row_version() != 0)
-            lease_.record_write(
-                {"", written_row.holder_name, written_row.holder_incarnation, fence}, 0,
-                now + services_.settings.bounds.order_lease);
+        if (lease_.version().number != 0)
+            lease_.record_write({"", written_row.holder_name,
+                                 written_row.holder_incarnation, fence, written_row.era},
+                                {written_row.era, 0},
+                                now + services_.settings.bounds.order_lease);
         return;
     }
     for (auto const& row : conflict.rows)
     {
-        if (row.key != platform::lease_key || row.removed ||
-            row.version >= lease_.row_version())
+        store_version const version{written_row.era, row.version};
+        if (row.key != platform::lease_key || row.removed || version >= lease_.version())
             continue;
         auto const decoded = platform::decode_lease(row.value);
         if (!succeeded(decoded))
         {
             // The row may hide the claim of another instance, so its time keeps this one
             // from claiming the lease for one term.
-            lease_.record_write(substitute_for_unreadable(row.version, fence),
-                                row.version, now + services_.settings.bounds.order_lease);
+            lease_.record_write(substitute_for_unreadable(version, fence), version,
+                                now + services_.settings.bounds.order_lease);
             continue;
         }
         auto present = std::get<lease_row>(decoded);
@@ -125,7 +133,7 @@
         bool const is_own = present.holder_address == written_row.holder_address &&
                             present.holder_incarnation == written_row.holder_incarnation;
         // A lease held by this instance counts as expired until its next renewal.
-        lease_.record_write(present, row.version,
+        lease_.record_write(present, version,
                             is_own ? time_point{} : now + foreign_lease_margin);
     }
 }
@@ -133,33 +141,39 @@
 task<bool> lease_keeper::read()
 {
     search_.searched(boot_now());
+    auto const known = lease_.version();
     auto const reply = co_await store_.call(
         platform::encode_row_read(platform::store_table::lease, platform::lease_key),
         call_timeout);
     if (!reply || !reply->done())
         co_return false;
+    // The row was told by another instance, and the store knows no such era.
+    if (reply->era < known.era && known == lease_.version())
+        lease_.forget_row();
     row_absent_ = true;
-    observe_rows(reply->answer);
+    observe_rows(*reply);
     if (row_absent_)
-        lease_.observe_absent();
+        lease_.observe_absent(reply->era, boot_now());
     row_known_ = true;
-    seen_version_ = reply->answer.version;
+    seen_version_ = reply->version();
     co_return true;
 }
 
 task<bool> lease_keeper::watch(duration timeout)
 {
     search_.searched(boot_now());
-    auto const after = std::max(seen_version_, lease_.row_version());
+    auto const after = std::max(seen_version_, lease_.version());
+    if (after.era != store_.era())
+        co_return co_await read();
     auto const reply = co_await store_.call(
-        platform::encode_table_watch(platform::store_table::lease, after, timeout),
+        platform::encode_table_watch(platform::store_table::lease, after.number, timeout),
         timeout + call_timeout);
-    if (reply && reply->changes_unavailable())
+    if (reply && (reply->changes_unavailable() || reply->era != after.era))
         co_return co_await read();
     if (!reply || !reply->done())
         co_return false;
-    observe_rows(reply->answer);
-    seen_version_ = std::max(after, reply->answer.version);
+    observe_rows(*reply);
+    seen_version_ = std::max(after, reply->version());
     co_return true;
 }
 
@@ -168,26 +182,33 @@
     auto const sent_at = boot_now();
     bool const held_before = lease_.held(sent_at);
     auto const former = lease_.row();
+    auto const expected = lease_.version();
     auto const reply = co_await store_.call(
-        platform::encode_lease_write(row, lease_.row_version()), call_timeout);
+        platform::encode_lease_write(row, expected.number), call_timeout);
     if (!reply)
         co_return false;
+    // The store has come back from a copy since the row was read, and may have had
+    // another row with that version.
+    if (reply->era != expected.era)
+        co_return co_await read();
     if (reply->conflict())
     {
         adopt_lower_version(row, reply->answer);
-        observe_rows(reply->answer);
+        observe_rows(*reply);
         co_return true;
     }
     if (!reply->done())
         co_return false;
-    first_holder_ = row_absent_;
+    // A lost row does not mean that there was no former holder; its fence is known then.
+    first_holder_ = row_absent_ && former.fence == 0;
     row_absent_ = false;
-    lease_.record_write(row, reply->answer.version, sent_at);
+    lease_.record_write(row, reply->version(), sent_at);
     if (!held_before)
         services_.log.write(entry_event::lease_claimed,
                             {{"fence", row.fence},
                              {"former_holder", former.holder_name},
-                             {"row_version", reply->answer.version}});
+                             {"row_version", reply->answer.version},
+                             {"store_era", reply->era}});
     co_return true;
 }
 
@@ -195,7 +216,10 @@
 {
     if (!lease_.held(boot_now()))
         co_return;
-    co_await write(lease_.released_row());
+    bool const answered = co_await write(lease_.released_row());
+    // The store has come back from a copy, and the row was read again.
+    if (answered && lease_.held(boot_now()))
+        co_await write(lease_.released_row());
     // The event follows the last known row. Without an answer of the store it is
     // lease_not_released, although the store may have released the row; if it has not,
     // the lease expires by itself. After a conflict the row is the one adopted from the
--- a/src/transport/entry/lease_keeper.hpp
+++ b/src/transport/entry/lease_keeper.hpp
@@ -28,7 +28,7 @@
     /// Long-polls the store until the row changes, for at most `timeout`.
     [[nodiscard]] task<bool> watch(duration timeout);
     [[nodiscard]] task<bool> write(lease_row row);
-    void observe_rows(platform::store_answer const& answer);
+    void observe_rows(store_reply const& reply);
     /// Adopts the row of a write conflict if its version is lower than the expected one,
     /// or if the row is gone. Versions only decrease if the store was restored to an
     /// earlier state. Without this, every later write would expect a version that the
@@ -46,7 +46,7 @@
     /// Decides when this instance asks the store for a new holder of the lease.
     hub_search search_;
     /// Version of the table up to which changes of the row are known.
-    std::uint64_t seen_version_ = 0;
+    store_version seen_version_;
     bool row_known_ = false;
     bool row_absent_ = false;
     bool first_holder_ = false;
--- a/src/transport/entry/peer_link.cpp
+++ b/src/transport/entry/peer_link.cpp
@@ -120,6 +120,8 @@
         peer.last_status.node = status.node;
         peer.last_status.incarnation = status.incarnation;
         peer.last_status.config_version = status.config_version;
+        if (reads_state_of_store(status))
+            peer.last_status.cancelled_quota_requests = {reads_store_state};
         send_update(peer, hub_.make_reply(status));
     }
     members_.erase(key);
@@ -320,7 +322,9 @@
 node_status peer_link::next_status(bool complete)
 {
     auto status = sink_.status(complete);
-    status.cancelled_quota_requests = std::exchange(cancelled_quota_requests_, {});
+    auto const cancelled = std::exchange(cancelled_quota_requests_, {});
+    status.cancelled_quota_requests.insert(status.cancelled_quota_requests.end(),
+                                           cancelled.begin(), cancelled.end());
     return status;
 }
 
--- a/tests/entry/hub_lease_test.cpp
+++ b/tests/entry/hub_lease_test.cpp
@@ -24,7 +24,7 @@
 TEST_F(hub_lease_test, unknown_row_is_not_claimed)
 {
     EXPECT_FALSE(first_.may_claim(at(0)));
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     EXPECT_TRUE(first_.may_claim(at(0)));
 }
 
@@ -33,10 +33,10 @@
 // of 300 ms separates each of these two times from the end of the term.
 TEST_F(hub_lease_test, silent_holder_lease_ends_before_the_next_claim)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto const row = first_.next_row(at(0));
-    first_.record_write(row, 7, at(0));
-    second_.observe(row, 7, at(5), duration::max());
+    first_.record_write(row, {0, 7}, at(0));
+    second_.observe(row, {0, 7}, at(5), duration::max());
     for (int ms = 0; ms < 6000; ms += 10)
         EXPECT_FALSE(first_.held(at(ms)) && second_.may_claim(at(ms))) << ms;
     EXPECT_TRUE(second_.may_claim(at(3000)));
@@ -48,16 +48,16 @@
 // instance. A row of an older version is ignored.
 TEST_F(hub_lease_test, observe_reports_each_change_of_holder_once)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto row = first_.next_row(at(0));
-    EXPECT_TRUE(second_.observe(row, 7, at(0), duration::max()));
-    EXPECT_FALSE(second_.observe(row, 7, at(100), milliseconds(2000)));
-    EXPECT_FALSE(second_.observe(row, 8, at(800), duration::max()));
+    EXPECT_TRUE(second_.observe(row, {0, 7}, at(0), duration::max()));
+    EXPECT_FALSE(second_.observe(row, {0, 7}, at(100), milliseconds(2000)));
+    EXPECT_FALSE(second_.observe(row, {0, 8}, at(800), duration::max()));
     row.holder_address = "10.0.0.3:7600";
-    EXPECT_FALSE(second_.observe(row, 6, at(900), duration::max()));
-    EXPECT_TRUE(second_.observe(row, 9, at(900), duration::max()));
+    EXPECT_FALSE(second_.observe(row, {0, 6}, at(900), duration::max()));
+    EXPECT_TRUE(second_.observe(row, {0, 9}, at(900), duration::max()));
     row.holder_address.clear();
-    EXPECT_TRUE(second_.observe(row, 10, at(1000), duration::max()));
+    EXPECT_TRUE(second_.observe(row, {0, 10}, at(1000), duration::max()));
 }
 
 // Guards against a hub that still sends orders after its process was paused for longer
@@ -65,28 +65,28 @@
 // the store's answer arrives.
 TEST_F(hub_lease_test, lease_is_counted_from_when_the_renewal_was_sent)
 {
-    first_.observe_absent();
-    first_.record_write(first_.next_row(at(0)), 7, at(0));
+    first_.observe_absent(0, at(0));
+    first_.record_write(first_.next_row(at(0)), {0, 7}, at(0));
     EXPECT_FALSE(first_.held(at(5000)));
 }
 
 // Guards against two holders with the same fencing number.
 TEST_F(hub_lease_test, change_of_holder_raises_fence)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto const row = first_.next_row(at(0));
-    first_.record_write(row, 7, at(0));
+    first_.record_write(row, {0, 7}, at(0));
     EXPECT_EQ(first_.next_row(at(800)).fence, row.fence);
-    second_.observe(row, 7, at(0), duration::max());
+    second_.observe(row, {0, 7}, at(0), duration::max());
     EXPECT_EQ(second_.next_row(at(3000)).fence, row.fence + 1);
 }
 
 // Guards against a successor that waits a whole term after a clean shutdown.
 TEST_F(hub_lease_test, released_lease_is_claimed_at_once)
 {
-    first_.observe_absent();
-    first_.record_write(first_.next_row(at(0)), 7, at(0));
-    second_.observe(first_.released_row(), 8, at(100), duration::max());
+    first_.observe_absent(0, at(0));
+    first_.record_write(first_.next_row(at(0)), {0, 7}, at(0));
+    second_.observe(first_.released_row(), {0, 8}, at(100), duration::max());
     EXPECT_TRUE(second_.may_claim(at(100)));
 }
 
@@ -95,10 +95,10 @@
 // must have ended.
 TEST_F(hub_lease_test, restarted_holder_claims_at_once_with_a_higher_fence)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto const row = first_.next_row(at(0));
     hub_lease restarted("10.0.0.1:7600", "first", 12, term);
-    restarted.observe(row, 7, at(100), duration::max());
+    restarted.observe(row, {0, 7}, at(100), duration::max());
     EXPECT_TRUE(restarted.may_claim(at(100)));
     EXPECT_FALSE(restarted.held(at(100)));
     EXPECT_EQ(restarted.next_row(at(100)).fence, row.fence + 1);
@@ -109,10 +109,10 @@
 // sends with the row.
 TEST_F(hub_lease_test, remaining_time_from_the_holder_delays_a_claim)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto const row = first_.next_row(at(0));
-    second_.observe(row, 7, at(0), duration::max());
-    second_.observe(row, 8, at(1000), milliseconds(2000));
+    second_.observe(row, {0, 7}, at(0), duration::max());
+    second_.observe(row, {0, 8}, at(1000), milliseconds(2000));
     EXPECT_FALSE(second_.may_claim(at(2900)));
     EXPECT_TRUE(second_.may_claim(at(3400)));
 }
@@ -120,8 +120,8 @@
 // Guards against a renewal that starts too late to be retried.
 TEST_F(hub_lease_test, renewal_is_due_after_a_third_of_the_term)
 {
-    first_.observe_absent();
-    first_.record_write(first_.next_row(at(0)), 7, at(0));
+    first_.observe_absent(0, at(0));
+    first_.record_write(first_.next_row(at(0)), {0, 7}, at(0));
     EXPECT_FALSE(first_.renewal_due(at(700)));
     EXPECT_TRUE(first_.renewal_due(at(900)));
 }
@@ -132,12 +132,12 @@
 // lease_model_test.
 TEST_F(hub_lease_test, former_holder_waits_before_it_reclaims)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto const row = first_.next_row(at(0));
-    first_.record_write(row, 7, at(0));
-    second_.observe(row, 7, at(0), duration::max());
-    second_.record_write(second_.next_row(at(2700)), 8, at(2700));
-    first_.observe(second_.released_row(), 9, at(2700), duration::max());
+    first_.record_write(row, {0, 7}, at(0));
+    second_.observe(row, {0, 7}, at(0), duration::max());
+    second_.record_write(second_.next_row(at(2700)), {0, 8}, at(2700));
+    first_.observe(second_.released_row(), {0, 9}, at(2700), duration::max());
     EXPECT_FALSE(first_.may_claim(at(2700)));
     EXPECT_FALSE(first_.may_claim(at(5099)));
     EXPECT_TRUE(first_.may_claim(at(5100)));
@@ -148,15 +148,15 @@
 // its orders were in flight. Found by lease_model_test.
 TEST_F(hub_lease_test, holder_that_reads_its_own_renewal_keeps_its_lease)
 {
-    first_.observe_absent();
+    first_.observe_absent(0, at(0));
     auto const row = first_.next_row(at(0));
-    first_.record_write(row, 7, at(0));
-    second_.observe(row, 7, at(0), duration::max());
-    first_.observe(first_.next_row(at(900)), 8, at(1000), duration::max());
+    first_.record_write(row, {0, 7}, at(0));
+    second_.observe(row, {0, 7}, at(0), duration::max());
+    first_.observe(first_.next_row(at(900)), {0, 8}, at(1000), duration::max());
     EXPECT_TRUE(first_.held(at(2099)));
     EXPECT_FALSE(first_.held(at(2100)));
     EXPECT_TRUE(first_.renewal_due(at(1000)));
-    second_.observe(first_.row(), 8, at(1000), first_.remaining(at(1000)));
+    second_.observe(first_.row(), {0, 8}, at(1000), first_.remaining(at(1000)));
     EXPECT_FALSE(second_.may_claim(at(2399)));
 }
 
@@ -164,8 +164,8 @@
 // the claim was sent is no longer known when its row is read.
 TEST_F(hub_lease_test, holder_that_reads_its_own_claim_does_not_hold_the_lease)
 {
-    first_.observe_absent();
-    first_.observe(first_.next_row(at(0)), 7, at(100), duration::max());
+    first_.observe_absent(0, at(0));
+    first_.observe(first_.next_row(at(0)), {0, 7}, at(100), duration::max());
     EXPECT_FALSE(first_.held(at(100)));
     EXPECT_TRUE(first_.may_claim(at(100)));
     EXPECT_EQ(first_.next_row(at(100)).fence, first_.fence());
@@ -175,23 +175,23 @@
 // against a claim while the holder of the row that was replaced may still send orders.
 TEST_F(hub_lease_test, unreadable_row_is_claimed_after_a_term)
 {
-    first_.observe_absent();
-    first_.record_write(first_.next_row(at(0)), 7, at(0));
-    second_.observe(first_.row(), 7, at(5), duration::max());
-    EXPECT_TRUE(second_.observe_unreadable(90, at(100)));
-    EXPECT_FALSE(second_.observe_unreadable(90, at(2000)));
+    first_.observe_absent(0, at(0));
+    first_.record_write(first_.next_row(at(0)), {0, 7}, at(0));
+    second_.observe(first_.row(), {0, 7}, at(5), duration::max());
+    EXPECT_TRUE(second_.observe_unreadable({0, 90}, at(100)));
+    EXPECT_FALSE(second_.observe_unreadable({0, 90}, at(2000)));
     EXPECT_FALSE(second_.may_claim(at(2799)));
     EXPECT_TRUE(second_.may_claim(at(2800)));
-    EXPECT_EQ(second_.row_version(), 90U);
+    EXPECT_EQ(second_.version().number, 90U);
 }
 
 // Guards against a fence that an earlier holder, whose row is lost, has used.
 TEST_F(hub_lease_test, claim_after_unreadable_row_has_a_fence_above_its_version)
 {
-    first_.observe_unreadable(90, at(0));
+    first_.observe_unreadable({0, 90}, at(0));
     EXPECT_EQ(first_.next_row(at(3000)).fence, 91U);
-    second_.observe({"10.0.0.1:7600", "first", 11, 500}, 91, at(0), duration::max());
-    second_.observe_unreadable(92, at(0));
+    second_.observe({"10.0.0.1:7600", "first", 11, 500}, {0, 91}, at(0), duration::max());
+    second_.observe_unreadable({0, 92}, at(0));
     EXPECT_EQ(second_.next_row(at(3000)).fence, 502U);
 }
 
@@ -199,8 +199,8 @@
 // another one, for which the row has no holder, like a released one.
 TEST_F(hub_lease_test, unreadable_row_from_another_instance_is_claimed_after_its_time)
 {
-    first_.observe_unreadable(90, at(0));
-    second_.observe(first_.row(), 90, at(10), first_.remaining(at(10)));
+    first_.observe_unreadable({0, 90}, at(0));
+    second_.observe(first_.row(), {0, 90}, at(10), first_.remaining(at(10)));
     EXPECT_FALSE(second_.may_claim(at(2699)));
     EXPECT_TRUE(second_.may_claim(at(2700)));
 }
@@ -209,21 +209,21 @@
 // The row may have replaced claims with fences above the highest known one.
 TEST_F(hub_lease_test, claim_after_lowered_fence_is_above_all_that_may_have_been_used)
 {
-    first_.observe({"10.0.0.2:7600", "second", 22, 52}, 90, at(0), duration::max());
-    first_.observe({"127.0.0.1:9", "x", 1, 7}, 92, at(100), duration::max());
+    first_.observe({"10.0.0.2:7600", "second", 22, 52}, {0, 90}, at(0), duration::max());
+    first_.observe({"127.0.0.1:9", "x", 1, 7}, {0, 92}, at(100), duration::max());
     EXPECT_EQ(first_.next_row(at(3000)).fence, 93U);
-    second_.observe({"10.0.0.1:7600", "first", 11, 520}, 90, at(0), duration::max());
-    second_.observe({"", "x", 1, 7}, 92, at(100), duration::max());
+    second_.observe({"10.0.0.1:7600", "first", 11, 520}, {0, 90}, at(0), duration::max());
+    second_.observe({"", "x", 1, 7}, {0, 92}, at(100), duration::max());
     EXPECT_EQ(second_.next_row(at(3000)).fence, 523U);
 }
 
 // Guards against a fence that wraps around or that other instances cannot read.
 TEST_F(hub_lease_test, claim_stays_below_the_fence_limit)
 {
-    first_.observe({"10.0.0.2:7600", "second", 22, fence_limit - 1}, 90, at(0),
+    first_.observe({"10.0.0.2:7600", "second", 22, fence_limit - 1}, {0, 90}, at(0),
                    duration::max());
     EXPECT_EQ(first_.next_row(at(3000)).fence, 91U);
-    second_.observe_unreadable(~std::uint64_t{0}, at(0));
+    second_.observe_unreadable({0, ~std::uint64_t{0}}, at(0));
     EXPECT_EQ(second_.next_row(at(3000)).fence, fence_limit - 1);
 }
 
--- a/tests/entry/lease_model.cpp
+++ b/tests/entry/lease_model.cpp
@@ -38,7 +38,7 @@
     {
         auto row = of.lease.next_row(at);
         row.fence = fence;
-        lease.record_write(row, 1, at);
+        lease.record_write(row, {0, 1}, at);
     };
     if (of.unanswered)
     {
@@ -110,8 +110,8 @@
 bool checker_state::may_read(std::size_t who) const
 {
     auto const& self = processes_[who];
-    return (!self.has_read || self.lease.row_version() < version_) && !self.terminating &&
-           !has_open_call(who);
+    return (!self.has_read || self.lease.version().number < version_) &&
+           !self.terminating && !has_open_call(who);
 }
 
 // Repeats the rule of lease_keeper::step. The delay before a claim may be zero here.
@@ -179,7 +179,7 @@
         if (scenario_->orders)
             order_steps(who, out);
         for (std::uint8_t to = 0; scenario_->told_rows && to < instance_count; ++to)
-            if (to != who && self.lease.row_version() != 0)
+            if (to != who && self.lease.version().number != 0)
                 out.push_back({step_kind::tell, who, to});
         if (terminations_ < scenario_->terminations && !self.terminating)
             out.push_back({step_kind::terminate, who});
@@ -209,9 +209,9 @@
 {
     auto& self = processes_[who];
     if (version_ != 0)
-        self.lease.observe(row_, version_, local_time(who), duration::max());
+        self.lease.observe(row_, {0, version_}, local_time(who), duration::max());
     else if (!self.has_read)
-        self.lease.observe_absent();
+        self.lease.observe_absent(0, local_time(who));
     self.found_no_row = version_ == 0;
     self.has_read = true;
 }
@@ -226,7 +226,7 @@
                     how == step_kind::write_answer_lost,
                     release ? self.lease.released_row()
                             : self.lease.next_row(local_time(who)),
-                    self.lease.row_version(),
+                    self.lease.version().number,
                     local_time(who)};
     if (how == step_kind::write_on_way)
     {
@@ -273,9 +273,9 @@
     auto& self = processes_[call.owner];
     self.found_no_row = false;
     if (call.state == store_call::progress::accepted)
-        self.lease.record_write(call.row, call.version, call.sent_at);
+        self.lease.record_write(call.row, {0, call.version}, call.sent_at);
     else
-        self.lease.observe(call.stored, call.version, local_time(call.owner),
+        self.lease.observe(call.stored, {0, call.version}, local_time(call.owner),
                            duration::max());
 }
 
@@ -394,7 +394,7 @@
     case step_kind::tell:
     {
         auto& to = processes_[next.target].lease;
-        to.observe(self.lease.row(), self.lease.row_version(), local_time(next.target),
+        to.observe(self.lease.row(), self.lease.version(), local_time(next.target),
                    self.lease.remaining(local_time(next.who)));
         return;
     }
@@ -451,9 +451,9 @@
             continue;
         auto later = self.lease;
         if (version_ != 0)
-            later.observe(row_, version_, local_time(who), duration::max());
+            later.observe(row_, {0, version_}, local_time(who), duration::max());
         else
-            later.observe_absent();
+            later.observe_absent(0, local_time(who));
         if (!later.may_claim(local_time(who) + term + lease_ms))
             return std::string(names[who]) + " can't claim a lease that nobody renews";
     }
--- a/tests/entry/lease_model_digest.cpp
+++ b/tests/entry/lease_model_digest.cpp
@@ -71,7 +71,7 @@
                 std::uint64_t{self.terminating} << 2U |
                 std::uint64_t{self.release_sent} << 3U);
         out.add(self.lease.row());
-        out.add(self.lease.row_version());
+        out.add(self.lease.version().number);
         out.add(self.lease.end(), now);
         out.add(self.lease.earliest_reclaim(), now);
         out.add(std::uint64_t{self.order.has_value()});
--- a/tests/entry/node_message_test.cpp
+++ b/tests/entry/node_message_test.cpp
@@ -156,5 +156,25 @@
     EXPECT_EQ(encode(update).size() - without, 12U);
 }
 
+// Guards against an era that is lost on the way, and against an update that instances of
+// the former build cannot read: without the state it ends where it did.
+TEST(node_message_test, state_of_the_store_follows_the_former_end_of_an_update)
+{
+    node_update update;
+    update.directory.push_back(std::make_shared<directory_part>());
+    update.loads = std::make_shared<fleet_loads>();
+    auto const former = encode(update);
+    EXPECT_FALSE(std::get<node_update>(decode_update(former)).store);
+    update.store = store_state{~std::uint64_t{0}, 6};
+    auto const bytes = encode(update);
+    EXPECT_EQ(bytes.substr(0, former.size()), former);
+    auto const decoded = std::get<node_update>(decode_update(bytes)).store;
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->era, ~std::uint64_t{0});
+    EXPECT_EQ(decoded->lease_era, 6U);
+    EXPECT_FALSE(succeeded(decode_update(bytes.substr(0, bytes.size() - 1))));
+    EXPECT_FALSE(succeeded(decode_update(bytes + '\1')));
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/order_authorization_test.cpp
+++ b/tests/entry/order_authorization_test.cpp
@@ -19,8 +19,8 @@
 protected:
     order_authorization_test()
     {
-        lease_.observe_absent();
-        lease_.record_write(lease_.next_row(at(0)), 7, at(0));
+        lease_.observe_absent(0, at(0));
+        lease_.record_write(lease_.next_row(at(0)), {0, 7}, at(0));
     }
 
     static time_point at(int ms) { return time_point{} + milliseconds(100000 + ms); }
@@ -70,9 +70,9 @@
 TEST_F(order_authorization_test, permit_of_an_earlier_fence_is_invalid_after_a_reclaim)
 {
     auto permit = authorization_.issue_permit(at(10));
-    lease_.observe({"10.0.0.2:7600", "second", 22, 2}, 8, at(20), duration::max());
+    lease_.observe({"10.0.0.2:7600", "second", 22, 2}, {0, 8}, at(20), duration::max());
     EXPECT_FALSE(permit->try_mark_sent(at(30)));
-    lease_.record_write({"10.0.0.1:7600", "first", 11, 3}, 9, at(40));
+    lease_.record_write({"10.0.0.1:7600", "first", 11, 3}, {0, 9}, at(40));
     EXPECT_FALSE(permit->try_mark_sent(at(50)));
     EXPECT_TRUE(authorization_.issue_permit(at(50)));
 }
