Write the records of streams again when the store has come back from a copy

Streams of two software versions that began before a drill of the store were taken up nowhere after their instance had died 4 s after it: 0 of 24 went on.

Cause: a record is written once and marked as written; nothing takes the mark back when the store loses what it has acknowledged.

The first call waits for a random part of the interval, so that a fleet does not write at one moment. A write that failed is tried again at once then; its wait had grown to 4 s.

--- a/src/coordination/entry/stream_versions.cpp
+++ b/src/coordination/entry/stream_versions.cpp
@@ -176,6 +176,18 @@
     removals_.insert(removals_.begin(), batch.removed.begin(), batch.removed.end());
 }
 
+void stream_versions::note_records_lost()
+{
+    for (auto const& key : order_)
+    {
+        auto& known = entries_.at(key);
+        if (known.state != record_state::written)
+            continue;
+        known.state = record_state::unwritten;
+        unwritten_[known.origin.service].push_back(key);
+    }
+}
+
 void stream_versions::expire(time_point now)
 {
     while (!order_.empty() && now - entries_.at(order_.front()).begun_at >= retention_)
--- a/src/coordination/entry/stream_versions.hpp
+++ b/src/coordination/entry/stream_versions.hpp
@@ -94,6 +94,8 @@
                                                  std::size_t limit);
     /// Takes changes back that were not carried out.
     void return_batch(stream_record_batch batch);
+    /// Regards all records as not written, because the store may have lost them.
+    void note_records_lost();
     /// Forgets the streams whose retention is over.
     void expire(time_point now);
 
--- a/src/transport/entry/entry_node.cpp
+++ b/src/transport/entry/entry_node.cpp
@@ -516,6 +516,7 @@
         reader_.set_mode(hub_active_ || streams_.directory_behind() ||
                              read_policy_.should_read(now, link_.period()),
                          read_policy_.should_read_config(now, authority_.outdated()));
+        streams_.note_restorations(store_.eras().restorations());
         reader_.set_hub_retries(!hub_active_ && link_.connected() &&
                                 read_policy_.hub_cannot_read());
         update_readiness();
--- a/src/transport/entry/stream_registry.cpp
+++ b/src/transport/entry/stream_registry.cpp
@@ -4,6 +4,8 @@
 #include "transport/entry/boot_clock.hpp"
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 namespace carawayturn::entry
 {
@@ -50,7 +52,7 @@
 
 stream_registry::stream_registry(entry_services& services, store_client& store)
     : services_(services), store_(store), reader_(services, store, *this),
-      begun_(services.io), swept_at_(boot_now())
+      begun_(services.io), restored_(services.io), swept_at_(boot_now())
 {
 }
 
@@ -121,6 +123,19 @@
     history_.confirm(read_at);
 }
 
+void stream_registry::note_restorations(std::uint64_t restorations)
+{
+    if (restorations == restorations_)
+        return;
+    restorations_ = restorations;
+    streams_.note_records_lost();
+    written_versions_.clear();
+    versions_written_at_ = {};
+    spread_write_ = true;
+    begun_.notify();
+    restored_.notify();
+}
+
 bool stream_registry::directory_behind() const
 {
     return difference_read_at_ > directory_confirmed_at_;
@@ -172,11 +187,23 @@
     return std::max(min_write_interval, instances * write_interval_per_instance);
 }
 
+duration stream_registry::random_write_delay() const
+{
+    std::uniform_int_distribution<duration::rep> delay(0, write_interval().count());
+    return duration(delay(services_.random));
+}
+
 task<void> stream_registry::write_streams()
 {
     steady_timer timer(services_.io);
     for (auto pause = retry_interval;;)
     {
+        if (std::exchange(spread_write_, false))
+        {
+            timer.expires_after(random_write_delay());
+            co_await timer.async_wait(use_task);
+            pause = retry_interval;
+        }
         auto const now = boot_now();
         streams_.expire(now);
         auto batch = streams_.take_batch([&](std::string const& service)
@@ -189,10 +216,15 @@
         }
         bool const done = co_await write_batch(batch);
         if (!done)
+        {
             streams_.return_batch(std::move(batch));
-        timer.expires_after(done ? write_interval() : pause);
+            co_await restored_.wait(pause);
+            pause = std::min(2 * pause, max_retry_interval);
+            continue;
+        }
+        pause = retry_interval;
+        timer.expires_after(write_interval());
         co_await timer.async_wait(use_task);
-        pause = done ? retry_interval : std::min(2 * pause, max_retry_interval);
     }
 }
 
--- a/src/transport/entry/stream_registry.hpp
+++ b/src/transport/entry/stream_registry.hpp
@@ -90,6 +90,10 @@
     void server_removed(std::string const& id);
     /// Records that the directory is that of the store at this time.
     void confirm_directory(time_point read_at);
+    /// Writes everything again that the store may have lost, if it has come back from a
+    /// copy since the last call.
+    /// @param restorations number of times that it has, as far as this instance knows.
+    void note_restorations(std::uint64_t restorations);
     /// Returns whether the store has had other servers, or versions of them, than the
     /// directory, and the directory has not been read since.
     [[nodiscard]] bool directory_behind() const;
@@ -164,6 +168,8 @@
     [[nodiscard]] task<bool> write(std::vector<platform::row_change> const& changes);
     [[nodiscard]] task<stream_lookup> read_record(stream_key key);
     [[nodiscard]] duration write_interval() const;
+    /// Returns a random part of that interval.
+    [[nodiscard]] duration random_write_delay() const;
 
     entry_services& services_;
     store_client& store_;
@@ -171,6 +177,12 @@
     version_reader reader_;
     stream_versions streams_;
     change_signal begun_;
+    std::uint64_t restorations_ = 0;
+    /// Wakes the writer if it waits for the next try.
+    change_signal restored_;
+    /// Whether the next write waits for a random part of the interval, because all
+    /// instances have records to write at the same moment.
+    bool spread_write_ = false;
     time_point directory_confirmed_at_{};
     /// When the last reading began that showed a difference between the store and the
     /// directory.
--- a/tests/entry/stream_version_case.py
+++ b/tests/entry/stream_version_case.py
@@ -287,7 +287,7 @@
     gap_target_ms = 10_000
 
     def setUp(self) -> None:
-        self.store = Store()
+        self.store = self.create_store()
         self.addCleanup(self.store.close)
         config = configuration(1, ["k1"], ("m1",))
         draft = next(route for route in config["routes"] if route["name"] == "draft")
@@ -304,6 +304,9 @@
         self.first, self.other = self.instances
         self.wait_until_serving()
 
+    def create_store(self) -> Store:
+        return Store()
+
     def create_instance(self, name: str) -> Instance:
         return Instance(self.store, name, more_settings=RETRIES)
 
--- a/tests/entry/stream_versions_test.cpp
+++ b/tests/entry/stream_versions_test.cpp
@@ -170,5 +170,32 @@
     EXPECT_EQ(version_of("s0"), std::nullopt);
 }
 
+// Guards against streams whose records the store has lost in a restoration from a copy.
+TEST_F(stream_versions_test, lost_records_are_written_again_the_newest_first)
+{
+    begin("a");
+    begin("b");
+    EXPECT_EQ(take().written.size(), 2U);
+    begin("c");
+    streams_.learn(stream_key::of("foreign"), {"llm", "v1"}, now_);
+    streams_.note_records_lost();
+    auto const batch = take();
+    ASSERT_EQ(batch.written.size(), 3U);
+    EXPECT_EQ(batch.written.front().key, stream_key::of("b"));
+    EXPECT_TRUE(take().empty());
+}
+
+// Guards against records that are written once more for each restoration that finds them
+// unwritten.
+TEST_F(stream_versions_test, records_lost_twice_before_a_write_are_written_once)
+{
+    begin("a");
+    take();
+    streams_.note_records_lost();
+    streams_.note_records_lost();
+    EXPECT_EQ(take().written.size(), 1U);
+    EXPECT_TRUE(take().empty());
+}
+
 } // namespace
 } // namespace carawayturn::entry
