Suspect an attempt that has no content of its answer yet when its server dies

Requests with a part that crashes runners at the first event, 1.5 s after the head of the answer, went on reaching runners for as long as they came: 9 later than contact_ms after the fifth crash, 3 are allowed, and each crash cut off sound streams.

Cause: an attempt counted as a suspect within a second from the head of its answer. A runner that writes the head when it accepts a request is still reading the prompt then.

Change: the second counts from the first content, an event with data or a byte of another body; without content an attempt is suspected whenever its server dies. 1101 has content_ms.

--- a/src/transport/entry/backend_exchange.cpp
+++ b/src/transport/entry/backend_exchange.cpp
@@ -239,6 +239,17 @@
     return head_read() ? now - head_read_at_ : duration::zero();
 }
 
+void backend_exchange::note_content(time_point now)
+{
+    if (!content_begun_at_)
+        content_begun_at_ = now;
+}
+
+duration backend_exchange::time_since_content(time_point now) const
+{
+    return content_begun_at_ ? now - *content_begun_at_ : duration::zero();
+}
+
 body_framing backend_exchange::framing() const
 {
     if (!head_read())
--- a/src/transport/entry/backend_exchange.hpp
+++ b/src/transport/entry/backend_exchange.hpp
@@ -70,6 +70,11 @@
     [[nodiscard]] bool head_read() const { return parser_ && parser_->is_header_done(); }
     /// Time since the head of the answer was read; zero if it was not.
     [[nodiscard]] duration time_since_head(time_point now) const;
+    /// Records that the server has begun to write the content of its answer: an event of
+    /// a stream, or a byte of another body.
+    void note_content(time_point now);
+    /// Time since the server was first seen to write content; zero if it was not.
+    [[nodiscard]] duration time_since_content(time_point now) const;
     /// Whether the whole answer has been read.
     [[nodiscard]] bool answer_read() const { return parser_ && parser_->is_done(); }
 
@@ -137,6 +142,7 @@
     std::size_t piece_size_ = 0;
     std::uint64_t body_bytes_ = 0;
     time_point head_read_at_{};
+    std::optional<time_point> content_begun_at_;
     std::shared_ptr<upload> upload_;
     bool head_request_ = false;
     /// A read of the head was interrupted, so a part of it may have been read.
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -34,7 +34,7 @@
     auto const now = boot_now();
     // A server that is leaving may end under any request.
     if (!exchange_ || !exchange_->connection_broken() || interrupted() ||
-        exchange_->time_since_head(now) > max_crash_delay ||
+        exchange_->time_since_content(now) > max_crash_delay ||
         services_.backends.is_leaving(server_.id))
         return;
     services_.backends.cold().note_broken(server_, now);
@@ -63,6 +63,7 @@
          {"resumed_after", attempt.resumed_after},
          {"last_event_id", attempt.continuation.last_id()},
          {"begun_ms", exchange ? to_ms(exchange->time_since_head(now)) : 0},
+         {"content_ms", exchange ? to_ms(exchange->time_since_content(now)) : 0},
          {"silent_ms", to_ms(now - attempt.last_received)},
          {"elapsed_ms", to_ms(now - arrival_)}});
 }
@@ -239,6 +240,8 @@
         if (read != read_outcome::more)
             co_return read;
         last_received_ = boot_now();
+        if (!exchange_->body().empty())
+            exchange_->note_content(last_received_);
         answer_body_.append(exchange_->body());
         if (answer_body_.size() > max_buffered_answer || !reserve_answer_memory())
             co_return read;
@@ -414,6 +417,7 @@
         events.resize(accepted.bytes);
         if (events_.last_taken_has_data())
         {
+            exchange_->note_content(last_received_);
             silent_at = stall_limit(boot_now());
             unread_since_.reset();
         }
--- a/src/transport/entry/request_flow_detail.hpp
+++ b/src/transport/entry/request_flow_detail.hpp
@@ -45,8 +45,9 @@
 /// the longest time that this takes. Opening a connection costs less than reading on.
 inline constexpr std::size_t max_discarded_body = std::size_t{64} * 1024;
 inline constexpr duration max_discard_time = std::chrono::milliseconds(50);
-/// A server that crashes under a request does so as it begins to answer. A run that began
-/// to answer longer ago than this is not suspected.
+/// A server that crashes under a request does so as it begins to write the content of its
+/// answer. A run whose content began longer ago than this is not suspected; one that is
+/// still reading its prompt is, whenever its head was written.
 inline constexpr duration max_crash_delay = std::chrono::milliseconds(1000);
 /// Number of shared parts of a prompt for which crashes are counted. Bounds the memory
 /// that one request can take there.
--- a/standins/crashing_runner.py
+++ b/standins/crashing_runner.py
@@ -24,6 +24,17 @@
 
     BEFORE_HEAD = 1
     INSIDE_SECOND_EVENT = 2
+    # After the head, when the prompt has been read and the first event is to be written.
+    BEFORE_FIRST_EVENT = 3
+    # A moment after a whole event, in a stream that ends with its connection. The connections end
+    # before the port closes.
+    AFTER_WHOLE_EVENT = 4
+
+
+# Where a runner without a delay before the first event may crash, in any framing.
+EARLY_POINTS = [CrashPoint.BEFORE_HEAD, CrashPoint.INSIDE_SECOND_EVENT]
+# Seconds from a whole event to the crash after it.
+AFTER_EVENT_S = 0.1
 
 
 class CrashingRunner(BackendServer):
@@ -37,8 +48,13 @@
         self.crashes: list[float] = []
         self.harmful_arrivals: list[float] = []
         self.closed = False
+        # Seconds from the head of a stream to its first event.
+        self.prefill_s = 0.0
         super().__init__(store, name, "llm", ["m1"])
 
+    def silences_of(self, _request_id: str, first: int) -> dict[int, float]:
+        return {first: self.prefill_s}
+
     def close(self) -> None:
         self.closed = True
         with contextlib.suppress(OSError):
@@ -55,28 +71,38 @@
             call.answer(421, b"", {"X-Request-Id": call.headers["X-Request-Id"],
                                    "X-Instance-Id": self.name})
             return
-        if self._random.choice(self._points) is CrashPoint.INSIDE_SECOND_EVENT:
-            self._begin_answer(call)
-        self.crash()
+        point = self._random.choice(self._points)
+        if point is not CrashPoint.BEFORE_HEAD:
+            self._begin_answer(call, point)
+        self.crash(connections_first=point is CrashPoint.AFTER_WHOLE_EVENT)
         call.close_connection = True
 
-    def _begin_answer(self, call: _Handler) -> None:
+    def _begin_answer(self, call: _Handler, point: CrashPoint) -> None:
+        framing = {"Transfer-Encoding": "chunked"} if self.framed_streams else {
+            "Connection": "close"}
         call.send_response(200)
         for name, value in {"X-Request-Id": call.headers["X-Request-Id"], "X-Server-Seal": "s",
-                            "Content-Type": "text/event-stream",
-                            "Transfer-Encoding": "chunked"}.items():
+                            "Content-Type": "text/event-stream", **framing}.items():
             call.send_header(name, value)
         call.end_headers()
+        time.sleep(self.prefill_s)
+        if point is CrashPoint.BEFORE_FIRST_EVENT:
+            return
         self._send_piece(call, b"id: 1\ndata: 1\n\n")
-        self._send_piece(call, b"id: 2\nda")
+        if point is CrashPoint.INSIDE_SECOND_EVENT:
+            self._send_piece(call, b"id: 2\nda")
         call.wfile.flush()
+        if point is CrashPoint.AFTER_WHOLE_EVENT:
+            time.sleep(AFTER_EVENT_S)
 
-    def crash(self) -> None:
+    def crash(self, connections_first: bool = False) -> None:
         """Ends the runner; it starts again after a while."""
         if not self._crashing.acquire(blocking=False):
             return
         self.crashes.append(time.monotonic())
         crashed = self._server
+        if connections_first:
+            crashed.end_connections()
         crashed.shutdown()
         crashed.server_close()
         crashed.end_connections()
--- a/tests/entry/crashing_prompt_test.py
+++ b/tests/entry/crashing_prompt_test.py
@@ -18,7 +18,8 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "standins"))
-from crashing_runner import HARMFUL_PART, CrashingRunner, CrashPoint  # noqa: E402
+from crashing_runner import (  # noqa: E402
+    EARLY_POINTS, HARMFUL_PART, CrashingRunner, CrashPoint)
 from entry_fleet import Instance, configuration, wait_until  # noqa: E402
 from platform_fleet import Store  # noqa: E402
 
@@ -100,15 +101,23 @@
 class CrashingPromptTest(unittest.TestCase):
     """Runs one store, runners that crash, and instances."""
 
-    def start_fleet(self, instances: int, runners: int, points: list[CrashPoint]) -> None:
+    route_options: dict = {}
+
+    def start_fleet(self, instances: int, runners: int, points: list[CrashPoint],
+                    prefill_s: float = 0.0, framed: bool = True) -> None:
         self.store = Store()
         self.addCleanup(self.store.close)
-        self.store.put("op", "config", configuration(1, KEYS, ("m1",)))
+        config = configuration(1, KEYS, ("m1",))
+        draft = next(route for route in config["routes"] if route["name"] == "draft")
+        draft.update(self.route_options)
+        self.store.put("op", "config", config)
         self.runners = [CrashingRunner(self.store, f"r{number}", points, seed=1)
                         for number in range(runners)]
         for runner in self.runners:
             self.addCleanup(runner.close)
             runner.event_delay_s = 0.03
+            runner.prefill_s = prefill_s
+            runner.framed_streams = framed
         self.instances: list[Instance] = []
         for _ in range(instances):
             self.start_instance()
@@ -144,29 +153,41 @@
         self.assertLessEqual(self.late_arrivals(), MAX_LATE_ARRIVALS)
         self.assertGreaterEqual(after, MIN_SERVED_RATIO * before)
 
-    def play(self, seconds: float) -> None:
+    def play(self, seconds: float, harmful_per_s: float = HARMFUL_PER_S) -> None:
         traffic = Traffic(self.instances, seed=1)
         begin = time.monotonic()
         traffic.play(CALM_S, harmful_per_s=0.0)
         calm_end = time.monotonic()
-        traffic.play(seconds)
+        traffic.play(seconds, harmful_per_s)
         self.assert_contained(traffic, (begin, calm_end), time.monotonic())
 
     def test_part_that_crashes_runners_at_many_instances_is_contained(self) -> None:
         """Guards against requests that keep crashing runners because no two of them are alike
         and some runners crash in the middle of an answer."""
-        self.start_fleet(instances=4, runners=12, points=list(CrashPoint))
+        self.start_fleet(instances=4, runners=12, points=EARLY_POINTS)
         self.play(seconds=30)
 
     def test_part_that_crashes_runners_at_one_instance_is_contained(self) -> None:
         """Guards against the same without any other instance to share the counts with."""
-        self.start_fleet(instances=1, runners=8, points=list(CrashPoint))
+        self.start_fleet(instances=1, runners=8, points=EARLY_POINTS)
         self.play(seconds=20)
 
+    def set_route(self, **options) -> None:
+        """Changes the route of the streams, before the fleet is started."""
+        self.route_options = options
+
+    def test_part_that_crashes_runners_long_after_the_head_is_contained(self) -> None:
+        """Guards against a run that is no longer suspected because its head came over a second
+        ago, although it has not written an event: the runner was reading the prompt."""
+        self.set_route(resumable=False, max_attempts=1, target_latency_ms=4000, gap_target_ms=300)
+        self.start_fleet(instances=3, runners=12, points=[CrashPoint.BEFORE_FIRST_EVENT],
+                         prefill_s=1.5)
+        self.play(seconds=30, harmful_per_s=0.8)
+
     def test_blocked_part_is_known_to_a_new_hub_and_to_later_instances(self) -> None:
         """Guards against harmful requests that reach runners again after the hub has ended, or
         at an instance that was not there when the runners crashed."""
-        self.start_fleet(instances=2, runners=8, points=list(CrashPoint))
+        self.start_fleet(instances=2, runners=8, points=EARLY_POINTS)
         Traffic(self.instances, seed=2).play(6.0)
         self.assertTrue(all(instance.events(1137) for instance in self.instances))
         hub = wait_until(lambda: next((each for each in self.instances if is_hub(each)), None),
@@ -185,7 +206,7 @@
     def test_runners_that_crash_for_other_reasons_block_nothing(self) -> None:
         """Guards against sound requests that are refused because they share a part that is in
         flight whenever a runner crashes, one alone or several at once."""
-        self.start_fleet(instances=2, runners=8, points=list(CrashPoint))
+        self.start_fleet(instances=2, runners=8, points=EARLY_POINTS)
         traffic = Traffic(self.instances, seed=4)
         crashing = threading.Thread(target=self.crash_runners, args=(random.Random(4), 10.0))
         crashing.start()
