Prove that a server has outlived an answer that ends with its connection

Runners crashed after a whole event of a stream without a length and chunks. The end counted as a success, cleared the part that crashes runners and made it tolerate two further crashes: 12 such requests reached runners later than contact_ms after the fifth crash.

Cause: the end of such an answer was a success unless the runner's port refused a connection at that very moment.

Change: such an end is unproven. 250 ms later the server is asked for a connection: if it opens, the answer clears its parts; if it is refused, or the crash shows otherwise, an attempt whose content had begun within the last second counts as broken off. No answer in time, or a server that may not be called: neither. One check for all ends before it, 512 ends at most.

--- a/src/coordination/entry/crash_tracker.cpp
+++ b/src/coordination/entry/crash_tracker.cpp
@@ -41,6 +41,7 @@
 /// Crashes in a row that are not counted for an answered part of prompts.
 constexpr std::uint32_t tolerated_crashes = 2;
 constexpr std::size_t max_broken = 512;
+constexpr std::size_t max_unproven_ends = 512;
 constexpr std::size_t max_signatures = 4096;
 /// Limit of the reports that wait for a hub.
 constexpr std::size_t max_reports = 4096;
@@ -73,6 +74,57 @@
     return !checked_recently;
 }
 
+bool crash_tracker::note_unproven_end(std::string const& server,
+                                      crash_signatures const& signatures, bool success,
+                                      bool suspect, time_point now)
+{
+    if (unproven_count_ >= max_unproven_ends)
+        return false;
+    auto& ends = unproven_ends_[server];
+    ends.push_back({signatures, success, suspect, now});
+    ++unproven_count_;
+    return ends.size() == 1;
+}
+
+bool crash_tracker::note_alive(std::string const& server, time_point alive_at)
+{
+    auto const found = unproven_ends_.find(server);
+    if (found == unproven_ends_.end())
+        return false;
+    auto& ends = found->second;
+    auto const later = std::find_if(ends.begin(), ends.end(),
+                                    [&](auto const& end) { return end.at >= alive_at; });
+    std::for_each(ends.begin(), later,
+                  [&](unproven_end const& end)
+                  { note_answered(end.signatures, end.success, alive_at); });
+    unproven_count_ -= static_cast<std::size_t>(later - ends.begin());
+    ends.erase(ends.begin(), later);
+    if (!ends.empty())
+        return true;
+    unproven_ends_.erase(found);
+    return false;
+}
+
+void crash_tracker::drop_unproven_ends(std::string const& server)
+{
+    auto const found = unproven_ends_.find(server);
+    if (found == unproven_ends_.end())
+        return;
+    unproven_count_ -= found->second.size();
+    unproven_ends_.erase(found);
+}
+
+void crash_tracker::suspect_unproven_ends(std::string const& server)
+{
+    auto const found = unproven_ends_.find(server);
+    if (found == unproven_ends_.end())
+        return;
+    for (auto const& end : found->second)
+        if (end.suspect && broken_.size() < max_broken)
+            broken_.push_back({server, end.signatures, end.at});
+    drop_unproven_ends(server);
+}
+
 void crash_tracker::count_crash(std::uint64_t signature, std::string const& server,
                                 time_point now, detected_crash& crash)
 {
@@ -105,6 +157,7 @@
 std::optional<detected_crash> crash_tracker::note_crash(std::string const& server,
                                                         time_point now)
 {
+    suspect_unproven_ends(server);
     detected_crash crash;
     std::set<std::uint64_t> requests;
     std::set<std::uint64_t> parts;
--- a/src/coordination/entry/crash_tracker.hpp
+++ b/src/coordination/entry/crash_tracker.hpp
@@ -58,6 +58,22 @@
     /// checked now.
     bool note_broken_attempt(std::string const& server,
                              crash_signatures const& signatures, time_point now);
+    /// Records an answer whose end only the end of its connection marks. The server may
+    /// have ended with it, so the answer proves nothing before note_alive(), and counts
+    /// as a broken attempt if the server turns out to have crashed.
+    /// @param success as in note_answered().
+    /// @param suspect whether the content of the answer began so lately that the request
+    ///     can be the cause of a crash.
+    /// Returns whether a check of the server is to be started.
+    [[nodiscard]] bool note_unproven_end(std::string const& server,
+                                         crash_signatures const& signatures, bool success,
+                                         bool suspect, time_point now);
+    /// Records that the server's process was alive at this time, so that answers which
+    /// ended before were complete. Returns whether later ones are left, which need
+    /// another check.
+    bool note_alive(std::string const& server, time_point alive_at);
+    /// Forgets the ended answers of a server that cannot be checked.
+    void drop_unproven_ends(std::string const& server);
     /// Records a crash: the server refuses connections or has a new incarnation. Returns
     /// nothing if this crash is known already and no further attempt broke off with it.
     std::optional<detected_crash> note_crash(std::string const& server, time_point now);
@@ -91,6 +107,13 @@
         crash_signatures signatures;
         time_point at{};
     };
+    struct unproven_end
+    {
+        crash_signatures signatures;
+        bool success = false;
+        bool suspect = false;
+        time_point at{};
+    };
     struct suspicion
     {
         std::uint32_t crashes = 0;
@@ -104,6 +127,8 @@
         /// When the hub was last told that the signature is blocked.
         std::optional<time_point> reported_at;
     };
+    /// Takes the ended answers of a server that has crashed for broken attempts.
+    void suspect_unproven_ends(std::string const& server);
     [[nodiscard]] bool is_blocked(std::uint64_t signature) const;
     void count_crash(std::uint64_t signature, std::string const& server, time_point now,
                      detected_crash& crash);
@@ -117,6 +142,9 @@
 
     answered_parts answered_;
     std::vector<broken_attempt> broken_;
+    /// Answers whose servers are to be checked, by server, the oldest first.
+    std::map<std::string, std::vector<unproven_end>> unproven_ends_;
+    std::size_t unproven_count_ = 0;
     /// When each server's latest crash was detected.
     std::map<std::string, time_point> detected_at_;
     std::map<std::uint64_t, suspicion> counts_;
--- a/src/transport/entry/request_attempt.cpp
+++ b/src/transport/entry/request_attempt.cpp
@@ -329,10 +329,26 @@
     }
     note_run_time();
     services_.backends.note_success(server_.id, boot_now());
-    services_.crashes.note_answered(crash_signatures_, is_success(status), boot_now());
+    note_complete_answer(is_success(status));
     return attempt_outcome::delivered;
 }
 
+void request_flow::note_complete_answer(bool success)
+{
+    auto const now = boot_now();
+    if (!exchange_->ends_with_connection())
+    {
+        services_.crashes.note_answered(crash_signatures_, success, now);
+        return;
+    }
+    bool const suspect = exchange_->time_since_content(now) <= max_crash_delay &&
+                         !services_.backends.is_leaving(server_.id);
+    if (services_.crashes.note_unproven_end(server_.id, crash_signatures_, success,
+                                            suspect, now))
+        services_.tasks.run("check ended server", server_.id,
+                            check_ended_answers(services_, server_));
+}
+
 task<request_flow::attempt_outcome> request_flow::relay_answer()
 {
     auto const length = exchange_->length();
--- a/src/transport/entry/request_flow.hpp
+++ b/src/transport/entry/request_flow.hpp
@@ -242,6 +242,8 @@
     void note_sending(time_point now);
     /// Records the times of an answered request.
     void note_run_time();
+    /// Records for the counts of crashes that the server has answered the request.
+    void note_complete_answer(bool success);
     [[nodiscard]] task<void> wait_for_change(backend_choice const& choice,
                                              time_point now);
     [[nodiscard]] std::uint32_t priority() const;
--- a/src/transport/entry/server_crash.hpp
+++ b/src/transport/entry/server_crash.hpp
@@ -17,6 +17,12 @@
 [[nodiscard]] task<void> check_for_crash(entry_services& services, std::string server,
                                          std::string address);
 
+/// Finds out whether a server's process has outlived the answers that ended with their
+/// connections: opens a connection to it a moment after their end, and records that the
+/// server is alive or has crashed. Asks nothing of a server that may not be called.
+[[nodiscard]] task<void> check_ended_answers(entry_services& services,
+                                             backend_record server);
+
 /// Returns whether the server's address refuses connections, as that of a process that
 /// has ended does. A connection that opens is kept for another request; a server that
 /// does not answer in time is not known to have ended.
--- a/tests/entry/crash_tracker_test.cpp
+++ b/tests/entry/crash_tracker_test.cpp
@@ -306,5 +306,63 @@
     EXPECT_EQ(hub.suspects(at(0)).size(), bound);
 }
 
+// Guards against the end of an answer that is taken for a success, although its server
+// ended with it: the part that crashes servers would be cleared each time.
+TEST_F(crash_tracker_test, unproven_end_counts_if_its_server_has_crashed)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const server = "s" + std::to_string(i);
+        EXPECT_TRUE(tracker_.note_unproven_end(server, different_request({"harmful"}),
+                                               true, true, at(1000 * i)));
+        auto const crash = tracker_.note_crash(server, at(1000 * i + 300));
+        ASSERT_TRUE(crash);
+        EXPECT_EQ(crash->broken_attempts, 1U);
+    }
+    EXPECT_TRUE(is_part_blocked(tracker_, "harmful"));
+}
+
+// Guards against a part that stays suspected although requests with it are answered.
+TEST_F(crash_tracker_test, unproven_end_clears_its_parts_once_its_server_is_seen_alive)
+{
+    crash("s1", different_request({"part"}), 0);
+    crash("s2", different_request({"part"}), 1000);
+    EXPECT_TRUE(tracker_.note_unproven_end("s3", different_request({"part"}), true, true,
+                                           at(1500)));
+    EXPECT_FALSE(tracker_.note_unproven_end("s3", different_request({"part"}), true, true,
+                                            at(1700)));
+    EXPECT_TRUE(tracker_.note_alive("s3", at(1600)));
+    EXPECT_FALSE(tracker_.note_alive("s3", at(1800)));
+    crash("s4", different_request({"part"}), 2000);
+    EXPECT_FALSE(is_part_blocked(tracker_, "part"));
+}
+
+// Guards against a sound request that is suspected although its answer had gone on for
+// long.
+TEST_F(crash_tracker_test, unproven_end_of_a_long_run_neither_counts_nor_clears)
+{
+    crash("s1", different_request({"part"}), 0);
+    crash("s2", different_request({"part"}), 1000);
+    EXPECT_TRUE(tracker_.note_unproven_end("s3", different_request({"part"}), true, false,
+                                           at(1500)));
+    tracker_.note_crash("s3", at(1800));
+    EXPECT_FALSE(is_part_blocked(tracker_, "part"));
+    crash("s4", different_request({"part"}), 3000);
+    EXPECT_TRUE(is_part_blocked(tracker_, "part"));
+}
+
+// Guards against memory that grows with servers that cannot be checked.
+TEST_F(crash_tracker_test, unproven_ends_are_limited_and_dropped_with_their_check)
+{
+    std::size_t checks = 0;
+    for (int i = 0; i < 2000; ++i)
+        checks += tracker_.note_unproven_end("s" + std::to_string(i), request_, true,
+                                             true, at(i));
+    EXPECT_EQ(checks, 512U);
+    tracker_.drop_unproven_ends("s0");
+    EXPECT_TRUE(tracker_.note_unproven_end("s0", request_, true, true, at(3000)));
+    EXPECT_FALSE(tracker_.note_alive("s1999", at(5000)));
+}
+
 } // namespace
 } // namespace carawayturn::entry
--- a/tests/entry/crashing_prompt_test.py
+++ b/tests/entry/crashing_prompt_test.py
@@ -184,6 +184,28 @@
                          prefill_s=1.5)
         self.play(seconds=30, harmful_per_s=0.8)
 
+    def test_part_that_crashes_runners_at_the_end_of_an_unframed_answer_is_contained(self) -> None:
+        """Guards against the end of a stream that ends with its connection taken for a success,
+        although the runner has ended with it. The runner's port still opened at that moment."""
+        self.set_route(resumable=False, max_attempts=1, target_latency_ms=4000, gap_target_ms=300)
+        self.start_fleet(instances=3, runners=12, points=[CrashPoint.AFTER_WHOLE_EVENT],
+                         framed=False)
+        self.play(seconds=20, harmful_per_s=0.9)
+
+    def test_unframed_answers_of_live_runners_clear_their_parts(self) -> None:
+        """Guards against sound requests that are refused because the ends of their answers never
+        count as successes."""
+        self.set_route(resumable=False, max_attempts=1, target_latency_ms=4000, gap_target_ms=300)
+        self.start_fleet(instances=2, runners=8, points=EARLY_POINTS, framed=False)
+        traffic = Traffic(self.instances, seed=4)
+        crashing = threading.Thread(target=self.crash_runners, args=(random.Random(4), 10.0))
+        crashing.start()
+        traffic.play(12.0, harmful_per_s=0.0)
+        crashing.join()
+        outcomes = {ended["outcome"] for instance in self.instances
+                    for ended in instance.events(1100)}
+        self.assertNotIn("request_crashes_servers", outcomes)
+
     def test_blocked_part_is_known_to_a_new_hub_and_to_later_instances(self) -> None:
         """Guards against harmful requests that reach runners again after the hub has ended, or
         at an instance that was not there when the runners crashed."""
