--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -281,10 +281,11 @@
 
 void store_reader::keep_evacuations(evacuation_rows& evacuations)
 {
-    auto const read = evacuations.as_of(0).domains;
+    std::set<std::string> read;
+    for (auto const& domain : evacuations.as_of(0).domains)
+        read.insert(domain.name);
     for (auto const& [name, row_version] : services_.backends.evacuated().domains())
-        if (std::none_of(read.begin(), read.end(),
-                         [&name](auto const& domain) { return domain.name == name; }))
+        if (!read.contains(name))
             evacuations.put(name, row_version);
 }
 
