--- a/src/transport/entry/store_reader.cpp
+++ b/src/transport/entry/store_reader.cpp
@@ -134,11 +134,11 @@
             continue;
         }
         auto const asked_at = boot_now();
-        // After a pause of the process, requests wait for a newer reading, which a long
-        // poll would delay.
         // What was kept in place of lost rows ends with the time for writing them again.
         bool const kept_too_long =
             evacuations_kept_ && !may_be_restored(operators_rewrite_time, asked_at);
+        // After a pause of the process, requests wait for a newer reading, which a long
+        // poll would delay.
         bool const missing = !follows_from(config_version_) || kept_too_long ||
                              services_.authority.outdated() ||
                              services_.backends.evacuated().must_refresh(asked_at);
@@ -163,7 +163,8 @@
     auto& authority = services_.authority;
     // Another instance has seen a newer configuration, which the store had before it came
     // back from a copy.
-    if (authority.outdated())
+    bool const names_eras = store_.era() != 0;
+    if (names_eras && authority.outdated())
         return;
     if (!may_be_restored(operators_rewrite_time, asked_at) ||
         config_row_ > first_version_in_era_)
